--- /dev/null
+++ b/daemons/plantaingap.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
--- /dev/null
+++ b/src/runtime/placeholder.cpp
@@ -0,0 +1,1 @@
+namespace plantaingap { }
