--- a/include/plantaingap/request_scheduler.h
+++ b/include/plantaingap/request_scheduler.h
@@ -1,6 +1,7 @@
 #ifndef PLANTAINGAP_REQUEST_SCHEDULER_H
 #define PLANTAINGAP_REQUEST_SCHEDULER_H
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <plantaingap/ids.h>
@@ -13,6 +14,9 @@
 // It has no I/O, clock or thread: events go in with the time, actions come out.
 namespace plantaingap::decision {
 
+// Who sends requests, for learning; 0 when the caller cannot be told from others.
+enum class caller_id : std::uint64_t {};
+
 // How long a request may reasonably wait. Quick work is never behind long work.
 enum class work_class : std::uint8_t { Quick, Normal, Long };
 
@@ -56,6 +60,7 @@
     bool idempotent = true;
     // The caller no longer wants an answer after this time.
     time_point deadline {};
+    caller_id caller {};
 };
 
 // The caller went away or gave up.
@@ -108,6 +113,22 @@
     std::uint32_t queueLimit = 1024;
     // Sends per request, the first included.
     std::uint32_t attempts = 2;
+    // Repeated sends per arrival, over all requests of a service.
+    double retryRatio = 0.1;
+    // Repeated sends that may come at once after a quiet time.
+    double retryBurst = 20;
+    // A request that holds a slot longer than this is not quick, whatever was declared.
+    duration quickAtMost = std::chrono::milliseconds(250);
+    // A request that holds a slot longer than this is long.
+    duration normalAtMost = std::chrono::seconds(2);
+    // Where a service has too few slots for a share, its oldest long request goes first after
+    // this wait.
+    duration patience = std::chrono::seconds(30);
+    // Slots held back from longer work: the mean of quick work in progress and so many standard
+    // deviations above it.
+    double headroomDeviations = 3;
+    // Actions per step; what is left is done by the next expire().
+    std::uint32_t actionsPerStep = 64;
 };
 
 } // namespace plantaingap::decision
--- /dev/null
+++ b/src/decision/class_shares.h
@@ -0,0 +1,57 @@
+#ifndef PLANTAINGAP_DECISION_CLASS_SHARES_H
+#define PLANTAINGAP_DECISION_CLASS_SHARES_H
+
+#include <array>
+#include <cstdint>
+#include <plantaingap/request_scheduler.h>
+
+namespace plantaingap::decision {
+
+// Shares a service's slots out among the classes. Requests cannot be taken off a slot, so room for
+// quick work is kept free before it comes: the mean of quick work in progress and some standard
+// deviations. Normal and long work are each certain of an eighth of the slots while they wait.
+class class_shares
+{
+public:
+    explicit class_shares(double headroomDeviations);
+
+    void addWaiting(work_class name, time_point now);
+    void removeWaiting(work_class name, time_point now);
+    void addRunning(work_class name, time_point now);
+    void removeRunning(work_class name, time_point now);
+
+    // The slots of the available workers.
+    void setSlots(std::uint32_t slots) { m_slots = slots; }
+
+    // True when a waiting request of the class may take one of the free slots. Set impatient when
+    // the oldest long request has waited past its patience.
+    bool mayStart(work_class name, std::uint32_t free, bool impatient) const;
+
+    // Free slots to leave for quick work that has not come yet.
+    std::uint32_t headroom() const;
+
+    std::uint32_t waiting(work_class name) const { return m_waiting[index(name)]; }
+    std::uint32_t running(work_class name) const { return m_running[index(name)]; }
+    std::uint32_t waiting() const { return m_waiting[0] + m_waiting[1] + m_waiting[2]; }
+    std::uint32_t running() const { return m_running[0] + m_running[1] + m_running[2]; }
+
+private:
+    static constexpr std::size_t index(work_class name) { return static_cast<std::size_t>(name); }
+
+    // Slots that the class is certain of and does not hold.
+    std::uint32_t owed(work_class name, bool impatient) const;
+    void observeQuick(time_point now);
+
+    double m_deviations;
+    std::array<std::uint32_t, 3> m_waiting {};
+    std::array<std::uint32_t, 3> m_running {};
+    std::uint32_t m_slots = 0;
+    // Mean and mean square over time of quick requests in progress.
+    double m_mean = 0;
+    double m_square = 0;
+    time_point m_observedAt {};
+};
+
+} // namespace plantaingap::decision
+
+#endif
--- a/src/decision/request_scheduler.cpp
+++ b/src/decision/request_scheduler.cpp
@@ -1,7 +1,7 @@
 #include "decision/request_scheduler.h"
 
 #include <algorithm>
-#include <cassert>
+#include <plantaingap/invariant.h>
 
 namespace plantaingap::decision {
 
@@ -13,179 +13,167 @@
                              std::vector<request_action> &actions)
 {
     std::visit([&](const auto &typed) { on(typed, now, actions); }, event);
+    checkCounts();
 }
 
 std::optional<time_point> request_scheduler::nextDeadline() const
 {
-    if (m_deadlines.empty())
-        return std::nullopt;
-    return m_deadlines.begin()->first;
+    const auto timer = m_requests.nextTimer();
+    if (m_unfinished.empty())
+        return timer;
+    return timer ? std::min(*timer, m_unfinishedSince) : m_unfinishedSince;
 }
 
 void request_scheduler::expire(time_point now, std::vector<request_action> &actions)
 {
-    while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
-        const request_id request = m_deadlines.begin()->second;
-        m_deadlines.erase(m_deadlines.begin());
-        const auto found = m_requests.find(request);
-        if (found == m_requests.end() || found->second.worker)
-            continue;
-        refuse(request, errc::DeadlinePassed, now, actions);
+    std::set<service_id> touched;
+    touched.swap(m_unfinished);
+    for (std::uint32_t done = 0; done < m_limits.actionsPerStep; ++done) {
+        auto *request = m_requests.takeDue(now);
+        if (!request)
+            break;
+        touched.insert(request->arrival.service);
+        request->lane->timeout(*request, now, actions);
     }
+    for (const auto service : touched)
+        dispatch(service, now, actions);
+    checkCounts();
+}
+
+std::size_t request_scheduler::waiting() const
+{
+    std::size_t count = 0;
+    for (const auto &[service, lane] : m_lanes)
+        count += lane->shares().waiting();
+    return count;
+}
+
+std::size_t request_scheduler::running() const
+{
+    std::size_t count = 0;
+    for (const auto &[service, lane] : m_lanes)
+        count += lane->shares().running();
+    return count;
+}
+
+std::size_t request_scheduler::waiting(service_id service, work_class name) const
+{
+    const auto *found = findLane(service);
+    return found ? found->shares().waiting(name) : 0;
 }
 
 std::uint32_t request_scheduler::freeSlots(service_id service) const
 {
-    std::uint32_t free = 0;
-    for (const auto &[id, worker] : m_workers) {
-        if (worker.service == service && !worker.leaving)
-            free += worker.slots - worker.used;
-    }
-    return free;
+    const auto *found = findLane(service);
+    return found ? found->workers().free() : 0;
+}
+
+std::size_t request_scheduler::quarantined(service_id service) const
+{
+    const auto *found = findLane(service);
+    return found ? found->workers().quarantined() : 0;
 }
 
 void request_scheduler::on(const worker_added &event, time_point now,
                            std::vector<request_action> &actions)
 {
-    const auto used = std::min(event.occupied, event.slots);
-    m_workers[event.worker] = worker_state {event.service, event.slots, used, false};
+    auto &home = lane(event.service);
+    auto *former = laneOf(event.worker);
+    if (former && former != &home)
+        former->workers().remove(event.worker);
+    m_workers[event.worker] = &home;
+    home.workers().add(event);
     dispatch(event.service, now, actions);
 }
 
 void request_scheduler::on(const worker_slots_confirmed &event, time_point now,
                            std::vector<request_action> &actions)
 {
-    const auto found = m_workers.find(event.worker);
-    if (found == m_workers.end())
+    auto *home = laneOf(event.worker);
+    if (!home)
         return;
-    std::uint32_t own = 0;
-    for (const auto &[id, request] : m_requests)
-        own += request.worker == event.worker ? 1 : 0;
-    found->second.used = std::min(found->second.slots, own + event.occupied);
-    dispatch(found->second.service, now, actions);
+    home->workers().confirm(event.worker, event.occupied);
+    dispatch(home->service(), now, actions);
 }
 
 void request_scheduler::on(const worker_leaving &event, time_point, std::vector<request_action> &)
 {
-    const auto found = m_workers.find(event.worker);
-    if (found != m_workers.end())
-        found->second.leaving = true;
+    if (auto *home = laneOf(event.worker))
+        home->workers().leave(event.worker);
 }
 
 void request_scheduler::on(const worker_removed &event, time_point, std::vector<request_action> &)
 {
+    if (auto *home = laneOf(event.worker))
+        home->workers().remove(event.worker);
     m_workers.erase(event.worker);
 }
 
 void request_scheduler::on(const request_arrived &event, time_point now,
                            std::vector<request_action> &actions)
 {
-    auto &waiting = m_queues[{event.service, event.declared}];
-    m_requests[event.request] = request_state {event, 0, std::nullopt};
-    ++m_waiting;
-    if (event.deadline <= now)
-        return refuse(event.request, errc::DeadlinePassed, now, actions);
-    if (waiting.size() >= m_limits.queueLimit)
-        return refuse(event.request, errc::Overloaded, now, actions);
-    waiting.push_back(event.request);
-    m_deadlines.emplace(event.deadline, event.request);
+    auto *request = m_requests.add(event);
+    if (!request)
+        return;
+    lane(event.service).arrive(*request, now, actions);
     dispatch(event.service, now, actions);
 }
 
-void request_scheduler::on(const request_cancelled &event, time_point,
+void request_scheduler::on(const request_cancelled &event, time_point now,
                            std::vector<request_action> &)
 {
-    const auto found = m_requests.find(event.request);
-    if (found == m_requests.end() || found->second.worker)
-        return;
-    m_requests.erase(found);
-    --m_waiting;
+    // Nothing is freed by a request that waited, so a wave of these costs no dispatch each.
+    if (auto *request = m_requests.find(event.request))
+        request->lane->cancel(*request, now);
 }
 
 void request_scheduler::on(const request_ended &event, time_point now,
                            std::vector<request_action> &actions)
 {
-    const auto found = m_requests.find(event.request);
-    if (found == m_requests.end() || !found->second.worker)
+    auto *request = m_requests.find(event.request);
+    if (!request || request->phase != request_phase::Running)
         return;
-    const auto service = found->second.arrival.service;
-    const auto worker = m_workers.find(*found->second.worker);
-    if (worker != m_workers.end()) {
-        assert(worker->second.used > 0);
-        --worker->second.used;
-    }
-    --m_running;
-    found->second.worker.reset();
-    const bool again =
-        event.outcome == send_outcome::NotRun
-        || (event.outcome == send_outcome::Unknown && found->second.arrival.idempotent);
-    if (event.outcome == send_outcome::Answered || event.outcome == send_outcome::WorkerFailed) {
-        m_requests.erase(found);
-    } else if (again && found->second.sends < m_limits.attempts) {
-        ++m_waiting;
-        m_queues[{service, found->second.arrival.declared}].push_front(event.request);
-        m_deadlines.emplace(found->second.arrival.deadline, event.request);
-    } else {
-        ++m_waiting;
-        const bool notRun = event.outcome == send_outcome::NotRun;
-        refuse(event.request, notRun ? errc::NoWorker : errc::OutcomeUnknown, now, actions);
-    }
+    const auto service = request->arrival.service;
+    request->lane->end(*request, event.outcome, now, actions);
     dispatch(service, now, actions);
 }
 
-void request_scheduler::dispatch(service_id service, time_point now,
-                                 std::vector<request_action> &actions)
+service_lane &request_scheduler::lane(service_id service)
 {
-    for (const auto priority : {work_class::Quick, work_class::Normal, work_class::Long}) {
-        auto &waiting = m_queues[{service, priority}];
-        while (!waiting.empty()) {
-            const auto request = waiting.front();
-            const auto found = m_requests.find(request);
-            if (found == m_requests.end() || found->second.worker) {
-                waiting.pop_front();
-                continue;
-            }
-            if (found->second.arrival.deadline <= now) {
-                waiting.pop_front();
-                refuse(request, errc::DeadlinePassed, now, actions);
-                continue;
-            }
-            const auto worker = freeWorker(service);
-            if (!worker)
-                return;
-            waiting.pop_front();
-            ++m_workers[*worker].used;
-            ++m_running;
-            --m_waiting;
-            ++found->second.sends;
-            found->second.worker = worker;
-            actions.emplace_back(send_request {request, *worker});
-        }
-    }
+    auto &found = m_lanes[service];
+    if (!found)
+        found = std::make_unique<service_lane>(service, m_limits, m_requests);
+    return *found;
+}
+
+const service_lane *request_scheduler::findLane(service_id service) const
+{
+    const auto found = m_lanes.find(service);
+    return found == m_lanes.end() ? nullptr : found->second.get();
 }
 
-std::optional<worker_id> request_scheduler::freeWorker(service_id service) const
+service_lane *request_scheduler::laneOf(worker_id worker)
 {
-    std::optional<worker_id> best;
-    std::uint32_t bestFree = 0;
-    for (const auto &[id, worker] : m_workers) {
-        if (worker.service != service || worker.leaving)
-            continue;
-        const auto free = worker.slots - worker.used;
-        if (free > bestFree) {
-            best = id;
-            bestFree = free;
-        }
+    const auto found = m_workers.find(worker);
+    return found == m_workers.end() ? nullptr : found->second;
+}
+
+void request_scheduler::dispatch(service_id service, time_point now,
+                                 std::vector<request_action> &actions)
+{
+    if (!lane(service).dispatch(now, actions)) {
+        m_unfinished.erase(service);
+        return;
     }
-    return best;
+    m_unfinished.insert(service);
+    m_unfinishedSince = now;
 }
 
-void request_scheduler::refuse(request_id request, errc code, time_point now,
-                               std::vector<request_action> &actions)
+// Each accepted request is in exactly one state: the states' counts make up the whole.
+void request_scheduler::checkCounts() const
 {
-    m_requests.erase(request);
-    --m_waiting;
-    actions.emplace_back(refuse_request {request, code, now + std::chrono::seconds(1)});
+    PLANTAINGAP_INVARIANT(waiting() + running() == m_requests.size(),
+                          "requests do not add up to waiting and running");
 }
 
 } // namespace plantaingap::decision
--- /dev/null
+++ b/src/decision/slot_index.h
@@ -0,0 +1,78 @@
+#ifndef PLANTAINGAP_DECISION_SLOT_INDEX_H
+#define PLANTAINGAP_DECISION_SLOT_INDEX_H
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <plantaingap/ids.h>
+#include <set>
+#include <unordered_map>
+
+namespace plantaingap::decision {
+
+// The slots of one service's workers, ordered so that the emptiest worker of the emptiest rack is
+// found without a scan. A change costs the logarithm of the racks and of the rack's workers.
+class slot_index
+{
+public:
+    // Adds a worker, or changes the slots of one that is there.
+    void add(worker_id worker, rack_id rack, std::uint32_t slots);
+    void remove(worker_id worker);
+
+    // Slots that requests of a former owner hold.
+    void setForeign(worker_id worker, std::uint32_t occupied);
+
+    // An unavailable worker is not picked and its slots do not count.
+    void setAvailable(worker_id worker, bool available);
+
+    void occupy(worker_id worker);
+    void release(worker_id worker);
+
+    // An available worker with a free slot; the given one only when there is no other.
+    std::optional<worker_id> pick(std::optional<worker_id> avoid) const;
+
+    bool hasFreeSlot(worker_id worker) const;
+
+    // Slots and free slots of the available workers.
+    std::uint32_t slots() const { return m_slots; }
+    std::uint32_t free() const { return m_free; }
+    std::size_t workers() const { return m_workers.size(); }
+
+private:
+    struct worker_slots
+    {
+        rack_id rack {};
+        std::uint32_t slots = 0;
+        std::uint32_t own = 0;
+        std::uint32_t foreign = 0;
+        bool available = true;
+
+        std::uint32_t free() const;
+    };
+
+    // Ordered by free slots.
+    using ranked_workers = std::set<std::pair<std::uint32_t, worker_id>>;
+
+    struct rack_slots
+    {
+        ranked_workers workers;
+        std::uint32_t free = 0;
+    };
+
+    // Takes the worker out of the order, changes it and puts it back.
+    template<class Change>
+    void update(worker_id worker, Change change);
+    void link(worker_id worker, const worker_slots &state);
+    void unlink(worker_id worker, const worker_slots &state);
+    void rank(rack_id id, rack_slots &rack, std::uint32_t free);
+
+    std::unordered_map<worker_id, worker_slots> m_workers;
+    std::map<rack_id, rack_slots> m_racks;
+    std::set<std::pair<std::uint32_t, rack_id>> m_ranked;
+    std::uint32_t m_slots = 0;
+    std::uint32_t m_free = 0;
+};
+
+} // namespace plantaingap::decision
+
+#endif
