Give up wave headroom as longer work waits; learn quick load within moments

Change: the level is quick work on slots; the mean averages over what was seen so far until 30 s are full; the part of the deviation beyond independent arrivals melts while longer work waits, up to 2 s.

A wave at five times the mean with long work at 75% cannot be met by any headroom without idling the slots; quick p99 there is no longer far below strict priority's.

--- a/src/decision/class_shares.h
+++ b/src/decision/class_shares.h
@@ -7,13 +7,21 @@
 
 namespace plantaingap::decision {
 
+// How long the oldest waiting request of a class has waited.
+struct oldest_waits
+{
+    duration normal {};
+    duration longWork {};
+};
+
 // Shares a service's slots out among the classes. Requests cannot be taken off a slot, so room for
 // quick work is kept free before it comes: the mean of quick work in progress and some standard
-// deviations. Normal and long work are each certain of an eighth of the slots while they wait.
+// deviations. What waves of quick work add to that melts as longer work waits. Normal and long work
+// are each certain of an eighth of the slots while they wait.
 class class_shares
 {
 public:
-    explicit class_shares(double headroomDeviations);
+    explicit class_shares(const request_limits &limits);
 
     void addWaiting(work_class name, time_point now);
     void removeWaiting(work_class name, time_point now);
@@ -23,12 +31,11 @@
     // The slots of the available workers.
     void setSlots(std::uint32_t slots) { m_slots = slots; }
 
-    // True when a waiting request of the class may take one of the free slots. Set impatient when
-    // the oldest long request has waited past its patience.
-    bool mayStart(work_class name, std::uint32_t free, bool impatient) const;
+    // True when a waiting request of the class may take one of the free slots.
+    bool mayStart(work_class name, std::uint32_t free, const oldest_waits &waits) const;
 
     // Free slots to leave for quick work that has not come yet.
-    std::uint32_t headroom() const;
+    std::uint32_t headroom(const oldest_waits &waits) const;
 
     std::uint32_t waiting(work_class name) const { return m_waiting[index(name)]; }
     std::uint32_t running(work_class name) const { return m_running[index(name)]; }
@@ -39,17 +46,21 @@
     static constexpr std::size_t index(work_class name) { return static_cast<std::size_t>(name); }
 
     // Slots that the class is certain of and does not hold.
-    std::uint32_t owed(work_class name, bool impatient) const;
+    std::uint32_t owed(work_class name, const oldest_waits &waits) const;
+    double wantedHeadroom(const oldest_waits &waits) const;
     void observeQuick(time_point now);
 
     double m_deviations;
+    duration m_patience;
+    duration m_tolerance;
     std::array<std::uint32_t, 3> m_waiting {};
     std::array<std::uint32_t, 3> m_running {};
     std::uint32_t m_slots = 0;
-    // Mean and mean square over time of quick requests in progress.
+    // Mean and mean square over time of quick requests on slots.
     double m_mean = 0;
     double m_square = 0;
     time_point m_observedAt {};
+    duration m_observed {};
 };
 
 } // namespace plantaingap::decision
--- a/src/decision/service_lane.cpp
+++ b/src/decision/service_lane.cpp
@@ -25,7 +25,7 @@
     : m_service(service)
     , m_limits(limits)
     , m_requests(requests)
-    , m_shares(limits.headroomDeviations)
+    , m_shares(limits)
     , m_sizes(limits)
     , m_retries(limits.retryRatio, limits.retryBurst)
 { }
@@ -100,16 +100,21 @@
 
 std::optional<work_class> service_lane::nextClass(time_point now) const
 {
-    const auto &longQueue = m_queues[static_cast<std::size_t>(work_class::Long)];
-    const bool impatient =
-        !longQueue.empty() && now - longQueue.front().arrivedAt >= m_limits.patience;
+    const oldest_waits waits {oldestWait(work_class::Normal, now),
+                              oldestWait(work_class::Long, now)};
     for (const auto name : classes) {
-        if (m_shares.waiting(name) > 0 && m_shares.mayStart(name, m_workers.free(), impatient))
+        if (m_shares.waiting(name) > 0 && m_shares.mayStart(name, m_workers.free(), waits))
             return name;
     }
     return std::nullopt;
 }
 
+duration service_lane::oldestWait(work_class name, time_point now) const
+{
+    const auto &waiting = m_queues[static_cast<std::size_t>(name)];
+    return waiting.empty() ? duration {} : now - waiting.front().arrivedAt;
+}
+
 // Deals with the first request of a queue: it is refused, moved to the queue of its true class, or
 // sent.
 void service_lane::advance(work_class name, time_point now, std::vector<request_action> &actions)
--- a/src/decision/service_lane.h
+++ b/src/decision/service_lane.h
@@ -46,6 +46,7 @@
     void enqueue(request_state &request, time_point now);
     void dequeue(request_state &request, time_point now);
     std::optional<work_class> nextClass(time_point now) const;
+    duration oldestWait(work_class name, time_point now) const;
     void advance(work_class name, time_point now, std::vector<request_action> &actions);
     void send(request_state &request, time_point now, std::vector<request_action> &actions);
     void setOverrunTimer(request_state &request);
