--- a/benchmarks/request_policy.cpp
+++ b/benchmarks/request_policy.cpp
@@ -371,6 +371,8 @@
     all.push_back({.name = "rielsur-quiet", .kinds = rielsur(0.1, 0.3, 0)});
     all.push_back({.name = "rielsur-flood", .kinds = rielsur(0.1, 0.3, 0.5)});
     all.push_back({.name = "rielsur-sizes", .kinds = rielsur(0.1, 0.3, 0.5), .wrongSizes = true});
+    all.push_back({.name = "group-quiet", .workers = 8, .kinds = rielsur(0.1, 0.3, 0)});
+    all.push_back({.name = "group-flood", .workers = 8, .kinds = rielsur(0.1, 0.3, 0.5)});
     all.push_back(
         {.name = "target-quiet", .workers = 2696, .kinds = caroni(0.01, 0, 0.1), .length = 120s});
     all.push_back({.name = "target-flood",
--- a/src/decision/size_estimate.cpp
+++ b/src/decision/size_estimate.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-// Weight of the declaration against requests seen.
+// Weight of the declaration against requests seen; it falls as more are seen.
 constexpr double declarationWeight = 2;
 // A class is too short for a kind when more than this share of its requests took longer.
 constexpr double tolerated = 0.2;
@@ -48,7 +48,7 @@
 work_class size_estimate::history::judge(work_class declared) const
 {
     auto counts = seen;
-    counts[decision::at(declared)] += declarationWeight;
+    counts[decision::at(declared)] += declarationWeight / (1 + total());
     const auto bound = tolerated * (counts[0] + counts[1] + counts[2]);
     if (counts[2] > bound)
         return work_class::Long;
