Keep room for normal work from long work; give part of quick headroom back

Cause: in a group of one rack at 90% load, headroom for quick work left the rest 50 of 64 slots for a demand of 51, and normal work waited behind long requests that hold a slot ten times as long.

Change: long work leaves room for the mean and one deviation of normal work; this room and half of quick work's deviations melt as longer work waits (2 s for normal, 10 s for long work).

--- a/include/plantaingap/request_scheduler.h
+++ b/include/plantaingap/request_scheduler.h
@@ -115,8 +115,8 @@
     std::uint32_t attempts = 2;
     // Repeated sends per arrival, over all requests of a service.
     double retryRatio = 0.1;
-    // Repeated sends that may come at once after a quiet time; enough for the loss of a rack of eight
-    // workers with eight slots each, twice.
+    // Repeated sends that may come at once after a quiet time; enough for the loss of a rack of
+    // eight workers with eight slots each, twice.
     double retryBurst = 128;
     // A request that holds a slot longer than this is not quick, whatever was declared.
     duration quickAtMost = std::chrono::milliseconds(250);
--- a/src/decision/class_shares.cpp
+++ b/src/decision/class_shares.cpp
@@ -14,7 +14,16 @@
 constexpr double headroomLimit = 0.75;
 // Kept for quick work that was not seen of late.
 constexpr double leastHeadroom = 1.0 / 32;
-constexpr duration observationTime = std::chrono::seconds(30);
+// What stays of the headroom's deviations for quick work when longer work has waited its time.
+constexpr double keptDeviations = 0.5;
+// Long work may wait this many times as long as normal work before it takes the others' headroom.
+constexpr int longTolerance = 5;
+
+double share(duration waited, duration tolerance)
+{
+    const auto part = static_cast<double>(waited.count()) / static_cast<double>(tolerance.count());
+    return std::min(1.0, part);
+}
 
 } // namespace
 
@@ -24,28 +33,26 @@
     , m_tolerance(limits.normalAtMost)
 { }
 
-void class_shares::addWaiting(work_class name, time_point now)
+void class_shares::addWaiting(work_class name)
 {
-    observeQuick(now);
     ++m_waiting[index(name)];
 }
 
-void class_shares::removeWaiting(work_class name, time_point now)
+void class_shares::removeWaiting(work_class name)
 {
-    observeQuick(now);
     PLANTAINGAP_INVARIANT(m_waiting[index(name)] > 0, "waiting count below zero");
     --m_waiting[index(name)];
 }
 
 void class_shares::addRunning(work_class name, time_point now)
 {
-    observeQuick(now);
+    observe(now);
     ++m_running[index(name)];
 }
 
 void class_shares::removeRunning(work_class name, time_point now)
 {
-    observeQuick(now);
+    observe(now);
     PLANTAINGAP_INVARIANT(m_running[index(name)] > 0, "running count below zero");
     --m_running[index(name)];
 }
@@ -59,29 +66,44 @@
     const auto owedLong = name == work_class::Long ? 0 : owed(work_class::Long, waits);
     if (name == work_class::Quick)
         return free > owedLong + owed(work_class::Normal, waits);
-    return free > owedLong + headroom(waits);
+    return free > owedLong + headroom(name, waits);
 }
 
-std::uint32_t class_shares::headroom(const oldest_waits &waits) const
+std::uint32_t class_shares::headroom(work_class name, const oldest_waits &waits) const
 {
-    const auto target =
-        std::clamp(wantedHeadroom(waits), leastHeadroom * m_slots, headroomLimit * m_slots);
-    const auto held = running(work_class::Quick);
-    const auto rounded = static_cast<std::uint32_t>(target);
-    return rounded > held ? rounded - held : 0;
+    const auto wanted =
+        std::clamp(quickHeadroom(waits), leastHeadroom * m_slots, headroomLimit * m_slots);
+    const auto forQuick = missing(work_class::Quick, wanted);
+    if (name == work_class::Normal)
+        return forQuick;
+    return forQuick + missing(work_class::Normal, normalHeadroom(waits));
 }
 
 // Independent arrivals deviate by the square root of the mean; waves deviate by more. Room for
-// waves stands idle between them, so it is given up as longer work waits for it.
-double class_shares::wantedHeadroom(const oldest_waits &waits) const
+// waves stands idle between them, so it is given up first.
+double class_shares::quickHeadroom(const oldest_waits &waits) const
 {
-    const auto variance = std::max(0.0, m_square - m_mean * m_mean);
-    const auto steady = std::min(std::sqrt(variance), std::sqrt(m_mean));
-    const auto waves = std::sqrt(variance) - steady;
+    const auto deviation = m_quick.deviation();
+    const auto steady = std::min(deviation, std::sqrt(m_quick.mean()));
     const auto oldest = std::max(waits.normal, waits.longWork);
-    const auto given = std::min(1.0, static_cast<double>(oldest.count())
-                                         / static_cast<double>(m_tolerance.count()));
-    return m_mean + m_deviations * (steady + waves * (1 - given));
+    const auto wavesGiven = share(oldest, m_tolerance);
+    const auto given = std::max(share(waits.normal, m_tolerance),
+                                share(waits.longWork, longTolerance * m_tolerance));
+    const auto kept = 1 - given * (1 - keptDeviations);
+    return m_quick.mean()
+           + m_deviations * (steady * kept + (deviation - steady) * (1 - wavesGiven));
+}
+
+double class_shares::normalHeadroom(const oldest_waits &waits) const
+{
+    const auto given = share(waits.longWork, longTolerance * m_tolerance);
+    return (m_normal.mean() + m_normal.deviation()) * (1 - given);
+}
+
+std::uint32_t class_shares::missing(work_class name, double wanted) const
+{
+    const auto whole = static_cast<std::uint32_t>(wanted);
+    return whole > running(name) ? whole - running(name) : 0;
 }
 
 std::uint32_t class_shares::owed(work_class name, const oldest_waits &waits) const
@@ -95,22 +117,10 @@
     return certain > held ? std::min(certain - held, waiting(name)) : 0;
 }
 
-void class_shares::observeQuick(time_point now)
+void class_shares::observe(time_point now)
 {
-    const auto passed = std::max(duration {}, now - m_observedAt);
-    m_observedAt = std::max(m_observedAt, now);
-    // Counted from the first request on, so that a new owner knows the load within moments.
-    if (m_observed == duration {} && running(work_class::Quick) == 0)
-        return;
-    m_observed = std::min(m_observed + passed, observationTime);
-    if (m_observed == duration {})
-        return;
-    const auto weight =
-        static_cast<double>(passed.count()) / static_cast<double>(m_observed.count());
-    // Not what waits: a backlog is not the slots that quick work can use.
-    const double level = running(work_class::Quick);
-    m_mean += weight * (level - m_mean);
-    m_square += weight * (level * level - m_square);
+    m_quick.observe(running(work_class::Quick), now);
+    m_normal.observe(running(work_class::Normal), now);
 }
 
 } // namespace plantaingap::decision
--- a/src/decision/class_shares.h
+++ b/src/decision/class_shares.h
@@ -1,6 +1,8 @@
 #ifndef PLANTAINGAP_DECISION_CLASS_SHARES_H
 #define PLANTAINGAP_DECISION_CLASS_SHARES_H
 
+#include "decision/load_level.h"
+
 #include <array>
 #include <cstdint>
 #include <plantaingap/request_scheduler.h>
@@ -15,16 +17,16 @@
 };
 
 // Shares a service's slots out among the classes. Requests cannot be taken off a slot, so room for
-// quick work is kept free before it comes: the mean of quick work in progress and some standard
-// deviations. What waves of quick work add to that melts as longer work waits. Normal and long work
-// are each certain of an eighth of the slots while they wait.
+// shorter work is kept free before it comes: the mean of such work in progress and some standard
+// deviations. The room melts as longer work waits for it; of that for quick work, a part stays.
+// Normal and long work are each certain of an eighth of the slots while they wait.
 class class_shares
 {
 public:
     explicit class_shares(const request_limits &limits);
 
-    void addWaiting(work_class name, time_point now);
-    void removeWaiting(work_class name, time_point now);
+    void addWaiting(work_class name);
+    void removeWaiting(work_class name);
     void addRunning(work_class name, time_point now);
     void removeRunning(work_class name, time_point now);
 
@@ -34,8 +36,8 @@
     // True when a waiting request of the class may take one of the free slots.
     bool mayStart(work_class name, std::uint32_t free, const oldest_waits &waits) const;
 
-    // Free slots to leave for quick work that has not come yet.
-    std::uint32_t headroom(const oldest_waits &waits) const;
+    // Free slots that a class leaves for shorter work that has not come yet.
+    std::uint32_t headroom(work_class name, const oldest_waits &waits) const;
 
     std::uint32_t waiting(work_class name) const { return m_waiting[index(name)]; }
     std::uint32_t running(work_class name) const { return m_running[index(name)]; }
@@ -47,8 +49,10 @@
 
     // Slots that the class is certain of and does not hold.
     std::uint32_t owed(work_class name, const oldest_waits &waits) const;
-    double wantedHeadroom(const oldest_waits &waits) const;
-    void observeQuick(time_point now);
+    double quickHeadroom(const oldest_waits &waits) const;
+    double normalHeadroom(const oldest_waits &waits) const;
+    std::uint32_t missing(work_class name, double wanted) const;
+    void observe(time_point now);
 
     double m_deviations;
     duration m_patience;
@@ -56,11 +60,8 @@
     std::array<std::uint32_t, 3> m_waiting {};
     std::array<std::uint32_t, 3> m_running {};
     std::uint32_t m_slots = 0;
-    // Mean and mean square over time of quick requests on slots.
-    double m_mean = 0;
-    double m_square = 0;
-    time_point m_observedAt {};
-    duration m_observed {};
+    load_level m_quick;
+    load_level m_normal;
 };
 
 } // namespace plantaingap::decision
--- a/src/decision/request_scheduler.cpp
+++ b/src/decision/request_scheduler.cpp
@@ -119,12 +119,12 @@
     dispatch(event.service, now, actions);
 }
 
-void request_scheduler::on(const request_cancelled &event, time_point now,
+void request_scheduler::on(const request_cancelled &event, time_point,
                            std::vector<request_action> &)
 {
     // Nothing is freed by a request that waited, so a wave of these costs no dispatch each.
     if (auto *request = m_requests.find(event.request))
-        request->lane->cancel(*request, now);
+        request->lane->cancel(*request);
 }
 
 void request_scheduler::on(const request_ended &event, time_point now,
--- a/src/decision/service_lane.cpp
+++ b/src/decision/service_lane.cpp
@@ -46,17 +46,17 @@
     if (ahead > 0 && now + queue(name).expectedWait(ahead) > request.arrival.deadline)
         return refuse(request, errc::Overloaded, retryHint(name, now), actions);
     charge(request, name);
-    enqueue(request, now);
+    enqueue(request);
     queue(name).pushBack(request);
 }
 
-void service_lane::cancel(request_state &request, time_point now)
+void service_lane::cancel(request_state &request)
 {
     if (request.phase == request_phase::Running && !mutated("requests.skip_phase_check")) {
         request.cancelled = true;
         return;
     }
-    dequeue(request, now);
+    dequeue(request);
     erase(request);
 }
 
@@ -69,7 +69,7 @@
     if (done || request.cancelled)
         return erase(request);
     if (maySendAgain(request, outcome)) {
-        enqueue(request, now);
+        enqueue(request);
         queue(request.charged).pushFront(request);
         return;
     }
@@ -82,7 +82,7 @@
     if (request.phase == request_phase::Running)
         return overrun(request, now);
     const auto retryAt = retryHint(request.charged, now);
-    dequeue(request, now);
+    dequeue(request);
     refuse(request, errc::DeadlinePassed, retryAt, actions);
 }
 
@@ -125,15 +125,15 @@
     const auto seen =
         m_sizes.classify(request.arrival.kind, request.arrival.caller, request.arrival.declared);
     if (seen > name) {
-        dequeue(request, now);
+        dequeue(request);
         discharge(request);
         charge(request, seen);
-        enqueue(request, now);
+        enqueue(request);
         queue(seen).pushBack(request);
         return;
     }
     queue(name).noteStart(now);
-    dequeue(request, now);
+    dequeue(request);
     send(request, now, actions);
 }
 
@@ -244,21 +244,21 @@
         m_quick.erase(found);
 }
 
-void service_lane::enqueue(request_state &request, time_point now)
+void service_lane::enqueue(request_state &request)
 {
     request.phase = request_phase::Waiting;
     m_requests.setTimer(request, request.arrival.deadline);
-    m_shares.addWaiting(request.charged, now);
+    m_shares.addWaiting(request.charged);
 }
 
-void service_lane::dequeue(request_state &request, time_point now)
+void service_lane::dequeue(request_state &request)
 {
     PLANTAINGAP_INVARIANT(request.phase == request_phase::Waiting && request.is_linked(),
                           "request in two states");
     queue(request.charged).remove(request);
     m_requests.setTimer(request, std::nullopt);
     if (!mutated("requests.skip_waiting_count"))
-        m_shares.removeWaiting(request.charged, now);
+        m_shares.removeWaiting(request.charged);
 }
 
 void service_lane::refuse(request_state &request, errc code, time_point retryAt,
--- a/src/decision/service_lane.h
+++ b/src/decision/service_lane.h
@@ -26,7 +26,7 @@
     const class_shares &shares() const { return m_shares; }
 
     void arrive(request_state &request, time_point now, std::vector<request_action> &actions);
-    void cancel(request_state &request, time_point now);
+    void cancel(request_state &request);
     void end(request_state &request, send_outcome outcome, time_point now,
              std::vector<request_action> &actions);
     // The request's timer fired: it waited past its deadline, or holds its slot for longer than
@@ -43,8 +43,8 @@
     void charge(request_state &request, work_class name);
     void discharge(const request_state &request);
 
-    void enqueue(request_state &request, time_point now);
-    void dequeue(request_state &request, time_point now);
+    void enqueue(request_state &request);
+    void dequeue(request_state &request);
     std::optional<work_class> nextClass(time_point now) const;
     duration oldestWait(work_class name, time_point now) const;
     void advance(work_class name, time_point now, std::vector<request_action> &actions);
