Judge a caller's few requests together with others' of the kind

Cause: a kind with a tail of 8% above the bound of its class was called long for each caller whose first requests held one of that tail; with 200 callers most were, at some time.

Change: a caller's own history is judged together with the kind's past at a weight of four requests. A liar is still told by its second request.

--- a/src/decision/size_estimate.cpp
+++ b/src/decision/size_estimate.cpp
@@ -7,8 +7,10 @@
 
 namespace {
 
-// Weight of the declaration against requests seen; it falls as more are seen.
+// Weight of the declaration against requests seen of the kind; it falls as more are seen.
 constexpr double declarationWeight = 2;
+// Weight of the kind's past against requests seen of the kind and caller.
+constexpr double kindWeight = 4;
 // A class is too short for a kind when more than this share of its requests took longer.
 constexpr double tolerated = 0.2;
 // Each request seen takes this part from the weight of those before it.
@@ -20,8 +22,6 @@
 // Quick requests at once before the first one was seen to end.
 constexpr double firstWindow = 4;
 constexpr double windowPerSample = 8;
-// Samples after which a pair's own history goes before the kind's.
-constexpr double ownHistory = 1;
 
 constexpr std::size_t at(work_class name)
 {
@@ -45,10 +45,8 @@
     at = now;
 }
 
-work_class size_estimate::history::judge(work_class declared) const
+work_class size_estimate::judge(const class_counts &counts)
 {
-    auto counts = seen;
-    counts[decision::at(declared)] += declarationWeight / (1 + total());
     const auto bound = tolerated * (counts[0] + counts[1] + counts[2]);
     if (counts[2] > bound)
         return work_class::Long;
@@ -66,13 +64,30 @@
 
 work_class size_estimate::classify(kind_id kind, caller_id caller, work_class declared) const
 {
+    auto counts = expect(kind, caller, declared);
+    // A caller's few requests are judged together with what others' requests of the kind took, so
+    // that one request out of the ordinary does not change its class.
     const auto own = m_pairs.find({kind, caller});
-    if (own != m_pairs.end() && own->second.past.total() >= ownHistory)
-        return own->second.past.judge(declared);
+    if (own == m_pairs.end())
+        return judge(counts);
+    const auto whole = counts[0] + counts[1] + counts[2];
+    for (std::size_t each = 0; each < counts.size(); ++each)
+        counts[each] = counts[each] / whole * kindWeight + own->second.past.seen[each];
+    return judge(counts);
+}
+
+size_estimate::class_counts size_estimate::expect(kind_id kind, caller_id caller,
+                                                  work_class declared) const
+{
+    class_counts counts {};
     const auto common = m_kinds.find(kind);
-    if (common != m_kinds.end())
-        return common->second.judge(declared);
-    return distrust(caller, declared);
+    if (common == m_kinds.end()) {
+        counts[at(distrust(caller, declared))] = 1;
+        return counts;
+    }
+    counts = common->second.seen;
+    counts[at(declared)] += declarationWeight / (1 + common->second.total());
+    return counts;
 }
 
 void size_estimate::observe(kind_id kind, caller_id caller, work_class declared, work_class seen,
--- a/src/decision/size_estimate.h
+++ b/src/decision/size_estimate.h
@@ -36,15 +36,16 @@
     std::size_t size() const { return m_pairs.size(); }
 
 private:
+    using class_counts = std::array<double, 3>;
+
     // Decayed counts by class.
     struct history
     {
-        std::array<double, 3> seen {};
+        class_counts seen {};
         time_point at {};
 
         void add(work_class observed, double weight, time_point now);
         double total() const { return seen[0] + seen[1] + seen[2]; }
-        work_class judge(work_class declared) const;
     };
 
     struct pair_entry
@@ -60,6 +61,8 @@
         double understated = 0;
     };
 
+    static work_class judge(const class_counts &counts);
+    class_counts expect(kind_id kind, caller_id caller, work_class declared) const;
     history &remember(const kind_caller &key);
     work_class distrust(caller_id caller, work_class declared) const;
     void judgeCaller(caller_id caller, work_class declared, work_class seen);
