--- /dev/null
+++ b/src/decision/capacity_index.h
@@ -0,0 +1,96 @@
+#ifndef PLANTAINGAP_DECISION_CAPACITY_INDEX_H
+#define PLANTAINGAP_DECISION_CAPACITY_INDEX_H
+
+#include <array>
+#include <bit>
+#include <plantaingap/resources.h>
+#include <vector>
+
+// Finds workers with enough free capacity without looking at all of them.
+namespace plantaingap::decision {
+
+// A grid over accelerators, processors and memory. Each worker stands in the cell of what it has
+// free; the cells grow by half octaves. A search starts at the cell of the request and goes up, so
+// that tight workers come first and workers with accelerators come last for tasks without need of
+// them. Only cells at the edge of the request hold workers that turn out too small.
+class capacity_index
+{
+public:
+    capacity_index();
+
+    // Adds the worker, or moves it when its free capacity changed. Workers are dense numbers.
+    void set(std::uint32_t worker, const resources &free);
+
+    void remove(std::uint32_t worker);
+
+    // Calls visit(worker) for workers with room for the need, tight ones first, until it returns
+    // false.
+    template<class Visit>
+    void visitFitting(const resources &need, Visit visit) const;
+
+private:
+    static constexpr std::uint32_t None = ~0U;
+    static constexpr int Levels = 32;
+    static constexpr int AcceleratorLevels = 5;
+
+    struct entry
+    {
+        resources free;
+        std::uint32_t cell = None;
+        std::uint32_t next = None;
+        std::uint32_t previous = None;
+    };
+
+    // Half octaves above the unit of 64: 0, then 64..95, 96..127, 128..191 and so on.
+    static int level(std::int64_t amount)
+    {
+        const auto units = static_cast<std::uint64_t>(amount < 0 ? 0 : amount) >> 5;
+        if (units < 2)
+            return 0;
+        const int octave = std::bit_width(units) - 1;
+        const int half = static_cast<int>((units >> (octave - 1)) & 1U);
+        const int found = 2 * octave + half - 1;
+        return found < Levels ? found : Levels - 1;
+    }
+
+    static int acceleratorLevel(std::int64_t count)
+    {
+        const int found = std::bit_width(static_cast<std::uint64_t>(count < 0 ? 0 : count));
+        return found < AcceleratorLevels ? found : AcceleratorLevels - 1;
+    }
+
+    static std::uint32_t cellOf(const resources &free)
+    {
+        const int row = acceleratorLevel(free.accelerators) * Levels + level(free.milliCores);
+        return static_cast<std::uint32_t>(row * Levels + level(free.memoryMib));
+    }
+
+    void unlink(std::uint32_t worker);
+
+    std::vector<entry> m_entries;
+    std::array<std::uint32_t, AcceleratorLevels * Levels * Levels> m_heads {};
+    // One bit per memory level that has workers, for each pair of the other levels.
+    std::array<std::uint32_t, AcceleratorLevels * Levels> m_filled {};
+};
+
+template<class Visit>
+void capacity_index::visitFitting(const resources &need, Visit visit) const
+{
+    const std::uint32_t memoryMask = ~0U << level(need.memoryMib);
+    for (int a = acceleratorLevel(need.accelerators); a < AcceleratorLevels; ++a) {
+        for (int c = level(need.milliCores); c < Levels; ++c) {
+            const auto row = static_cast<std::size_t>(a * Levels + c);
+            for (std::uint32_t bits = m_filled[row] & memoryMask; bits != 0; bits &= bits - 1) {
+                const auto cell = row * Levels + static_cast<std::size_t>(std::countr_zero(bits));
+                for (auto at = m_heads[cell]; at != None; at = m_entries[at].next) {
+                    if (need.fitsIn(m_entries[at].free) && !visit(at))
+                        return;
+                }
+            }
+        }
+    }
+}
+
+} // namespace plantaingap::decision
+
+#endif
--- /dev/null
+++ b/src/decision/task_step.cpp
@@ -0,0 +1,61 @@
+#include "decision/task_step.h"
+
+namespace plantaingap::decision {
+
+namespace {
+
+bool worthSaving(const job_record &job, stop_reason reason)
+{
+    return job.spec.checkpointable
+           && (reason == stop_reason::Preempted || reason == stop_reason::WorkerLeaves);
+}
+
+} // namespace
+
+std::uint32_t startNext(task_step &step, job_record &job, std::uint32_t worker)
+{
+    const auto index = step.ledger.place(job, worker, job.need, step.now);
+    step.actions.emplace_back(start_task {job.taskId(index), step.ledger.worker(worker).id,
+                                          job.need, step.now + step.limits.startWindow});
+    if (step.budget > 0)
+        --step.budget;
+    return index;
+}
+
+void stopTask(task_step &step, job_record &job, std::uint32_t index, stop_reason reason,
+              time_point checkpointBy)
+{
+    auto &task = job.tasks[index];
+    if (task.phase != task_phase::Starting && task.phase != task_phase::Running)
+        return;
+    const bool running = task.phase == task_phase::Running;
+    step.ledger.setPhase(job, index, task_phase::Stopping);
+    task.stopping = reason;
+    if (step.budget > 0)
+        --step.budget;
+    if (!running || !worthSaving(job, reason))
+        return orderStop(step, job, index);
+    task.checkpointAsked = true;
+    const auto id = job.taskId(index);
+    step.actions.emplace_back(checkpoint_task {id, step.ledger.worker(task.worker).id});
+    step.timers.emplace(checkpointBy, timer {timer_kind::Checkpoint, id});
+}
+
+void stopAfterCheckpoint(task_step &step, job_record &job, std::uint32_t index)
+{
+    auto &task = job.tasks[index];
+    if (task.phase != task_phase::Stopping || !task.checkpointAsked)
+        return;
+    task.checkpointAsked = false;
+    orderStop(step, job, index);
+}
+
+void orderStop(task_step &step, job_record &job, std::uint32_t index)
+{
+    const auto &task = job.tasks[index];
+    const auto id = job.taskId(index);
+    step.actions.emplace_back(stop_task {id, step.ledger.worker(task.worker).id, task.stopping});
+    step.timers.emplace(step.now + step.limits.stopAgain, timer {timer_kind::StopAgain, id});
+}
+
+} // namespace plantaingap::decision
