--- a/include/plantaingap/task_scheduler.h
+++ b/include/plantaingap/task_scheduler.h
@@ -185,6 +185,8 @@
     WorkerLeaves,
     // Uses more memory than it holds, also after it was throttled.
     OverUse,
+    // Another task of its all-or-nothing job ended early.
+    Together,
     // Runs on a worker although no job of this owner knows it.
     Unknown,
 };
@@ -329,7 +331,7 @@
     std::uint32_t blameAfter = 3;
     // Failures of one task before it has failed for good.
     std::uint32_t taskAttempts = 5;
-    // The rule that chooses among workers; a name out of PlacementRules.
+    // The rule that chooses among workers, as an index into PlacementRules.
     std::uint32_t placementRule = 2;
 };
 
--- a/src/decision/task_ledger.cpp
+++ b/src/decision/task_ledger.cpp
@@ -55,7 +55,7 @@
         return;
     }
     m_open.set(worker, record.open());
-    m_yielding.set(worker, record.open() + record.yielding);
+    m_yielding.set(worker, record.free() + record.yielding);
 }
 
 void task_ledger::confirm(std::uint32_t worker)
@@ -148,6 +148,7 @@
     attach(job, index, worker, held);
     move(job, index, task_phase::Starting);
     ++task.attempt;
+    ++m_starts;
     task.checkpointAsked = false;
     task.backfill = false;
     task.startedAt = now;
@@ -240,16 +241,20 @@
         record.claimed -= job.need * taken;
         at = at->count == 0 ? record.claims.erase(at) : at + 1;
     }
+    if (job.claimedTasks == 0)
+        job.claimedWorkers.clear();
     PLANTAINGAP_INVARIANT(resources {}.fitsIn(record.claimed), "tasks.claims_not_negative");
     refresh(worker);
 }
 
 void task_ledger::dropClaims(job_record &job)
 {
-    for (const auto worker : job.claimedWorkers)
-        takeClaim(job, worker, ~0U);
+    const auto workers = std::move(job.claimedWorkers);
     job.claimedWorkers.clear();
+    for (const auto worker : workers)
+        takeClaim(job, worker, ~0U);
     job.reserving = false;
+    job.filling = false;
     PLANTAINGAP_INVARIANT(job.claimedTasks == 0, "tasks.dropped_claims_are_gone");
 }
 
--- a/src/decision/task_ledger.h
+++ b/src/decision/task_ledger.h
@@ -77,11 +77,13 @@
 
     // Free capacity that nobody claims.
     const capacity_index &open() const { return m_open; }
-    // The same with what preemptible tasks hold added.
+    // Free capacity, claimed or not, with what preemptible tasks hold added.
     const capacity_index &yielding() const { return m_yielding; }
 
     const resources &total() const { return m_total; }
     const resources &used() const { return m_used; }
+    // Tasks placed so far.
+    std::uint64_t starts() const { return m_starts; }
     std::size_t jobCount() const { return m_jobs.size(); }
 
     // Recounts everything from the records; for tests and long runs, not for each step.
@@ -114,6 +116,7 @@
     std::vector<class_summary> m_classes;
     resources m_total;
     resources m_used;
+    std::uint64_t m_starts = 0;
     std::uint64_t m_joins = 0;
     std::uint64_t m_submissions = 0;
 };
--- a/src/decision/task_offers.cpp
+++ b/src/decision/task_offers.cpp
@@ -33,10 +33,10 @@
 // Batch work that can save its state may use room that a reservation still collects.
 bool mayBackfill(const job_record &job, const worker_record &worker)
 {
-    if (job.spec.kind != job_kind::Batch || !mayYield(job))
+    if (job.spec.kind != job_kind::Batch || !mayYield(job) || !job.spec.checkpointable)
         return false;
-    for (const auto &claimed : worker.claims) {
-        if (claimed.job->spec.kind != job_kind::AllOrNothing)
+    for (const auto &set : worker.claims) {
+        if (set.job->spec.kind != job_kind::AllOrNothing || set.job->filling)
             return false;
     }
     return job.need.fitsIn(worker.free());
--- a/src/decision/task_scheduler.cpp
+++ b/src/decision/task_scheduler.cpp
@@ -1,8 +1,9 @@
 #include "decision/task_scheduler.h"
 
+#include "decision/preemption.h"
 #include "decision/task_offers.h"
-#include "decision/task_placement.h"
 #include "decision/task_rejection.h"
+#include "decision/usage_reclaim.h"
 
 #include <algorithm>
 #include <plantaingap/mutation.h>
@@ -14,6 +15,17 @@
 // Timers that one call of expire() handles.
 constexpr int TimersPerStep = 64;
 
+// One copy in this many of a service is away at a time while it is moved off a leaving worker.
+constexpr std::size_t MovedPart = 10;
+constexpr auto DrainPause = std::chrono::milliseconds(500);
+
+// The pause before a retry is doubled up to this many times.
+constexpr std::uint32_t MostDoublings = 6;
+
+// Retries for each start, and how many may be saved up.
+constexpr double RetryPart = 0.2;
+constexpr double MostRetryTokens = 100;
+
 } // namespace
 
 task_scheduler::task_scheduler(const task_limits &limits)
@@ -60,6 +72,9 @@
 
 void task_scheduler::finish(task_step &step)
 {
+    const auto starts = m_ledger.starts() - m_startsSeen;
+    m_startsSeen = m_ledger.starts();
+    m_retryTokens = std::min(MostRetryTokens, m_retryTokens + RetryPart * double(starts));
     if (m_sweepSet || !anyoneWaits())
         return;
     m_sweepSet = true;
@@ -87,18 +102,14 @@
     if (record == nullptr)
         return;
     const auto worker = m_ledger.numberOf(*record);
+    m_ledger.confirm(worker);
     const auto known = record->tasks;
     for (const auto &ref : known) {
         const auto id = ref.job->taskId(ref.index);
         const bool runs = std::any_of(event.running.begin(), event.running.end(),
                                       [&](const auto &reported) { return reported.task == id; });
-        const auto phase = ref.job->tasks[ref.index].phase;
-        if (runs && phase == task_phase::Uncertain)
-            m_ledger.setPhase(*ref.job, ref.index, task_phase::Running);
-        else if (!runs && phase != task_phase::Starting)
-            endTask(step, *ref.job, ref.index, task_outcome::Stopped);
+        compareWithReport(step, ref, runs);
     }
-    m_ledger.confirm(worker);
     for (const auto &reported : event.running)
         adoptReported(step, worker, reported);
     if (record->draining)
@@ -106,6 +117,21 @@
     offerWorker(step, worker);
 }
 
+// A start order may still be on its way to the worker until its window has closed.
+void task_scheduler::compareWithReport(task_step &step, const task_ref &ref, bool runs)
+{
+    const auto &task = ref.job->tasks[ref.index];
+    const bool mayArrive = step.now <= task.startedAt + m_limits.startWindow;
+    if (!runs && mayArrive)
+        return;
+    if (!runs)
+        return endTask(step, *ref.job, ref.index, task_outcome::Stopped);
+    if (task.phase == task_phase::Uncertain)
+        m_ledger.setPhase(*ref.job, ref.index, task_phase::Running);
+    if (ref.job->cancelled)
+        stopTask(step, *ref.job, ref.index, stop_reason::Cancelled, step.now);
+}
+
 void task_scheduler::adoptReported(task_step &step, std::uint32_t worker,
                                    const running_task &reported)
 {
@@ -119,12 +145,18 @@
         if (task.phase == task_phase::Waiting && reported.task.attempt >= task.attempt
             && reported.held.fitsIn(record.free())) {
             m_ledger.adopt(*job, index, reported.task.attempt, worker, reported.held, step.now);
-            return;
+            return settleAdopted(step, *job, index);
         }
     }
     step.actions.emplace_back(stop_task {reported.task, record.id, stop_reason::Unknown});
 }
 
+void task_scheduler::settleAdopted(task_step &step, job_record &job, std::uint32_t index)
+{
+    if (job.cancelled)
+        stopTask(step, job, index, stop_reason::Cancelled, step.now);
+}
+
 void task_scheduler::on(const worker_draining &event, task_step &step)
 {
     auto *record = m_ledger.findWorker(event.worker);
@@ -134,15 +166,39 @@
     record->leaveBy = event.leaveBy;
     const auto worker = m_ledger.numberOf(*record);
     m_ledger.refresh(worker);
+    dropClaimsOn(worker);
     drain(step, worker);
 }
 
+// Batch work goes at once. Copies of a service go a few at a time, so that the others carry the
+// load until the first are replaced; shortly before the worker leaves all go.
 void task_scheduler::drain(task_step &step, std::uint32_t worker)
 {
     const auto &record = m_ledger.worker(worker);
-    const auto tasks = record.tasks;
-    for (const auto &ref : tasks)
-        stopTask(step, *ref.job, ref.index, stop_reason::WorkerLeaves, record.leaveBy);
+    const bool late = step.now + m_limits.checkpointGrace >= record.leaveBy;
+    bool left = false;
+    for (const auto &ref : record.tasks) {
+        const bool service = ref.job->spec.kind == job_kind::Service;
+        const auto missing = ref.job->tasks.size() - ref.job->count(task_phase::Running);
+        if (service && !late && missing > ref.job->tasks.size() / MovedPart)
+            left = true;
+        else
+            stopTask(step, *ref.job, ref.index, stop_reason::WorkerLeaves, record.leaveBy);
+    }
+    if (left)
+        m_timers.emplace(step.now + DrainPause, timer {timer_kind::Drain, {}, record.id});
+}
+
+// What was promised on this worker must be found elsewhere.
+void task_scheduler::dropClaimsOn(std::uint32_t worker)
+{
+    const auto claims = m_ledger.worker(worker).claims;
+    for (const auto &set : claims) {
+        if (set.job->spec.kind == job_kind::AllOrNothing)
+            m_ledger.dropClaims(*set.job);
+        else
+            m_ledger.takeClaim(*set.job, worker, ~0U);
+    }
 }
 
 void task_scheduler::on(const worker_lost &event, task_step &)
@@ -151,9 +207,11 @@
     if (record == nullptr || record->lost)
         return;
     record->lost = true;
+    const auto worker = m_ledger.numberOf(*record);
     for (const auto &ref : record->tasks)
         m_ledger.setPhase(*ref.job, ref.index, task_phase::Uncertain);
-    m_ledger.refresh(m_ledger.numberOf(*record));
+    m_ledger.refresh(worker);
+    dropClaimsOn(worker);
 }
 
 void task_scheduler::on(const worker_dead &event, task_step &step)
@@ -161,10 +219,14 @@
     auto *record = m_ledger.findWorker(event.worker);
     if (record == nullptr)
         return;
+    const auto worker = m_ledger.numberOf(*record);
+    record->lost = true;
+    m_ledger.refresh(worker);
+    dropClaimsOn(worker);
     const auto tasks = record->tasks;
     for (const auto &ref : tasks)
         endTask(step, *ref.job, ref.index, task_outcome::Stopped);
-    m_ledger.removeWorker(m_ledger.numberOf(*record));
+    m_ledger.removeWorker(worker);
 }
 
 void task_scheduler::on(const task_confirmed_stopped &event, task_step &step)
@@ -172,7 +234,15 @@
     on(task_ended {event.task, task_outcome::Stopped}, step);
 }
 
-void task_scheduler::on(const usage_reported &, task_step &) { }
+void task_scheduler::on(const usage_reported &event, task_step &step)
+{
+    const auto *record = m_ledger.findWorker(event.worker);
+    if (record == nullptr || record->lost)
+        return;
+    for (const auto &report : event.tasks)
+        takeUsage(step, report, event.asOf);
+    offerWorker(step, m_ledger.numberOf(*record));
+}
 
 void task_scheduler::on(const job_submitted &event, task_step &step)
 {
@@ -186,31 +256,37 @@
     auto &job = m_ledger.addJob(event, step.now);
     if (event.startBy != time_point::max())
         m_timers.emplace(event.startBy, timer {timer_kind::StartBy, {event.job, 0, 0}, {}});
-    offerJob(step, job);
+    offerFirst(step, job);
     settleJob(step, job);
 }
 
+// A job that was just accepted, or whose task must be replaced: free capacity first, then what it
+// may take from others at once.
+void task_scheduler::offerFirst(task_step &step, job_record &job)
+{
+    if (job.spec.kind == job_kind::AllOrNothing)
+        return placeTogether(step, job);
+    offerJob(step, job);
+    if (job.level > work_level::Service || !mayStart(step, job))
+        return;
+    while (job.waiting.size() > job.claimedTasks && step.budget > 0 && preemptFor(step, job)) { }
+}
+
 void task_scheduler::on(const job_cancelled &event, task_step &step)
 {
     auto *job = m_ledger.findJob(event.job);
     if (job == nullptr || job->cancelled)
         return;
-    job->cancelled = true;
-    m_ledger.dropClaims(*job);
-    m_ledger.teams().dequeue(*job);
-    windDown(step, *job);
+    endJob(step, *job, job_outcome::Cancelled);
 }
 
-void task_scheduler::windDown(task_step &step, job_record &job)
+void task_scheduler::endJob(task_step &step, job_record &job, job_outcome outcome)
 {
-    while (job.cursor < job.tasks.size() && step.budget > 0) {
-        stopTask(step, job, job.cursor, stop_reason::Cancelled, step.now);
-        ++job.cursor;
-    }
-    if (job.cursor < job.tasks.size()) {
-        m_timers.emplace(step.now, timer {timer_kind::Continue, {job.spec.job, 0, 0}, {}});
-        return;
-    }
+    job.cancelled = true;
+    job.endsAs = outcome;
+    m_ledger.dropClaims(job);
+    m_ledger.teams().dequeue(job);
+    stopAll(step, job, stop_reason::Cancelled);
     settleJob(step, job);
 }
 
@@ -235,24 +311,56 @@
                              task_outcome outcome)
 {
     const bool service = job.spec.kind == job_kind::Service;
-    if (outcome == task_outcome::Failed || (service && outcome == task_outcome::Succeeded)) {
-        settleFailure(step, job, index);
+    const auto worker = job.tasks[index].worker;
+    if (outcome == task_outcome::Succeeded)
+        m_health.noteSuccess(step, job, worker);
+    if (outcome == task_outcome::Failed)
+        return settleFailure(step, job, index);
+    const bool done = outcome == task_outcome::Succeeded;
+    if (done && service) {
+        delayRetry(step, job, index);
     } else {
-        const bool done = outcome == task_outcome::Succeeded;
         m_ledger.release(job, index, done ? task_phase::Finished : task_phase::Waiting);
     }
+    if (!done && job.spec.kind == job_kind::AllOrNothing && !job.cancelled)
+        stopAll(step, job, stop_reason::Together);
+    else if (!done && job.level <= work_level::Service)
+        offerFirst(step, job);
     settleJob(step, job);
 }
 
 void task_scheduler::settleFailure(task_step &step, job_record &job, std::uint32_t index)
 {
-    const auto failures = ++job.tasks[index].failures;
     const bool service = job.spec.kind == job_kind::Service;
-    if (!service && failures >= m_limits.taskAttempts)
-        return m_ledger.release(job, index, task_phase::Failed);
+    const auto found = m_health.noteFailure(step, job, job.tasks[index].worker);
+    if (found != verdict::WorkerQuarantined)
+        ++job.tasks[index].failures;
+    const bool blamed =
+        found == verdict::JobBlamed || job.tasks[index].failures >= m_limits.taskAttempts;
+    if (blamed && !service) {
+        m_ledger.release(job, index, task_phase::Failed);
+        if (found == verdict::JobBlamed || job.spec.kind == job_kind::AllOrNothing)
+            return endJob(step, job, job_outcome::Failed);
+        return settleJob(step, job);
+    }
+    if (blamed)
+        job.failedWorkers.clear();
+    delayRetry(step, job, index);
+    if (job.spec.kind == job_kind::AllOrNothing && !job.cancelled)
+        stopAll(step, job, stop_reason::Together);
+    settleJob(step, job);
+}
+
+// Without budget the task waits as long as one that has failed often.
+void task_scheduler::delayRetry(task_step &step, job_record &job, std::uint32_t index)
+{
+    const bool affordable = m_retryTokens >= 1;
+    m_retryTokens -= affordable ? 1 : 0;
+    const auto failures = std::max(job.tasks[index].failures, 1U);
+    const auto doublings = affordable ? std::min(failures - 1, MostDoublings) : MostDoublings;
     m_ledger.release(job, index, task_phase::Delayed);
-    const auto pause = m_limits.retryPause * (1U << std::min(failures - 1, 6U));
-    m_timers.emplace(step.now + pause, timer {timer_kind::Retry, job.taskId(index), {}});
+    m_timers.emplace(step.now + m_limits.retryPause * (1U << doublings),
+                     timer {timer_kind::Retry, job.taskId(index), {}});
 }
 
 void task_scheduler::settleJob(task_step &step, job_record &job)
@@ -262,9 +370,10 @@
     const bool done = job.count(task_phase::Waiting) + job.count(task_phase::Delayed) == 0;
     if (!job.cancelled && !done)
         return;
-    auto outcome = job.count(task_phase::Failed) > 0 ? job_outcome::Failed : job_outcome::Succeeded;
+    const bool failed = job.count(task_phase::Failed) > 0;
+    auto outcome = failed ? job_outcome::Failed : job_outcome::Succeeded;
     if (job.cancelled && !done)
-        outcome = job_outcome::Cancelled;
+        outcome = job.endsAs;
     step.actions.emplace_back(finish_job {job.spec.job, outcome});
     m_ledger.removeJob(job);
 }
@@ -283,74 +392,4 @@
     m_ledger.teams().setQuota(event.team, event.quota);
 }
 
-void task_scheduler::onSweep(task_step &step, const timer &)
-{
-    m_sweepSet = false;
-    for (std::size_t level = 0; level < WorkLevels; ++level) {
-        const auto order = m_ledger.teams().order(static_cast<work_level>(level));
-        for (const auto &[share, team] : order) {
-            const auto queue = m_ledger.teams().queue(static_cast<work_level>(level), team);
-            for (const auto &[sequence, job] : queue)
-                offerJob(step, *job);
-        }
-    }
-}
-
-void task_scheduler::onContinue(task_step &step, const timer &due)
-{
-    auto *job = m_ledger.findJob(due.task.job);
-    if (job != nullptr && job->cancelled)
-        windDown(step, *job);
-}
-
-void task_scheduler::onCheckpoint(task_step &step, const timer &due)
-{
-    if (auto *job = m_ledger.findTask(due.task))
-        stopAfterCheckpoint(step, *job, due.task.index);
-}
-
-void task_scheduler::onStopAgain(task_step &step, const timer &due)
-{
-    auto *job = m_ledger.findTask(due.task);
-    if (job != nullptr && job->tasks[due.task.index].phase == task_phase::Stopping)
-        orderStop(step, *job, due.task.index);
-}
-
-void task_scheduler::onRetry(task_step &step, const timer &due)
-{
-    auto *job = m_ledger.findTask(due.task);
-    if (job == nullptr || job->tasks[due.task.index].phase != task_phase::Delayed)
-        return;
-    m_ledger.requeue(*job, due.task.index);
-    offerJob(step, *job);
-}
-
-void task_scheduler::onStartBy(task_step &step, const timer &due)
-{
-    auto *job = m_ledger.findJob(due.task.job);
-    if (job == nullptr || job->placed() > 0 || job->count(task_phase::Finished) > 0)
-        return;
-    step.actions.emplace_back(finish_job {due.task.job, job_outcome::TooLate});
-    m_ledger.removeJob(*job);
-}
-
-void task_scheduler::onProbe(task_step &, const timer &) { }
-
-void task_scheduler::onDrain(task_step &step, const timer &due)
-{
-    if (auto *record = m_ledger.findWorker(due.worker))
-        drain(step, m_ledger.numberOf(*record));
-}
-
-wait_report task_scheduler::whyWaiting(job_id id, time_point) const
-{
-    const auto *job = m_ledger.findJob(id);
-    if (job == nullptr)
-        return {};
-    const auto waiting = job->count(task_phase::Waiting) + job->count(task_phase::Delayed);
-    if (waiting == 0)
-        return {};
-    return {wait_reason::NoCapacity, waiting};
-}
-
 } // namespace plantaingap::decision
--- a/src/decision/task_scheduler.h
+++ b/src/decision/task_scheduler.h
@@ -2,6 +2,7 @@
 #define PLANTAINGAP_DECISION_TASK_SCHEDULER_H
 
 #include "decision/task_step.h"
+#include "decision/worker_health.h"
 
 #include <optional>
 
@@ -24,7 +25,7 @@
     void expire(time_point now, std::vector<task_action> &actions);
 
     // Why tasks of this job do not run yet.
-    wait_report whyWaiting(job_id job, time_point now) const;
+    wait_report whyWaiting(job_id job) const;
 
     // What the team holds, in millionths of its quota by its dominant resource.
     std::int64_t dominantShare(team_id team) const { return m_ledger.teams().share(team); }
@@ -68,22 +69,38 @@
     task_step begin(time_point now, std::vector<task_action> &actions);
     void finish(task_step &step);
     void adoptReported(task_step &step, std::uint32_t worker, const running_task &reported);
+    void compareWithReport(task_step &step, const task_ref &ref, bool runs);
+    void settleAdopted(task_step &step, job_record &job, std::uint32_t index);
     void endTask(task_step &step, job_record &job, std::uint32_t index, task_outcome outcome);
     void settleFailure(task_step &step, job_record &job, std::uint32_t index);
+    void delayRetry(task_step &step, job_record &job, std::uint32_t index);
+    void endJob(task_step &step, job_record &job, job_outcome outcome);
     void settleJob(task_step &step, job_record &job);
-    void windDown(task_step &step, job_record &job);
+    void offerFirst(task_step &step, job_record &job);
     void drain(task_step &step, std::uint32_t worker);
+    void dropClaimsOn(std::uint32_t worker);
+    void placeTogether(task_step &step, job_record &job);
+    void reviewReservations(task_step &step);
+    void sweepTogether(task_step &step);
+    void sweepPreemption(task_step &step, work_level level);
+    void sweepReturns(task_step &step);
+    void sweepWaiting(task_step &step);
     bool anyoneWaits() const;
 
     task_limits m_limits;
     task_ledger m_ledger;
+    worker_health m_health;
     timer_queue m_timers;
     bool m_sweepSet = false;
-    // Failed tasks are tried again out of this; starts fill it.
-    double m_retryTokens = 0;
-    // The sweep goes through the waiting jobs in parts.
+    // Failed tasks are tried again out of this budget, which starts fill.
+    double m_retryTokens = 10;
+    std::uint64_t m_startsSeen = 0;
+    // All-or-nothing jobs that collect room.
+    std::vector<job_id> m_reserving;
+    // The sweep goes through the waiting jobs in parts; where it goes on.
     std::size_t m_sweepLevel = 0;
     std::uint32_t m_sweepTeam = 0;
+    std::uint64_t m_sweepJob = 0;
 };
 
 } // namespace plantaingap::decision
--- a/src/decision/task_state.h
+++ b/src/decision/task_state.h
@@ -142,16 +142,22 @@
     // Claims of this job over all workers.
     std::uint32_t claimedTasks = 0;
     std::vector<std::uint32_t> claimedWorkers;
-    time_point reservedUntil = time_point::max();
+    time_point reservedAt {};
     time_point nextAttempt {};
     bool reserving = false;
+    // What still runs in the claimed room has been told to end; nothing new is let in.
+    bool filling = false;
     // Copies per rack or data centre, for jobs that spread.
     std::vector<std::pair<std::uint32_t, std::uint32_t>> domains;
     // Distinct workers on which the job failed before any success.
     std::vector<std::uint32_t> failedWorkers;
     bool everSucceeded = false;
-    // First task that the winding down of a cancelled job has not looked at yet.
+    // How a job ends that is cancelled, or wound down for another reason.
+    job_outcome endsAs = job_outcome::Succeeded;
+    // All tasks are being stopped; the first one that has not been told yet, and why.
+    bool stoppingAll = false;
     std::uint32_t cursor = 0;
+    stop_reason stopAllReason = stop_reason::Cancelled;
 
     std::uint32_t count(task_phase phase) const { return counts[static_cast<std::size_t>(phase)]; }
     std::uint32_t placed() const
--- a/src/decision/task_step.cpp
+++ b/src/decision/task_step.cpp
@@ -41,6 +41,28 @@
     step.timers.emplace(checkpointBy, timer {timer_kind::Checkpoint, id});
 }
 
+void stopAll(task_step &step, job_record &job, stop_reason reason)
+{
+    job.stopAllReason = reason;
+    job.cursor = 0;
+    if (job.stoppingAll)
+        return;
+    job.stoppingAll = true;
+    continueStopAll(step, job);
+}
+
+void continueStopAll(task_step &step, job_record &job)
+{
+    const auto checkpointBy = step.now + step.limits.urgentGrace;
+    while (job.cursor < job.tasks.size() && step.budget > 0) {
+        stopTask(step, job, job.cursor, job.stopAllReason, checkpointBy);
+        ++job.cursor;
+    }
+    job.stoppingAll = job.cursor < job.tasks.size();
+    if (job.stoppingAll)
+        step.timers.emplace(step.now, timer {timer_kind::Continue, {job.spec.job, 0, 0}, {}});
+}
+
 void stopAfterCheckpoint(task_step &step, job_record &job, std::uint32_t index)
 {
     auto &task = job.tasks[index];
--- a/src/decision/task_step.h
+++ b/src/decision/task_step.h
@@ -56,6 +56,12 @@
 void stopTask(task_step &step, job_record &job, std::uint32_t index, stop_reason reason,
               time_point checkpointBy);
 
+// Stops all tasks of the job, in parts where the step's budget is too small for all.
+void stopAll(task_step &step, job_record &job, stop_reason reason);
+
+// The next part of that.
+void continueStopAll(task_step &step, job_record &job);
+
 // The checkpoint is written, or its time is over.
 void stopAfterCheckpoint(task_step &step, job_record &job, std::uint32_t index);
 
--- a/src/decision/team_ledger.h
+++ b/src/decision/team_ledger.h
@@ -48,6 +48,8 @@
         return m_teams[team].queues[static_cast<std::size_t>(level)];
     }
 
+    std::uint32_t teamCount() const { return static_cast<std::uint32_t>(m_teams.size()); }
+
     // The sum over all teams.
     const resources &used() const { return m_used; }
 
