Run the task scheduler against a group that fails at random

Seeded runs found that a quarantined worker still served claims made before; claims on a worker that leaves use are dropped now.

--- a/src/decision/preemption.cpp
+++ b/src/decision/preemption.cpp
@@ -10,8 +10,10 @@
 
 namespace {
 
-// Workers that are compared for one preemption.
+// Workers with room to make that are compared for one preemption, and workers that are looked at;
+// claims may have taken the room of some.
 constexpr std::uint32_t Candidates = 16;
+constexpr std::uint32_t Looked = 256;
 
 // A checkpoint costs about this much work even when nothing else is lost.
 constexpr double CheckpointCost = 1.0;
@@ -36,7 +38,7 @@
     auto room = worker.free();
     for (const auto &set : worker.claims) {
         const bool collecting = set.job->spec.kind == job_kind::AllOrNothing;
-        if (set.job != &job && (!collecting || set.job->level <= job.level))
+        if (!collecting || set.job->level <= job.level)
             room -= set.job->need * set.count;
     }
     return room;
@@ -127,15 +129,17 @@
     std::optional<victims> best;
     std::uint32_t bestWorker = 0;
     auto candidates = Candidates;
+    auto looked = Looked;
     step.ledger.yielding().visitFitting(job.need, [&](std::uint32_t worker) {
         if (accepts(step.ledger, job, worker)) {
             auto offer = chooseVictims(step, job, worker);
+            candidates -= offer ? 1 : 0;
             if (offer && (!best || offer->lostWork < best->lostWork)) {
                 best = std::move(offer);
                 bestWorker = worker;
             }
         }
-        return --candidates > 0;
+        return candidates > 0 && --looked > 0;
     });
     if (!best)
         return false;
--- a/src/decision/task_ledger.cpp
+++ b/src/decision/task_ledger.cpp
@@ -258,6 +258,17 @@
     PLANTAINGAP_INVARIANT(job.claimedTasks == 0, "tasks.dropped_claims_are_gone");
 }
 
+void task_ledger::dropClaimsOn(std::uint32_t worker)
+{
+    const auto claims = m_workers[worker].claims;
+    for (const auto &set : claims) {
+        if (set.job->spec.kind == job_kind::AllOrNothing)
+            dropClaims(*set.job);
+        else
+            takeClaim(*set.job, worker, ~0U);
+    }
+}
+
 bool task_ledger::pastBarrier(const job_record &job) const
 {
     return m_unconfirmed.empty() || *m_unconfirmed.begin() > job.barrier;
--- a/src/decision/task_ledger.h
+++ b/src/decision/task_ledger.h
@@ -69,6 +69,10 @@
     void takeClaim(job_record &job, std::uint32_t worker, std::uint32_t count);
     void dropClaims(job_record &job);
 
+    // What was promised on this worker must be found elsewhere; a job that collects room for all
+    // of its tasks begins again.
+    void dropClaimsOn(std::uint32_t worker);
+
     // True when no worker that may still run tasks of this recovered job is unanswered.
     bool pastBarrier(const job_record &job) const;
 
--- a/src/decision/task_scheduler.cpp
+++ b/src/decision/task_scheduler.cpp
@@ -166,7 +166,7 @@
     record->leaveBy = event.leaveBy;
     const auto worker = m_ledger.numberOf(*record);
     m_ledger.refresh(worker);
-    dropClaimsOn(worker);
+    m_ledger.dropClaimsOn(worker);
     drain(step, worker);
 }
 
@@ -189,18 +189,6 @@
         m_timers.emplace(step.now + DrainPause, timer {timer_kind::Drain, {}, record.id});
 }
 
-// What was promised on this worker must be found elsewhere.
-void task_scheduler::dropClaimsOn(std::uint32_t worker)
-{
-    const auto claims = m_ledger.worker(worker).claims;
-    for (const auto &set : claims) {
-        if (set.job->spec.kind == job_kind::AllOrNothing)
-            m_ledger.dropClaims(*set.job);
-        else
-            m_ledger.takeClaim(*set.job, worker, ~0U);
-    }
-}
-
 void task_scheduler::on(const worker_lost &event, task_step &)
 {
     auto *record = m_ledger.findWorker(event.worker);
@@ -211,7 +199,7 @@
     for (const auto &ref : record->tasks)
         m_ledger.setPhase(*ref.job, ref.index, task_phase::Uncertain);
     m_ledger.refresh(worker);
-    dropClaimsOn(worker);
+    m_ledger.dropClaimsOn(worker);
 }
 
 void task_scheduler::on(const worker_dead &event, task_step &step)
@@ -222,7 +210,7 @@
     const auto worker = m_ledger.numberOf(*record);
     record->lost = true;
     m_ledger.refresh(worker);
-    dropClaimsOn(worker);
+    m_ledger.dropClaimsOn(worker);
     const auto tasks = record->tasks;
     for (const auto &ref : tasks)
         endTask(step, *ref.job, ref.index, task_outcome::Stopped);
--- a/src/decision/task_scheduler.h
+++ b/src/decision/task_scheduler.h
@@ -78,7 +78,6 @@
     void settleJob(task_step &step, job_record &job);
     void offerFirst(task_step &step, job_record &job);
     void drain(task_step &step, std::uint32_t worker);
-    void dropClaimsOn(std::uint32_t worker);
     void placeTogether(task_step &step, job_record &job);
     void reviewReservations(task_step &step);
     void sweepTogether(task_step &step);
--- a/src/decision/worker_health.cpp
+++ b/src/decision/worker_health.cpp
@@ -102,6 +102,7 @@
     step.timers.emplace(probeAt, timer {timer_kind::Probe, {}, record.id});
     step.actions.emplace_back(quarantine_worker {record.id, probeAt});
     step.ledger.refresh(worker);
+    step.ledger.dropClaimsOn(worker);
 }
 
 void worker_health::giveBack(task_step &step, std::uint32_t worker)
--- /dev/null
+++ b/tests/decision/task_property_test.cpp
@@ -0,0 +1,51 @@
+#include "task_model.h"
+
+#include <cstdlib>
+#include <doctest/doctest.h>
+#include <random>
+#include <rapidcheck.h>
+#include <tuple>
+
+using namespace plantaingap;
+using namespace plantaingap::decision;
+
+namespace {
+
+std::string brokenBy(std::uint64_t seed, int steps)
+{
+    std::mt19937_64 random(seed);
+    task_model model;
+    try {
+        for (int at = 0; at < steps; ++at) {
+            const auto bits = random();
+            model.apply({static_cast<std::uint8_t>(bits), static_cast<std::uint16_t>(bits >> 8),
+                         static_cast<std::uint16_t>(bits >> 24)});
+        }
+        model.settle();
+    } catch (const std::runtime_error &broken) {
+        return broken.what();
+    }
+    return {};
+}
+
+} // namespace
+
+TEST_CASE("any order of events keeps every promise")
+{
+    ::setenv("RC_PARAMS", "seed=7 max_success=300 max_size=200", 1);
+    const bool held = rc::check(
+        [](const std::vector<std::tuple<std::uint8_t, std::uint16_t, std::uint16_t>> &steps) {
+            task_model model;
+            for (const auto &[what, first, second] : steps)
+                model.apply({what, first, second});
+        });
+    CHECK(held);
+}
+
+TEST_CASE("long seeded runs keep every promise")
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        CAPTURE(seed);
+        CHECK(brokenBy(seed, 800) == "");
+    }
+}
