--- a/src/decision/task_ledger.cpp
+++ b/src/decision/task_ledger.cpp
@@ -147,7 +147,7 @@
     PLANTAINGAP_INVARIANT(pastBarrier(job), "tasks.placed_past_the_barrier");
     attach(job, index, worker, held);
     move(job, index, task_phase::Starting);
-    ++task.attempt;
+    task.attempt = std::max(task.attempt, job.spec.attemptFloor) + 1;
     ++m_starts;
     task.checkpointAsked = false;
     task.backfill = false;
@@ -186,8 +186,9 @@
 void task_ledger::release(job_record &job, std::uint32_t index, task_phase phase)
 {
     PLANTAINGAP_INVARIANT(!isPlaced(phase), "tasks.released_task_holds_nothing");
-    detach(job, index);
+    PLANTAINGAP_INVARIANT(isPlaced(job.tasks[index].phase), "tasks.released_task_was_placed");
     move(job, index, phase);
+    detach(job, index);
     if (phase == task_phase::Waiting)
         enqueue(job, index);
 }
@@ -223,10 +224,17 @@
 void task_ledger::addClaim(job_record &job, std::uint32_t worker, std::uint32_t count)
 {
     auto &record = m_workers[worker];
-    record.claims.push_back({&job, count});
+    const auto known = std::find_if(record.claims.begin(), record.claims.end(),
+                                    [&](const auto &set) { return set.job == &job; });
+    if (known != record.claims.end()) {
+        known->count += count;
+    } else {
+        record.claims.push_back({&job, count});
+        job.claimedWorkers.push_back(worker);
+    }
     record.claimed += job.need * count;
+    m_teams.expect(job.spec.team, job.need * count);
     job.claimedTasks += count;
-    job.claimedWorkers.push_back(worker);
     refresh(worker);
 }
 
@@ -239,6 +247,7 @@
         at->count -= taken;
         job.claimedTasks -= taken;
         record.claimed -= job.need * taken;
+        m_teams.expect(job.spec.team, resources {} - job.need * taken);
         at = at->count == 0 ? record.claims.erase(at) : at + 1;
     }
     if (job.claimedTasks == 0)
@@ -277,6 +286,10 @@
 void task_ledger::move(job_record &job, std::uint32_t index, task_phase phase)
 {
     auto &task = job.tasks[index];
+    if (phase == task_phase::Stopping && task.phase != phase)
+        m_teams.expect(job.spec.team, resources {} - task.held);
+    if (task.phase == task_phase::Stopping && task.phase != phase)
+        m_teams.expect(job.spec.team, task.held);
     --job.counts[static_cast<std::size_t>(task.phase)];
     if (!mutated("tasks.lose_task_state"))
         ++job.counts[static_cast<std::size_t>(phase)];
@@ -312,7 +325,6 @@
 {
     auto &task = job.tasks[index];
     auto &record = m_workers[task.worker];
-    PLANTAINGAP_INVARIANT(isPlaced(task.phase), "tasks.released_task_was_placed");
     const auto last = record.tasks.back();
     record.tasks[task.position] = last;
     last.job->tasks[last.index].position = task.position;
--- a/src/decision/task_scheduler.cpp
+++ b/src/decision/task_scheduler.cpp
@@ -142,8 +142,10 @@
         const auto &task = job->tasks[index];
         if (isPlaced(task.phase) && task.worker == worker && task.attempt == reported.task.attempt)
             return;
-        if (task.phase == task_phase::Waiting && reported.task.attempt >= task.attempt
-            && reported.held.fitsIn(record.free())) {
+        const bool formerOwners =
+            job->spec.origin == job_origin::Recovered && task.attempt == job->spec.attemptFloor;
+        const bool newer = reported.task.attempt >= task.attempt || formerOwners;
+        if (task.phase == task_phase::Waiting && newer && reported.held.fitsIn(record.free())) {
             m_ledger.adopt(*job, index, reported.task.attempt, worker, reported.held, step.now);
             return settleAdopted(step, *job, index);
         }
@@ -255,6 +257,8 @@
     if (job.spec.kind == job_kind::AllOrNothing)
         return placeTogether(step, job);
     offerJob(step, job);
+    if (step.budget == 0 && job.waiting.size() > job.claimedTasks)
+        m_timers.emplace(step.now, timer {timer_kind::Continue, {job.spec.job, 0, 0}, {}});
     if (job.level > work_level::Service || !mayStart(step, job))
         return;
     while (job.waiting.size() > job.claimedTasks && step.budget > 0 && preemptFor(step, job)) { }
--- a/src/decision/task_sweep.cpp
+++ b/src/decision/task_sweep.cpp
@@ -143,8 +143,10 @@
 void task_scheduler::onContinue(task_step &step, const timer &due)
 {
     auto *job = m_ledger.findJob(due.task.job);
-    if (job == nullptr || !job->stoppingAll)
+    if (job == nullptr)
         return;
+    if (!job->stoppingAll)
+        return offerFirst(step, *job);
     continueStopAll(step, *job);
     settleJob(step, *job);
 }
--- a/src/decision/team_ledger.cpp
+++ b/src/decision/team_ledger.cpp
@@ -53,6 +53,11 @@
     reorder(at);
 }
 
+void team_ledger::expect(team_id team, const resources &change)
+{
+    m_teams[find(team)].expected += change;
+}
+
 void team_ledger::enqueue(job_record &job)
 {
     if (job.queued)
@@ -91,7 +96,7 @@
     if (found == m_index.end())
         return shareOf({}, more);
     const auto &record = m_teams[found->second];
-    return shareOf(record, record.used + more);
+    return shareOf(record, record.used + record.expected + more);
 }
 
 std::uint32_t team_ledger::find(team_id team)
--- a/src/decision/team_ledger.h
+++ b/src/decision/team_ledger.h
@@ -31,12 +31,16 @@
     void add(team_id team, const resources &held);
     void remove(team_id team, const resources &held);
 
+    // Notes what the team is about to hold in addition, or to lose when negative.
+    void expect(team_id team, const resources &change);
+
     void enqueue(job_record &job);
     void dequeue(job_record &job);
 
     dominant_share share(team_id team) const;
 
-    // The share after the team would hold this much more; negative amounts are allowed.
+    // The share that the team will have when what is expected has come about and it holds this much
+    // more; negative amounts are allowed.
     dominant_share shareWith(team_id team, const resources &more) const;
 
     const team_order &order(work_level level) const
@@ -58,6 +62,7 @@
     {
         resources quota;
         resources used;
+        resources expected;
         dominant_share share = 0;
         std::array<job_queue, WorkLevels> queues;
     };
