--- a/include/plantaingap/epoch.h
+++ b/include/plantaingap/epoch.h
@@ -15,7 +15,7 @@
     std::uint64_t generation = 0;
     std::uint32_t rank = 0;
 
-    auto operator<=>(const epoch &) const = default;
+    auto operator<=>(const epoch &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 } // namespace plantaingap
--- a/include/plantaingap/ids.h
+++ b/include/plantaingap/ids.h
@@ -30,7 +30,7 @@
     std::uint32_t index = 0;
     std::uint32_t attempt = 0;
 
-    auto operator<=>(const task_id &) const = default;
+    auto operator<=>(const task_id &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 // The number of an identifier, for indexing and printing.
--- a/include/plantaingap/membership.h
+++ b/include/plantaingap/membership.h
@@ -23,7 +23,7 @@
     instance_id instance {};
     std::uint64_t incarnation = 0;
 
-    auto operator<=>(const instance_ref &) const = default;
+    auto operator<=>(const instance_ref &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 // A worker that the platform's list showed as leaving. The revision is the list's own, which grows.
--- a/include/plantaingap/ownership.h
+++ b/include/plantaingap/ownership.h
@@ -34,7 +34,7 @@
     instance_ref writer;
     std::uint64_t sequence = 0;
 
-    auto operator<=>(const write_id &) const = default;
+    auto operator<=>(const write_id &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 // The row group/NAME of the table. The generation is the row's version: each write adds one.
--- a/include/plantaingap/worker_lease.h
+++ b/include/plantaingap/worker_lease.h
@@ -33,7 +33,7 @@
     std::uint64_t boot = 0;
     duration uptime {};
 
-    auto operator<=>(const worker_stamp &) const = default;
+    auto operator<=>(const worker_stamp &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 // Asks what runs; a worker that has seen no higher epoch takes this one as its highest.
--- a/src/backend/worker_lease.cpp
+++ b/src/backend/worker_lease.cpp
@@ -13,6 +13,13 @@
     return {task.job, task.index};
 }
 
+// How long to wait by our clock until a lease of a worker's clock has certainly lapsed.
+duration leaseMargin(const lease_limits &limits)
+{
+    const auto drift = mutated("lease.skip_drift_margin") ? 0 : limits.driftPpm;
+    return outlast(limits.lease, drift);
+}
+
 } // namespace
 
 worker_leases::worker_leases(const lease_limits &limits)
@@ -295,8 +302,7 @@
     const time_point counted = mutated("lease.count_from_now") ? now : worker.stampedAt;
     const duration age = mutated("lease.renew_from_now") ? now - worker.stampedAt : duration {};
     const worker_stamp until {worker.stamp->boot, worker.stamp->uptime + m_limits.lease + age};
-    worker.ownLapse =
-        std::max(worker.ownLapse, counted + outlast(m_limits.lease, m_limits.driftPpm));
+    worker.ownLapse = std::max(worker.ownLapse, counted + leaseMargin(m_limits));
     actions.emplace_back(send_order {renew_order {id, *m_authority, until}});
 }
 
@@ -305,9 +311,8 @@
 {
     if (!m_formersLapse || m_formers.erase(event.former) == 0 || !m_formers.empty())
         return;
-    const duration margin = mutated("lease.skip_former_margin")
-                                ? duration {}
-                                : outlast(m_limits.lease, m_limits.driftPpm);
+    const duration margin =
+        mutated("lease.skip_former_margin") ? duration {} : leaseMargin(m_limits);
     m_formersLapse = std::min(*m_formersLapse, now + margin);
 }
 
@@ -323,8 +328,7 @@
     const worker_stamp latest {worker.stamp->boot, worker.stamp->uptime + m_limits.startWindow};
     const worker_stamp until {worker.stamp->boot, worker.stamp->uptime + m_limits.lease};
     worker.starting[keyOf(event.task)] = {event.task, latest};
-    worker.ownLapse =
-        std::max(worker.ownLapse, worker.stampedAt + outlast(m_limits.lease, m_limits.driftPpm));
+    worker.ownLapse = std::max(worker.ownLapse, worker.stampedAt + leaseMargin(m_limits));
     actions.emplace_back(
         send_order {start_order {event.worker, *m_authority, event.task, latest, until}});
 }
--- /dev/null
+++ b/src/platform/store_client.cpp
@@ -0,0 +1,244 @@
+#include "platform/store_client.h"
+
+#include <algorithm>
+#include <plantaingap/invariant.h>
+#include <plantaingap/mutation.h>
+
+namespace plantaingap::platform {
+
+store_client::store_client(const store_limits &limits, std::uint64_t seed)
+    : m_limits(limits)
+    , m_backoff(limits.firstRetry, limits.longestRetry, seed)
+    , m_tokens(limits.burst)
+{ }
+
+void store_client::step(const store_event &event, time_point now,
+                        std::vector<store_action> &actions)
+{
+    std::visit([&](const auto &typed) { on(typed, now, actions); }, event);
+}
+
+bool store_client::idle() const
+{
+    return m_queue.empty() && !m_batch && m_unsettled.empty() && m_unread.empty()
+           && m_reads.empty();
+}
+
+void store_client::on(const store_write_requested &event, time_point now,
+                      std::vector<store_action> &actions)
+{
+    queued_write write {{event.key, event.write}, event.deadline, now, false, false};
+    if (m_queue.size() >= m_limits.queue) {
+        finish(write, errc::Overloaded, actions);
+        return;
+    }
+    m_queue.push_back(std::move(write));
+    send(now, actions);
+}
+
+void store_client::on(const store_read_requested &event, time_point now,
+                      std::vector<store_action> &actions)
+{
+    if (mutated("store.share_sent_read")) {
+        for (auto &[call, read] : m_reads) {
+            if (read.key == event.key) {
+                read.readers.push_back({event.ticket, event.deadline});
+                return;
+            }
+        }
+    }
+    // Joined by whoever asks before the read leaves; later ones need a read of their own.
+    m_unread[event.key].push_back({event.ticket, event.deadline});
+    send(now, actions);
+}
+
+void store_client::on(const commit_ended &event, time_point now, std::vector<store_action> &actions)
+{
+    if (m_batch != event.batch)
+        return;
+    m_batch.reset();
+    std::vector<queued_write> sent;
+    sent.swap(m_sent);
+    const bool answered = event.outcomes.size() == sent.size();
+    if (answered)
+        succeeded();
+    else
+        failed(now);
+    for (std::size_t index = 0; index < sent.size(); ++index) {
+        auto &write = sent[index];
+        const auto outcome = answered ? event.outcomes[index] : write_outcome::Unknown;
+        if (outcome == write_outcome::Applied) {
+            finish(write, errc::Ok, actions);
+            continue;
+        }
+        if (!event.sent || outcome == write_outcome::NotSent) {
+            m_queue.push_back(std::move(write));
+            continue;
+        }
+        const bool doubtful = outcome == write_outcome::Unknown || write.mayBeThere;
+        if (!doubtful) {
+            finish(write, errc::DuplicateKey, actions);
+            continue;
+        }
+        if (mutated("store.unknown_is_lost") || mutated("store.unknown_is_applied")) {
+            finish(write, mutated("store.unknown_is_lost") ? errc::StoreAway : errc::Ok, actions);
+            continue;
+        }
+        write.mayBeThere = true;
+        m_unread[write.write.key].push_back({std::nullopt, write.deadline});
+        m_unsettled.push_back(std::move(write));
+    }
+    send(now, actions);
+}
+
+void store_client::on(const read_ended &event, time_point now, std::vector<store_action> &actions)
+{
+    const auto found = m_reads.find(event.call);
+    if (found == m_reads.end())
+        return;
+    const read_call read = std::move(found->second);
+    m_reads.erase(found);
+    if (event.answered)
+        succeeded();
+    else
+        failed(now);
+    for (const auto &reader : read.readers) {
+        if (!event.answered)
+            m_unread[read.key].push_back(reader);
+        else if (reader.ticket)
+            actions.emplace_back(read_told {*reader.ticket, errc::Ok, event.holder});
+        else
+            settle(read.key, event.holder, now, actions);
+    }
+    send(now, actions);
+}
+
+// The row shows who wrote it. No row means not written so far: our write may still be on its way,
+// so the same write is sent again rather than called lost.
+void store_client::settle(const std::string &key, const std::optional<write_id> &holder,
+                          time_point now, std::vector<store_action> &actions)
+{
+    std::vector<queued_write> others;
+    others.swap(m_unsettled);
+    for (auto &write : others) {
+        if (write.write.key != key) {
+            m_unsettled.push_back(std::move(write));
+        } else if (holder) {
+            const bool ours = *holder == write.write.write || mutated("store.skip_write_identity");
+            finish(write, ours ? errc::Ok : errc::DuplicateKey, actions);
+        } else if (!write.told) {
+            write.arrivedAt = now;
+            m_queue.push_back(std::move(write));
+        }
+    }
+}
+
+void store_client::on(const store_tick & /*event*/, time_point now,
+                      std::vector<store_action> &actions)
+{
+    expire(now, actions);
+    send(now, actions);
+}
+
+void store_client::expire(time_point now, std::vector<store_action> &actions)
+{
+    std::erase_if(m_queue, [&](auto &write) {
+        if (write.deadline > now)
+            return false;
+        const bool never = !write.mayBeThere || mutated("store.late_is_lost");
+        finish(write, never ? errc::StoreAway : errc::OutcomeUnknown, actions);
+        return true;
+    });
+    for (auto &write : m_unsettled) {
+        if (write.deadline <= now)
+            finish(write, errc::OutcomeUnknown, actions);
+    }
+    for (auto &write : m_sent) {
+        if (write.deadline <= now)
+            finish(write, errc::OutcomeUnknown, actions);
+    }
+    std::erase_if(m_unsettled, [](const auto &write) { return write.told; });
+    for (auto &[key, readers] : m_unread) {
+        std::erase_if(readers, [&](const auto &reader) {
+            const bool late = reader.deadline <= now;
+            if (late && reader.ticket)
+                actions.emplace_back(read_told {*reader.ticket, errc::StoreAway, std::nullopt});
+            return late;
+        });
+    }
+    std::erase_if(m_unread, [](const auto &entry) { return entry.second.empty(); });
+}
+
+void store_client::finish(queued_write &write, errc outcome, std::vector<store_action> &actions)
+{
+    if (write.told)
+        return;
+    write.told = true;
+    actions.emplace_back(write_ended {write.write.write, outcome});
+}
+
+void store_client::send(time_point now, std::vector<store_action> &actions)
+{
+    if (m_retryAt && now < *m_retryAt)
+        return;
+    sendReads(now, actions);
+    sendCommit(now, actions);
+}
+
+void store_client::sendReads(time_point now, std::vector<store_action> &actions)
+{
+    while (!m_unread.empty() && takeToken(now)) {
+        auto entry = m_unread.extract(m_unread.begin());
+        const auto call = ++m_calls;
+        actions.emplace_back(send_read {call, entry.key()});
+        m_reads[call] = {std::move(entry.key()), std::move(entry.mapped())};
+    }
+}
+
+void store_client::sendCommit(time_point now, std::vector<store_action> &actions)
+{
+    if (m_batch || m_queue.empty())
+        return;
+    const bool full = m_queue.size() >= m_limits.batch;
+    if (!full && now - m_queue.front().arrivedAt < m_limits.gather)
+        return;
+    if (!takeToken(now))
+        return;
+    m_batch = ++m_calls;
+    send_commit commit {*m_batch, {}};
+    while (!m_queue.empty() && m_sent.size() < m_limits.batch) {
+        commit.writes.push_back(m_queue.front().write);
+        m_sent.push_back(std::move(m_queue.front()));
+        m_queue.pop_front();
+    }
+    PLANTAINGAP_INVARIANT(commit.writes.size() <= m_limits.batch, "store.batch_bound");
+    actions.emplace_back(std::move(commit));
+}
+
+void store_client::succeeded()
+{
+    m_backoff.succeeded();
+    m_retryAt.reset();
+}
+
+void store_client::failed(time_point now)
+{
+    m_retryAt = m_backoff.failed(now);
+}
+
+bool store_client::takeToken(time_point now)
+{
+    if (mutated("store.skip_budget"))
+        return true;
+    if (m_tokensAt) {
+        const std::chrono::duration<double> passed = now - *m_tokensAt;
+        m_tokens = std::min(m_limits.burst, m_tokens + passed.count() * m_limits.callsPerSecond);
+    }
+    m_tokensAt = now;
+    if (m_tokens < 1)
+        return false;
+    m_tokens -= 1;
+    return true;
+}
+
+} // namespace plantaingap::platform
--- /dev/null
+++ b/src/platform/store_client.h
@@ -0,0 +1,84 @@
+#ifndef PLANTAINGAP_PLATFORM_STORE_CLIENT_H
+#define PLANTAINGAP_PLATFORM_STORE_CLIENT_H
+
+#include "platform/backoff.h"
+
+#include <deque>
+#include <map>
+#include <plantaingap/store_client.h>
+
+namespace plantaingap::platform {
+
+// One commit is on its way at a time; what arrives meanwhile goes with the next. A commit whose
+// reply was lost is settled by reading each of its rows.
+class store_client
+{
+public:
+    store_client(const store_limits &limits, std::uint64_t seed);
+
+    void step(const store_event &event, time_point now, std::vector<store_action> &actions);
+
+    bool idle() const;
+
+    // True after a call failed, until one is answered.
+    bool away() const { return m_backoff.failures() > 0; }
+
+private:
+    struct queued_write
+    {
+        store_write write;
+        time_point deadline {};
+        time_point arrivedAt {};
+        // A copy of this write may have reached the table.
+        bool mayBeThere = false;
+        bool told = false;
+    };
+
+    struct waiting_reader
+    {
+        // A reader without ticket settles the write of its key.
+        std::optional<std::uint64_t> ticket;
+        time_point deadline {};
+    };
+
+    struct read_call
+    {
+        std::string key;
+        std::vector<waiting_reader> readers;
+    };
+
+    void on(const store_write_requested &event, time_point now, std::vector<store_action> &actions);
+    void on(const store_read_requested &event, time_point now, std::vector<store_action> &actions);
+    void on(const commit_ended &event, time_point now, std::vector<store_action> &actions);
+    void on(const read_ended &event, time_point now, std::vector<store_action> &actions);
+    void on(const store_tick &event, time_point now, std::vector<store_action> &actions);
+
+    void send(time_point now, std::vector<store_action> &actions);
+    void sendReads(time_point now, std::vector<store_action> &actions);
+    void sendCommit(time_point now, std::vector<store_action> &actions);
+    void expire(time_point now, std::vector<store_action> &actions);
+    void finish(queued_write &write, errc outcome, std::vector<store_action> &actions);
+    void settle(const std::string &key, const std::optional<write_id> &holder, time_point now,
+                std::vector<store_action> &actions);
+    void succeeded();
+    void failed(time_point now);
+    bool takeToken(time_point now);
+
+    store_limits m_limits;
+    backoff m_backoff;
+    std::optional<time_point> m_retryAt;
+    double m_tokens;
+    std::optional<time_point> m_tokensAt;
+    std::deque<queued_write> m_queue;
+    std::uint64_t m_calls = 0;
+    std::optional<std::uint64_t> m_batch;
+    std::vector<queued_write> m_sent;
+    // Writes whose outcome is being read.
+    std::vector<queued_write> m_unsettled;
+    std::map<std::string, std::vector<waiting_reader>> m_unread;
+    std::map<std::uint64_t, read_call> m_reads;
+};
+
+} // namespace plantaingap::platform
+
+#endif
