--- a/src/decision/task_scheduler.h
+++ b/src/decision/task_scheduler.h
@@ -1,8 +1,8 @@
 #ifndef PLANTAINGAP_DECISION_TASK_SCHEDULER_H
 #define PLANTAINGAP_DECISION_TASK_SCHEDULER_H
 
-#include "decision/task_step.h"
 #include "decision/task_blame.h"
+#include "decision/task_step.h"
 
 #include <optional>
 
