--- a/src/decision/router.cpp
+++ b/src/decision/router.cpp
@@ -165,7 +165,7 @@
         return {};
     const auto own = summary.serviceTime[static_cast<std::size_t>(name)];
     const auto time = own > duration {} ? own : assumedServiceTime[static_cast<std::size_t>(name)];
-    const auto excess = static_cast<duration::rep>(known.forwardedSince + 1);
+    const auto excess = static_cast<duration::rep>(known.forwardedSince) + 1;
     return (total + time * excess) / static_cast<duration::rep>(summary.slots);
 }
 
