--- /dev/null
+++ b/src/platform/row_codec.h
@@ -0,0 +1,31 @@
+#ifndef PLANTAINGAP_PLATFORM_ROW_CODEC_H
+#define PLANTAINGAP_PLATFORM_ROW_CODEC_H
+
+#include <boost/json/value.hpp>
+#include <optional>
+#include <plantaingap/config_in_force.h>
+#include <plantaingap/ownership.h>
+#include <string>
+#include <string_view>
+
+// Values of the table's rows as JSON texts. Reading gives nothing for a text that is not such a
+// value: a row that cannot be read is treated like a table that does not answer, never as absent.
+namespace plantaingap::platform {
+
+std::string groupRowText(const group_row &row);
+
+// The generation is not in the text: it is the version of the table's row.
+std::optional<group_row> groupRowFrom(std::string_view text, std::uint64_t version);
+
+std::string configHeadText(const config_head &head);
+std::optional<config_head> configHeadFrom(std::string_view text);
+
+std::string auditText(const config_audit_entry &entry);
+std::optional<config_audit_entry> auditFrom(std::string_view text);
+
+boost::json::value toJson(const write_id &write);
+std::optional<write_id> writeIdFrom(const boost::json::value &value);
+
+} // namespace plantaingap::platform
+
+#endif
