--- a/src/platform/platform_client.cpp
+++ b/src/platform/platform_client.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/list_codec.h"
 
+#include <array>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/url/encode.hpp>
@@ -80,6 +81,9 @@
     return outcomes;
 }
 
+// In the order of change_kind.
+constexpr std::array<const char *, 3> kindNames = {"write", "check", "remove"};
+
 std::string commitBody(const std::vector<table_change> &changes, commit_mode mode)
 {
     json::array rows;
--- a/src/platform/platform_client.h
+++ b/src/platform/platform_client.h
@@ -22,12 +22,20 @@
     std::string value;
 };
 
+enum class change_kind : std::uint8_t {
+    Write,
+    // The row must have the version, and stays as it is.
+    Check,
+    Remove,
+};
+
 struct table_change
 {
     std::string key;
     // The version that the row must have; 0 when there must be no row.
     std::uint64_t expect = 0;
     std::string value;
+    change_kind kind = change_kind::Write;
 };
 
 // Whether the changes of one commit stand or fall together.
--- a/src/runtime/job_row.cpp
+++ b/src/runtime/job_row.cpp
@@ -128,7 +128,8 @@
                          {"checkpointable", spec.checkpointable},
                          {"run_time_ms", runTime.count()},
                          {"spread", nameIn(spreads, spec.spread)},
-                         {"state", nameIn(states, row.state)}};
+                         {"state", nameIn(states, row.state)},
+                         {"cancel_requested", row.cancelRequested}};
     if (spec.startBy)
         object["start_by_ms"] = spec.startBy->time_since_epoch().count();
     json::array finished;
@@ -148,6 +149,7 @@
     job_row row;
     row.spec = specFrom(reader);
     row.state = reader.oneOf("state", states);
+    row.cancelRequested = reader.flag("cancel_requested");
     const auto *finished = reader.object->if_contains("finished");
     if (!reader.good || !finished || !finished->is_array() || row.spec.name.empty()
         || row.spec.tasks == 0)
--- a/src/runtime/job_row.h
+++ b/src/runtime/job_row.h
@@ -40,6 +40,8 @@
 {
     job_spec spec;
     job_state state = job_state::Accepted;
+    // Set before a cancellation is answered, so that a new owner goes on with it.
+    bool cancelRequested = false;
     // Tasks that ended well; grows only.
     std::vector<std::uint32_t> finished;
 
--- a/tools/platform_stand_in.cpp
+++ b/tools/platform_stand_in.cpp
@@ -134,8 +134,7 @@
         for (std::size_t at = 0; at < rows.size(); ++at) {
             const bool apply = together ? allMatch : matches[at];
             if (apply)
-                write(std::string(rows[at].at("key").as_string()),
-                      std::string(rows[at].at("value").as_string()));
+                carryOut(rows[at]);
             outcomes.push_back(apply ? "applied" : "conflict");
         }
         if (m_faults.lostReplies > 0) {
@@ -152,6 +151,15 @@
         return found == m_rows.end() ? 0 : found->second.version;
     }
 
+    void carryOut(const json::value &change)
+    {
+        const std::string key(change.at("key").as_string());
+        if (change.at("kind") == "write")
+            write(key, std::string(change.at("value").as_string()));
+        else if (change.at("kind") == "remove")
+            m_rows.erase(key);
+    }
+
     void write(const std::string &key, std::string value)
     {
         auto &row = m_rows[key];
