--- a/daemons/plantaingapd.cpp
+++ b/daemons/plantaingapd.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr int usageExit = 2;
+// The planned stop reached its deadline with work left.
+constexpr int cutShortExit = 3;
 
 std::string readFile(const char *path)
 {
@@ -41,10 +43,12 @@
         std::cerr << "cannot listen: " << error.message() << "\n";
         return 1;
     }
-    std::cout << "ready callers=" << instance.callerAddress() << std::endl;
+    std::cout << "event=ready callers=" << instance.addresses().callers
+              << " peers=" << instance.addresses().peers << std::endl;
     boost::asio::io_context context(1);
     boost::asio::signal_set signals(context, SIGTERM, SIGINT);
-    signals.async_wait([](const auto &, int) {});
+    // After the first signal the default action is back: a second one ends the process at once.
+    signals.async_wait([&](const auto &, int) { signals.clear(); });
     context.run();
-    return 0;
+    return instance.stop() ? 0 : cutShortExit;
 }
--- a/src/backend/worker_transport.cpp
+++ b/src/backend/worker_transport.cpp
@@ -92,7 +92,10 @@
 
 void worker_transport::add(const worker_address &address)
 {
-    m_links[address.worker] = std::make_shared<worker_link>(m_context, address, m_tls);
+    auto &link = m_links[address.worker];
+    // Kept connections stay while the worker stays where it is.
+    if (!link || link->endpoint != address.endpoint)
+        link = std::make_shared<worker_link>(m_context, address, m_tls);
 }
 
 void worker_transport::remove(worker_id worker)
--- a/src/backend/worker_transport.h
+++ b/src/backend/worker_transport.h
@@ -63,10 +63,12 @@
         worker_link(boost::asio::io_context &context, const worker_address &address,
                     std::shared_ptr<boost::asio::ssl::context> tls)
             : name(address.name)
+            , endpoint(address.endpoint)
             , client(context, address.endpoint, address.slots, std::move(tls))
         { }
 
         std::string name;
+        boost::asio::ip::tcp::endpoint endpoint;
         support::http_client client;
     };
 
--- a/src/caller/caller_listener.cpp
+++ b/src/caller/caller_listener.cpp
@@ -84,12 +84,6 @@
         node.mapped()->complete(answer);
 }
 
-void caller_listener::stop()
-{
-    m_stopping = true;
-    m_server.stopAccepting();
-}
-
 service_answer caller_listener::refusal(errc code) const
 {
     service_answer answer;
--- a/src/caller/caller_listener.h
+++ b/src/caller/caller_listener.h
@@ -35,8 +35,10 @@
     // The answer to an admitted request; one for a request that is no longer open is dropped.
     void deliver(const service_answer_ptr &answer);
 
-    // No new request is admitted or connection taken; what is open is answered.
-    void stop();
+    // No new connection is taken, and each open one is closed after its next answer.
+    void drain() { m_server.stopAccepting(); }
+    // What still comes in is refused from now on.
+    void stop() { m_stopping = true; }
     // Requests whose answers were not yet written.
     std::size_t unanswered() const { return m_server.unanswered(); }
 
--- /dev/null
+++ b/src/peer/peer_codec.h
@@ -0,0 +1,23 @@
+#ifndef PLANTAINGAP_PEER_PEER_CODEC_H
+#define PLANTAINGAP_PEER_PEER_CODEC_H
+
+#include "peer/peer_message.h"
+
+#include <peer.pb.h>
+
+// Between the messages of peer_message.h and those on the wire.
+namespace plantaingap::peer {
+
+void encode(const peer_heartbeat &heartbeat, wire::heartbeat &wire);
+peer_heartbeat decode(const wire::heartbeat &wire, time_point now);
+
+void encode(const forward_order &order, time_point now, wire::forward_request &wire);
+// The id is left for the receiver to fill in.
+service_request decode(wire::forward_request &&wire, time_point now);
+
+void encode(const service_answer &answer, time_point now, wire::forward_reply &wire);
+service_answer decode(wire::forward_reply &&wire, time_point now);
+
+} // namespace plantaingap::peer
+
+#endif
--- /dev/null
+++ b/src/peer/peer_server.h
@@ -0,0 +1,47 @@
+#ifndef PLANTAINGAP_PEER_PEER_SERVER_H
+#define PLANTAINGAP_PEER_PEER_SERVER_H
+
+#include "peer/peer_message.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+
+namespace plantaingap::peer {
+
+// Takes heartbeats and forwarded requests from other instances over gRPC. The handlers run on the
+// thread of the io_context; each must call its reply once, on that thread.
+class peer_server
+{
+public:
+    using heartbeat_reply = std::function<void(const peer_heartbeat &)>;
+    using forward_reply = std::function<void(const service_answer &)>;
+
+    struct handlers
+    {
+        std::function<void(peer_heartbeat &&, heartbeat_reply)> heartbeat;
+        std::function<void(service_request &&, group_id, forward_reply)> forward;
+    };
+
+    peer_server(boost::asio::io_context &context, handlers handle);
+    ~peer_server();
+
+    peer_server(const peer_server &) = delete;
+    peer_server &operator=(const peer_server &) = delete;
+
+    // Binds IP:PORT and begins to serve. Port 0 takes a free port; port() tells which.
+    std::error_code listen(const std::string &address);
+    std::uint16_t port() const;
+
+    // Refuses new calls and gives calls under way until the deadline. Blocks until all have ended;
+    // the io_context must run meanwhile.
+    void stop(time_point deadline);
+
+private:
+    struct state;
+    std::unique_ptr<state> m_state;
+};
+
+} // namespace plantaingap::peer
+
+#endif
--- a/src/runtime/control_duty.cpp
+++ b/src/runtime/control_duty.cpp
@@ -188,6 +188,7 @@
         if (worker.place.region == m_settings.region)
             groups[groupOf(worker)].push_back(worker);
     }
+    tellServiceGroups(list);
     for (auto &[name, workers] : groups) {
         auto &shell = m_groups[name];
         if (!shell) {
@@ -207,6 +208,19 @@
     feed(read);
 }
 
+void control_duty::tellServiceGroups(const platform_list &list)
+{
+    service_groups now;
+    for (const auto &worker : list.workers) {
+        if (!worker.service.empty())
+            now.groups[worker.service].insert(groupOf(worker));
+    }
+    if (now == m_serviceGroups)
+        return;
+    m_serviceGroups = now;
+    m_services.tell(std::move(now));
+}
+
 void control_duty::feed(const membership_event &event)
 {
     std::vector<membership_action> actions;
--- a/src/runtime/control_duty.h
+++ b/src/runtime/control_duty.h
@@ -106,6 +106,7 @@
     void noteEpochs(const control_heartbeat &heartbeat);
     void noteIdle(const control_heartbeat &heartbeat, time_point askedAt);
     void updateGroups(const platform_list &list);
+    void tellServiceGroups(const platform_list &list);
     void updateCandidates();
     void tick();
     void beat();
@@ -133,6 +134,7 @@
     std::map<worker_id, std::string> m_workerNames;
     std::vector<instance_ref> m_candidates;
     std::set<instance_id> m_listed;
+    service_groups m_serviceGroups;
     time_point m_nextBeat {};
     std::uint64_t m_sequence = 0;
     bool m_stopping = false;
--- a/src/runtime/control_note.h
+++ b/src/runtime/control_note.h
@@ -1,9 +1,11 @@
 #ifndef PLANTAINGAP_RUNTIME_CONTROL_NOTE_H
 #define PLANTAINGAP_RUNTIME_CONTROL_NOTE_H
 
+#include <map>
 #include <plantaingap/epoch.h>
 #include <plantaingap/membership.h>
 #include <plantaingap/platform_list.h>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -45,8 +47,24 @@
     std::string worker;
 };
 
-using control_note =
-    std::variant<group_owned, group_given_up, worker_usable, worker_unusable, worker_is_leaving>;
+// How many slots of a usable worker requests of former owners still hold; told when it changes.
+struct worker_slots_held
+{
+    std::string group;
+    std::string worker;
+    std::uint32_t busySlots = 0;
+};
+
+// All groups of all regions by the service that they serve: what request keys are dealt out to.
+struct service_groups
+{
+    std::map<std::string, std::set<std::string>> groups;
+
+    bool operator==(const service_groups &) const = default;
+};
+
+using control_note = std::variant<group_owned, group_given_up, worker_usable, worker_unusable,
+                                  worker_is_leaving, worker_slots_held, service_groups>;
 
 // Which epoch of a group the sender holds, and the highest under which it ever acted.
 struct group_epochs
--- /dev/null
+++ b/src/runtime/group_keys.h
@@ -0,0 +1,69 @@
+#ifndef PLANTAINGAP_RUNTIME_GROUP_KEYS_H
+#define PLANTAINGAP_RUNTIME_GROUP_KEYS_H
+
+#include "decision/key_memory.h"
+#include "platform/platform_client.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <plantaingap/epoch.h>
+#include <plantaingap/service_request.h>
+
+namespace plantaingap::runtime {
+
+// The keys of one group for one tenure of its owner: joins the key memory with the platform's
+// table. It lives on the scheduling duty's thread; what is under way when the tenure ends is passed
+// over.
+class group_keys : public std::enable_shared_from_this<group_keys>
+{
+public:
+    struct outlets
+    {
+        // The request may be sent now, this once.
+        std::function<void(request_id)> release;
+        std::function<void(const decision::refuse_key &)> refuse;
+    };
+
+    group_keys(boost::asio::io_context &context, platform::platform_client &platform,
+               std::string group, const epoch &authority, outlets out);
+
+    // Reads the group's keys and begins to write. Until they are read, requests wait.
+    void start();
+    // The tenure is over: nothing is released any more.
+    void stop();
+
+    void arrived(const service_request &request);
+    void answered(const service_request &request, unsigned status);
+
+private:
+    void step(const decision::key_event &event);
+    void carryOut();
+    void carryOut(const decision::commit_keys &action);
+    void carryOut(const decision::read_batch &action);
+    void carryOut(const decision::release_request &action);
+    void carryOut(const decision::refuse_key &action);
+    void armTimer();
+    std::string rowKey(decision::batch_id batch) const;
+
+    boost::asio::awaitable<void> load(std::shared_ptr<group_keys> self);
+    boost::asio::awaitable<void> commit(std::shared_ptr<group_keys> self,
+                                        decision::commit_keys action);
+    boost::asio::awaitable<void> readBatch(std::shared_ptr<group_keys> self,
+                                           decision::batch_id batch);
+
+    boost::asio::io_context &m_context;
+    platform::platform_client &m_platform;
+    std::string m_group;
+    epoch m_authority;
+    outlets m_out;
+    decision::key_memory m_memory;
+    std::vector<decision::key_action> m_actions;
+    boost::asio::steady_timer m_timer;
+    std::optional<time_point> m_armedFor;
+    bool m_stopped = false;
+};
+
+} // namespace plantaingap::runtime
+
+#endif
--- a/src/runtime/group_shell.cpp
+++ b/src/runtime/group_shell.cpp
@@ -320,7 +320,10 @@
     const auto still = m_workers.find(worker);
     if (still == m_workers.end())
         co_return;
+    const bool changed = still->second.busySlots != answer->busySlots;
     still->second.busySlots = answer->busySlots;
+    if (changed && m_control.authority() && m_control.ready(worker))
+        m_services.tell(worker_slots_held {m_name, still->second.listed.name, answer->busySlots});
     std::vector<control_action> actions;
     m_control.step(*answer, clock::now(), actions);
     carryOut(std::move(actions));
--- a/src/runtime/instance.cpp
+++ b/src/runtime/instance.cpp
@@ -1,20 +1,35 @@
 #include "runtime/instance.h"
 
 #include "caller/caller_listener.h"
+#include "runtime/control_duty.h"
+#include "runtime/peer_desk.h"
 #include "runtime/request_desk.h"
 #include "support/duty.h"
 #include "support/log.h"
 #include "support/mailbox.h"
 
+#include <future>
 #include <plantaingap/invariant.h>
+#include <thread>
 
 namespace plantaingap::runtime {
 
+using support::stableId;
+
 namespace {
 
-// Requests that one instance holds open. Every ring holds as many messages, and an open request has
-// at most one message in each ring, so that only the admission of a request can meet a full ring.
+// Requests that one instance holds open: its callers', and as many again from other instances.
+// Every ring holds as many messages as there can be open requests, and an open request has at most
+// one message in each ring, so that only an admission can meet a full ring.
 constexpr std::size_t openRequests = 8192;
+constexpr std::size_t openTogether = openRequests + peer_desk::openLimit;
+// Changes of ownership: every worker of a region at once, and more.
+constexpr std::size_t noteSlots = 16384;
+// Heartbeats and summaries; one that finds no room is dropped, the next one makes up for it.
+constexpr std::size_t beatSlots = 1024;
+// How long nothing may come in before a stopping instance counts as drained.
+constexpr std::chrono::milliseconds quietTime {300};
+constexpr std::chrono::milliseconds drainPause {20};
 
 // Pushes what the ring's bound says always fits.
 template<class Message>
@@ -24,51 +39,136 @@
     PLANTAINGAP_INVARIANT(pushed, "a ring holds every open request");
 }
 
+// Runs a function on a duty's thread and waits for its value.
+template<class Function>
+auto ask(support::duty &duty, Function function)
+{
+    std::packaged_task<decltype(function())()> task(std::move(function));
+    auto value = task.get_future();
+    boost::asio::post(duty.context(), std::move(task));
+    return value.get();
+}
+
+std::uint64_t newIncarnation()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
 } // namespace
 
 struct instance::parts
 {
     explicit parts(instance_settings told);
 
+    control_settings controlSettings(const boost::asio::ip::tcp::endpoint &platform) const;
     std::error_code listen();
-    void addWorkers();
-    void stop();
+    void startControl(const boost::asio::ip::tcp::endpoint &platform);
+    void ownListedWorkers();
+    bool drain(time_point deadline);
+    void handOver(time_point deadline);
+    void endDuties();
+
+    using worker_message = std::variant<backend::worker_address, backend::send_order>;
 
     instance_settings settings;
+    instance_id self;
+    std::uint64_t incarnation = newIncarnation();
+    instance_addresses addresses;
+    std::unique_ptr<platform::platform_client> platform;
     support::duty callerDuty {"callers"};
     support::duty schedulingDuty {"scheduling"};
     support::duty workerDuty {"workers"};
+    support::duty peerDuty {"peers"};
     support::mailbox<service_request_ptr> admitted;
-    support::mailbox<backend::send_order> sends;
+    support::mailbox<worker_message> sends;
     support::mailbox<backend::send_ended> ends;
     support::mailbox<service_answer_ptr> answers;
+    support::mailbox<control_note> notes;
+    support::mailbox<own_beat> beats;
+    support::mailbox<forwarded_request> forwarded;
+    support::mailbox<peer::forward_ended> forwardEnds;
+    support::mailbox<std::vector<decision::group_summary>> heard;
+    support::mailbox<std::vector<decision::group_summary>> told;
+    support::mailbox<peer::forward_order> forwards;
+    support::mailbox<service_answer_ptr> forwardAnswers;
     caller::caller_listener listener;
-    request_desk desk;
+    std::unique_ptr<request_desk> desk;
     backend::worker_transport transport;
-    boost::asio::ip::tcp::endpoint callerEndpoint;
+    std::unique_ptr<peer_desk> peers;
+    std::unique_ptr<control_duty> control;
+    bool running = false;
 };
 
-instance::parts::parts(instance_settings told)
-    : settings(std::move(told))
+instance::parts::parts(instance_settings given)
+    : settings(std::move(given))
+    , self(stableId<instance_id>(settings.name))
     , admitted(schedulingDuty.context(), openRequests,
-               [this](service_request_ptr &&request) { desk.admit(request); })
-    , sends(workerDuty.context(), openRequests,
-            [this](backend::send_order &&order) { transport.send(std::move(order)); })
-    , ends(schedulingDuty.context(), openRequests,
-           [this](backend::send_ended &&ended) { desk.sendEnded(std::move(ended)); })
+               [this](service_request_ptr &&request) { desk->admit(request); })
+    , sends(workerDuty.context(), openTogether + noteSlots,
+            [this](worker_message &&message) {
+                if (auto *order = std::get_if<backend::send_order>(&message))
+                    transport.send(std::move(*order));
+                else
+                    transport.add(std::get<backend::worker_address>(message));
+            })
+    , ends(schedulingDuty.context(), openTogether,
+           [this](backend::send_ended &&ended) { desk->sendEnded(std::move(ended)); })
     , answers(callerDuty.context(), openRequests,
               [this](service_answer_ptr &&answer) { listener.deliver(answer); })
+    , notes(schedulingDuty.context(), noteSlots, [this](control_note &&note) { desk->note(note); })
+    , beats(peerDuty.context(), beatSlots, [this](own_beat &&own) { peers->beat(own); })
+    , forwarded(schedulingDuty.context(), openRequests,
+                [this](forwarded_request &&one) { desk->admitForwarded(one.request, one.group); })
+    , forwardEnds(schedulingDuty.context(), openRequests,
+                  [this](peer::forward_ended &&ended) { desk->forwardEnded(std::move(ended)); })
+    , heard(schedulingDuty.context(), beatSlots, [this](auto &&list) { desk->learn(list); })
+    , told(peerDuty.context(), beatSlots,
+           [this](auto &&list) { peers->setSummaries(std::move(list)); })
+    , forwards(peerDuty.context(), openRequests,
+               [this](peer::forward_order &&order) { peers->forward(order); })
+    , forwardAnswers(peerDuty.context(), peer_desk::openLimit,
+                     [this](service_answer_ptr &&answer) { peers->deliver(answer); })
     , listener(
-          callerDuty.context(), {.http = {}, .openRequests = openRequests}, settings.name + "-",
+          callerDuty.context(), {.http = {}, .openRequests = openRequests},
+          settings.name + "." + std::to_string(incarnation) + ".",
           [this](service_request_ptr request) { return admitted.push(std::move(request)); },
           nullptr)
-    , desk(schedulingDuty.context(), instance_id {1}, {.region = region_id {1}},
-           {[this](backend::send_order &&order) { pushBounded(sends, std::move(order)); },
-            [this](service_answer_ptr answer) { pushBounded(answers, std::move(answer)); }})
     , transport(
           workerDuty.context(),
           [this](backend::send_ended &&ended) { pushBounded(ends, std::move(ended)); }, nullptr)
-{ }
+{
+    const auto endpoint = support::parseEndpoint(settings.platform);
+    if (endpoint.has_value())
+        platform = std::make_unique<platform::platform_client>(schedulingDuty.context(), *endpoint);
+    desk_limits limits;
+    limits.router.region = stableId<region_id>(settings.region);
+    desk = std::make_unique<request_desk>(
+        schedulingDuty.context(), self, limits, platform.get(),
+        desk_outlets {
+            [this](backend::worker_address &&address) { pushBounded(sends, std::move(address)); },
+            [this](backend::send_order &&order) { pushBounded(sends, std::move(order)); },
+            [this](service_answer_ptr answer) {
+                auto &box = peer_desk::isForwarded(answer->id) ? forwardAnswers : answers;
+                pushBounded(box, std::move(answer));
+            },
+            [this](peer::forward_order &&order) { pushBounded(forwards, std::move(order)); },
+            [this](auto &&list) { told.push(std::move(list)); }});
+    for (const auto &service : settings.services)
+        desk->addService(service);
+}
+
+control_settings
+instance::parts::controlSettings(const boost::asio::ip::tcp::endpoint &endpoint) const
+{
+    control_settings made;
+    made.instance = settings.name;
+    made.region = settings.region;
+    made.platform = endpoint;
+    made.incarnation = incarnation;
+    return made;
+}
 
 std::error_code instance::parts::listen()
 {
@@ -77,39 +177,113 @@
         return endpoint.error();
     if (const auto error = listener.listen(*endpoint))
         return error;
-    callerEndpoint = {endpoint->address(), listener.port()};
+    addresses.callers = support::formatEndpoint({endpoint->address(), listener.port()});
+    peers = std::make_unique<peer_desk>(
+        peerDuty.context(),
+        peer_outlets {
+            [this](forwarded_request &&request) { return forwarded.push(std::move(request)); },
+            [this](peer::forward_ended &&ended) { pushBounded(forwardEnds, std::move(ended)); },
+            [this](control_heartbeat &&beat) {
+                if (control)
+                    control->heartbeatArrived(std::move(beat));
+            },
+            [this](instance_id peer, std::optional<control_heartbeat> reply, time_point askedAt) {
+                if (control)
+                    control->replyArrived(peer, std::move(reply), askedAt);
+            },
+            [this](auto &&list) { heard.push(std::move(list)); }});
+    for (const auto &peer : settings.peers) {
+        if (peer.name != settings.name)
+            peers->addPeer(stableId<instance_id>(peer.name), peer.address);
+    }
+    if (settings.peerListen.empty())
+        return {};
+    const auto peerEndpoint = support::parseEndpoint(settings.peerListen);
+    if (peerEndpoint.has_error())
+        return peerEndpoint.error();
+    if (const auto error = peers->listen(settings.peerListen))
+        return error;
+    addresses.peers = support::formatEndpoint({peerEndpoint->address(), peers->port()});
     return {};
 }
 
-void instance::parts::addWorkers()
+void instance::parts::startControl(const boost::asio::ip::tcp::endpoint &endpoint)
 {
-    for (const auto &service : settings.services)
-        desk.addService(service);
-    name_table<group_id> groups(settings.workers.size());
-    std::uint32_t last = 0;
-    for (const auto &worker : settings.workers) {
-        const auto name = worker.dataCentre + "/" + worker.rack;
-        const auto group = groups.idOf(name);
-        const auto id = worker_id {++last};
-        const auto endpoint = support::parseEndpoint(worker.address);
-        if (endpoint.has_error()) {
-            support::log_event(support::log_level::Error, "worker.bad_address")
-                .field("worker", worker.name)
-                .field("address", worker.address);
-            continue;
-        }
-        transport.add({id, worker.name, *endpoint, worker.slots});
-        desk.addGroup({group, name, region_id {1}});
-        desk.addWorker({id, group, worker.service, rack_id {number(group)}, worker.slots});
-        desk.gainGroup(group, epoch {1, 0});
+    control = std::make_unique<control_duty>(
+        controlSettings(endpoint),
+        [this](control_note note) { pushBounded(notes, std::move(note)); },
+        [this](control_heartbeat beat) {
+            beats.push({std::move(beat), clock::now()});
+        });
+    control->start();
+}
+
+// Without a platform the instance is alone and owns the workers that its settings list.
+void instance::parts::ownListedWorkers()
+{
+    constexpr epoch only {1, 0};
+    std::set<std::string> owned;
+    service_groups groups;
+    for (const auto &listed : settings.workers) {
+        const auto group = listed.region + "/" + listed.dataCentre + "/" + listed.rack;
+        if (owned.insert(group).second)
+            pushBounded(notes, group_owned {group, only});
+        groups.groups[listed.service].insert(group);
+        named_worker worker;
+        worker.name = listed.name;
+        worker.address = listed.address;
+        worker.place = {listed.region, listed.dataCentre, listed.rack};
+        worker.service = listed.service;
+        worker.slots = listed.slots;
+        worker.connections = listed.connections;
+        pushBounded(notes, worker_usable {group, only, worker, 0});
+    }
+    pushBounded(notes, std::move(groups));
+}
+
+// Waits until nothing is open and nothing has come in for a while.
+bool instance::parts::drain(time_point deadline)
+{
+    auto busyAt = clock::now();
+    while (clock::now() < deadline) {
+        const auto unanswered = ask(callerDuty, [this] { return listener.unanswered(); });
+        const auto open = ask(schedulingDuty, [this] { return desk->open(); });
+        const auto now = clock::now();
+        if (unanswered + open > 0)
+            busyAt = now;
+        else if (now - busyAt > quietTime)
+            return true;
+        std::this_thread::sleep_for(drainPause);
     }
+    return false;
 }
 
-void instance::parts::stop()
+void instance::parts::handOver(time_point deadline)
 {
+    if (!control)
+        return;
+    const auto done = std::make_shared<std::promise<void>>();
+    auto finished = done->get_future();
+    control->handOver(deadline, [done] { done->set_value(); });
+    finished.wait();
+}
+
+void instance::parts::endDuties()
+{
+    if (!running)
+        return;
+    running = false;
+    if (control)
+        control->stop();
     callerDuty.stop();
-    schedulingDuty.stop();
     workerDuty.stop();
+    schedulingDuty.stop();
+    ask(peerDuty, [this] {
+        peers->answerAll();
+        return 0;
+    });
+    peers->stop(clock::now());
+    peerDuty.stop();
 }
 
 instance::instance(instance_settings settings)
@@ -118,23 +292,55 @@
 
 instance::~instance()
 {
-    m_parts->stop();
+    m_parts->endDuties();
 }
 
 std::error_code instance::start()
 {
-    if (const auto error = m_parts->listen())
+    auto &own = *m_parts;
+    if (const auto error = own.listen())
         return error;
-    m_parts->addWorkers();
-    m_parts->workerDuty.start();
-    m_parts->schedulingDuty.start();
-    m_parts->callerDuty.start();
+    const auto platform = support::parseEndpoint(own.settings.platform);
+    if (!own.settings.platform.empty() && platform.has_error())
+        return platform.error();
+    own.running = true;
+    if (platform.has_value())
+        own.startControl(*platform);
+    else
+        own.ownListedWorkers();
+    own.desk->start();
+    own.peerDuty.start();
+    own.workerDuty.start();
+    own.schedulingDuty.start();
+    own.callerDuty.start();
     return {};
 }
 
-std::string instance::callerAddress() const
+const instance_addresses &instance::addresses() const
+{
+    return m_parts->addresses;
+}
+
+bool instance::stop()
 {
-    return support::formatEndpoint(m_parts->callerEndpoint);
+    auto &own = *m_parts;
+    const auto deadline = clock::now() + own.settings.stopWithin;
+    support::log_event(support::log_level::Info, "instance.stopping");
+    ask(own.callerDuty, [&] {
+        own.listener.drain();
+        return 0;
+    });
+    const bool drained = own.drain(deadline);
+    ask(own.callerDuty, [&] {
+        own.listener.stop();
+        return 0;
+    });
+    own.handOver(deadline);
+    const bool finished = own.drain(deadline);
+    support::log_event(support::log_level::Info, "instance.stopped")
+        .field("drained", drained && finished ? "yes" : "no");
+    own.endDuties();
+    return drained && finished;
 }
 
 } // namespace plantaingap::runtime
--- a/src/runtime/instance.h
+++ b/src/runtime/instance.h
@@ -7,8 +7,15 @@
 
 namespace plantaingap::runtime {
 
-// One entry instance: a thread for each duty (callers, scheduling, workers), joined by bounded
-// rings. Create, start, and destroy it on one thread.
+// Where an instance can be reached, with the ports that were bound; empty for what it lacks.
+struct instance_addresses
+{
+    std::string callers;
+    std::string peers;
+};
+
+// One entry instance: a thread for each duty (callers, scheduling, workers, peers, control), joined
+// by bounded rings. Create, start, stop and destroy it on one thread.
 class instance
 {
 public:
@@ -21,8 +28,10 @@
     // Binds the listeners and starts the duties.
     std::error_code start();
 
-    // Where callers reach it, with the port that was bound.
-    std::string callerAddress() const;
+    const instance_addresses &addresses() const;
+
+    // The planned stop of docs/STOPPING.md. True when everything was finished before the deadline.
+    bool stop();
 
 private:
     struct parts;
--- a/src/runtime/instance_settings.cpp
+++ b/src/runtime/instance_settings.cpp
@@ -63,6 +63,8 @@
     settings.adminListen = text(object, "admin_listen");
     settings.peerListen = text(object, "peer_listen");
     settings.platform = text(object, "platform");
+    if (object.contains("stop_within_ms"))
+        settings.stopWithin = std::chrono::milliseconds(count(object, "stop_within_ms"));
     forEach(object, "peers", [&](const json::object &peer) {
         settings.peers.push_back({text(peer, "name"), text(peer, "address"), text(peer, "region")});
     });
--- a/src/runtime/instance_settings.h
+++ b/src/runtime/instance_settings.h
@@ -1,6 +1,7 @@
 #ifndef PLANTAINGAP_RUNTIME_INSTANCE_SETTINGS_H
 #define PLANTAINGAP_RUNTIME_INSTANCE_SETTINGS_H
 
+#include <chrono>
 #include <cstdint>
 #include <plantaingap/result.h>
 #include <string>
@@ -41,6 +42,8 @@
     std::vector<peer_settings> peers;
     // Base address of the platform; empty when the workers are listed here.
     std::string platform;
+    // A planned stop that has not ended by then is cut short.
+    std::chrono::milliseconds stopWithin {30'000};
     std::vector<worker_settings> workers;
     std::vector<std::string> services;
 };
--- a/src/runtime/request_desk.cpp
+++ b/src/runtime/request_desk.cpp
@@ -2,16 +2,15 @@
 
 #include "support/log.h"
 
-#include <functional>
 #include <plantaingap/invariant.h>
 
 namespace plantaingap::runtime {
 
 using namespace decision;
+using support::stableId;
 
 namespace {
 
-constexpr std::size_t serviceLimit = 4096;
 // Kinds beyond this share one estimate of sizes.
 constexpr std::size_t kindLimit = 4096;
 constexpr std::chrono::seconds retryAfterRefusal {1};
@@ -25,175 +24,460 @@
 } // namespace
 
 request_desk::request_desk(boost::asio::io_context &context, instance_id self,
-                           const router_limits &limits, desk_outlets outlets)
+                           const desk_limits &limits, platform::platform_client *platform,
+                           desk_outlets outlets)
     : m_context(context)
     , m_self(self)
+    , m_limits(limits)
+    , m_platform(platform)
     , m_outlets(std::move(outlets))
-    , m_router(limits, number(self))
-    , m_services(serviceLimit)
+    , m_router(limits.router, number(self))
     , m_kinds(kindLimit)
     , m_timer(context)
+    , m_publishTimer(context)
 { }
 
+void request_desk::start()
+{
+    boost::asio::post(m_context, [this] { publish(); });
+}
+
 void request_desk::addService(std::string_view name)
 {
-    m_services.idOf(name);
+    m_services.emplace(name);
 }
 
-void request_desk::addGroup(const desk_group &group)
+// --- What this instance owns
+
+void request_desk::note(const control_note &note)
 {
-    m_groups.try_emplace(group.group, group, request_limits {});
+    std::visit([this](const auto &typed) { on(typed); }, note);
 }
 
-void request_desk::addWorker(const desk_worker &worker)
+group_tenure *request_desk::tenure(group_id group)
 {
-    const auto service = m_services.idOf(worker.service);
-    auto &group = m_groups.at(worker.group);
-    if (!m_workers.emplace(worker.worker, worker).second)
-        return;
-    if (group.slots[service] == 0)
-        m_groupsOf[service].push_back(worker.group);
-    group.slots[service] += worker.slots;
-    if (group.authority)
-        step(group, worker_added {worker.worker, service, worker.rack, worker.slots, 0});
+    const auto found = m_tenures.find(group);
+    return found == m_tenures.end() ? nullptr : found->second.get();
 }
 
-void request_desk::markLeaving(worker_id worker)
+void request_desk::on(const group_owned &note)
 {
-    const auto found = m_workers.find(worker);
-    if (found != m_workers.end())
-        step(m_groups.at(found->second.group), worker_leaving {worker});
+    const auto group = stableId<group_id>(note.group);
+    if (tenure(group))
+        on(group_given_up {note.group});
+    auto owned = std::make_unique<group_tenure>(note.group, note.authority, m_limits.requests);
+    if (m_platform) {
+        owned->keys = std::make_shared<group_keys>(
+            m_context, *m_platform, note.group, note.authority,
+            group_keys::outlets {[this](request_id request) { schedule(request); },
+                                 [this](const refuse_key &refused) { refuseKey(refused); }});
+        owned->keys->start();
+    }
+    m_tenures[group] = std::move(owned);
+    support::log_event(support::log_level::Info, "group.owned")
+        .field("group", note.group)
+        .field("epoch", note.authority.generation)
+        .field("rank", note.authority.rank);
 }
 
-void request_desk::gainGroup(group_id group, const epoch &authority)
+void request_desk::on(const group_given_up &note)
 {
-    auto &state = m_groups.at(group);
-    state.authority = authority;
-    for (const auto &[id, worker] : m_workers) {
-        if (worker.group != group)
+    const auto group = stableId<group_id>(note.group);
+    auto node = m_tenures.extract(group);
+    if (node.empty())
+        return;
+    support::log_event(support::log_level::Info, "group.given_up").field("group", note.group);
+    m_router.forget(group);
+    // Refuses what waits for its key, while the requests are still open.
+    if (node.mapped()->keys)
+        node.mapped()->keys->stop();
+    std::vector<request_id> unsent;
+    for (auto &[id, open] : m_open) {
+        if (open.heldBy != holder::Tenure || open.group != group)
             continue;
-        const auto service = m_services.idOf(worker.service);
-        step(state, worker_added {id, service, worker.rack, worker.slots, 0});
+        if (open.sent)
+            open.heldBy = holder::FormerTenure;
+        else
+            unsent.push_back(id);
     }
+    for (const auto id : unsent)
+        tryElsewhere(m_open.find(id), errc::NotReady, clock::now() + retryAfterRefusal);
 }
 
-void request_desk::admit(const service_request_ptr &request)
+void request_desk::on(const worker_usable &note)
 {
-    const auto service = m_services.find(request->service);
-    if (!service)
-        return refuse(*request, errc::NoSuchService, run_state::NotRun, clock::now());
-    const auto route = chooseRoute(*request, *service);
-    if (!route) {
-        const auto retryAt = clock::now() + retryAfterRefusal;
-        return refuse(*request, errc::NoWorker, run_state::NotRun, retryAt);
+    auto *owned = tenure(stableId<group_id>(note.group));
+    if (!owned || owned->authority() != note.authority || note.worker.slots == 0)
+        return;
+    const auto worker = stableId<worker_id>(note.worker.name);
+    const auto service = stableId<service_id>(note.worker.service);
+    m_services.insert(note.worker.service);
+    if (owned->knows(worker))
+        return;
+    const auto endpoint = support::parseEndpoint(note.worker.address);
+    if (endpoint.has_error()) {
+        support::log_event(support::log_level::Error, "worker.bad_address")
+            .field("worker", note.worker.name)
+            .field("address", note.worker.address);
+        return;
     }
-    auto &group = m_groups.at(route->group);
-    m_open.emplace(request->id, open_request {request, route->group});
-    request_arrived arrived;
-    arrived.request = request->id;
-    arrived.service = *service;
-    arrived.kind = m_kinds.idOf(request->kind);
-    arrived.declared = request->declared;
-    arrived.idempotent = request->idempotent;
-    arrived.deadline = request->deadline;
-    step(group, arrived);
+    m_outlets.addWorker({worker, note.worker.name, *endpoint, note.worker.slots});
+    owned->addSlots(worker, service, note.worker.slots);
+    const auto occupied = std::min(note.busySlots, note.worker.slots);
+    step(*owned, worker_added {worker, service, stableId<rack_id>(note.group), note.worker.slots,
+                               occupied});
+    if (note.worker.leaving)
+        step(*owned, worker_leaving {worker});
 }
 
-void request_desk::sendEnded(backend::send_ended &&ended)
+void request_desk::on(const worker_unusable &note)
 {
-    const auto found = m_open.find(ended.request);
-    PLANTAINGAP_INVARIANT(found != m_open.end(), "an ended send belongs to an open request");
-    auto &group = m_groups.at(found->second.group);
-    if (ended.answer) {
-        m_outlets.answer(std::move(ended.answer));
-        m_open.erase(found);
+    auto *owned = tenure(stableId<group_id>(note.group));
+    const auto worker = stableId<worker_id>(note.worker);
+    if (!owned || !owned->knows(worker))
+        return;
+    owned->removeSlots(worker);
+    step(*owned, worker_removed {worker});
+}
+
+void request_desk::on(const worker_is_leaving &note)
+{
+    const auto worker = stableId<worker_id>(note.worker);
+    for (auto &[group, owned] : m_tenures) {
+        if (owned->knows(worker))
+            step(*owned, worker_leaving {worker});
+    }
+}
+
+void request_desk::on(const worker_slots_held &note)
+{
+    auto *owned = tenure(stableId<group_id>(note.group));
+    const auto worker = stableId<worker_id>(note.worker);
+    if (owned && owned->knows(worker))
+        step(*owned, worker_slots_confirmed {worker, note.busySlots});
+}
+
+void request_desk::on(const service_groups &note)
+{
+    m_groupsOf.clear();
+    for (const auto &[service, groups] : note.groups) {
+        m_services.insert(service);
+        for (const auto &group : groups)
+            m_groupsOf[service].push_back(stableId<group_id>(group));
+    }
+}
+
+// --- Requests on their way in
+
+void request_desk::admit(const service_request_ptr &request)
+{
+    open_request open;
+    open.request = request;
+    admit(std::move(open));
+}
+
+void request_desk::admitForwarded(const service_request_ptr &request, group_id group)
+{
+    open_request open;
+    open.request = request;
+    open.group = group;
+    open.forwarded = true;
+    admit(std::move(open));
+}
+
+void request_desk::admit(open_request &&open)
+{
+    const auto id = open.request->id;
+    open.parkedUntil = std::min(open.request->deadline, clock::now() + m_limits.parkAtMost);
+    const auto found = m_open.emplace(id, std::move(open)).first;
+    auto &stored = found->second;
+    if (!m_services.contains(stored.request->service))
+        return refuse(found, errc::NoSuchService, run_state::NotRun, clock::now());
+    if (!stored.forwarded)
+        return place(stored);
+    if (auto *owned = tenure(stored.group))
+        return placeHere(stored, *owned);
+    refuse(found, errc::NotReady, run_state::NotRun, clock::now() + retryAfterRefusal);
+}
+
+void request_desk::place(open_request &open)
+{
+    const auto route = chooseRoute(*open.request);
+    if (route)
+        place(open, *route);
+    else
+        park(open);
+}
+
+void request_desk::place(open_request &open, const route &route)
+{
+    open.group = route.group;
+    if (route.owner != m_self) {
+        open.heldBy = holder::Peer;
+        m_router.noteForwarded(route.group, stableId<service_id>(open.request->service));
+        m_outlets.forward({route.owner, route.group, open.request});
+        return;
     }
-    step(group, request_ended {ended.request, ended.outcome});
+    auto *owned = tenure(route.group);
+    PLANTAINGAP_INVARIANT(owned != nullptr, "the router names us only for groups that we own");
+    placeHere(open, *owned);
+}
+
+void request_desk::placeHere(open_request &open, group_tenure &owned)
+{
+    open.heldBy = holder::Tenure;
+    open.group = owned.group();
+    if (open.request->idempotent || !owned.keys)
+        schedule(open.request->id);
+    else
+        owned.keys->arrived(*open.request);
+}
+
+void request_desk::schedule(request_id request)
+{
+    const auto found = m_open.find(request);
+    if (found == m_open.end())
+        return;
+    const auto &open = found->second;
+    auto *owned = tenure(open.group);
+    PLANTAINGAP_INVARIANT(owned != nullptr, "requests are scheduled in groups that we own");
+    request_arrived arrived;
+    arrived.request = request;
+    arrived.service = stableId<service_id>(open.request->service);
+    arrived.kind = m_kinds.idOf(open.request->kind);
+    arrived.declared = open.request->declared;
+    arrived.idempotent = open.request->idempotent;
+    arrived.deadline = open.request->deadline;
+    step(*owned, arrived);
 }
 
-std::optional<route> request_desk::chooseRoute(const service_request &request, service_id service)
+std::optional<route> request_desk::chooseRoute(const service_request &request)
 {
     refreshSummaries();
+    const auto service = stableId<service_id>(request.service);
     const auto now = clock::now();
     if (request.idempotent)
         return m_router.choose(service, request.declared, now);
-    const auto hash = std::hash<std::string> {}(request.key);
-    return m_router.chooseByKey(service, hash, m_groupsOf[service], now);
+    const auto groups = m_groupsOf.find(request.service);
+    if (groups == m_groupsOf.end())
+        return std::nullopt;
+    const auto hash = support::nameDigest(request.service + "/" + request.key);
+    return m_router.chooseByKey(service, hash, groups->second, now);
 }
 
-void request_desk::refreshSummaries()
+// The request came back as not run by its group, or may be run again.
+void request_desk::tryElsewhere(open_table::iterator found, errc code, time_point retryAt)
 {
+    auto &open = found->second;
+    open.sent = false;
     const auto now = clock::now();
-    for (auto &[id, group] : m_groups) {
-        if (!group.authority || !group.changed)
-            continue;
-        group.changed = false;
-        for (const auto &[service, slots] : group.slots) {
-            group_summary summary;
-            summary.group = id;
-            summary.owner = m_self;
-            summary.region = group.about.region;
-            summary.service = service;
-            summary.slots = slots;
-            summary.freeSlots = group.scheduler.freeSlots(service);
-            for (const auto name : {work_class::Quick, work_class::Normal, work_class::Long}) {
-                const auto waiting = group.scheduler.waiting(service, name);
-                summary.waiting[static_cast<std::size_t>(name)] =
-                    static_cast<std::uint32_t>(waiting);
-            }
-            summary.asOf = now;
-            m_router.learn(summary);
-        }
+    const bool mayMove = open.request->idempotent && !open.forwarded && now < open.parkedUntil;
+    if (mayMove) {
+        const auto service = stableId<service_id>(open.request->service);
+        refreshSummaries();
+        const auto other = m_router.chooseAgain(service, open.request->declared, open.group, now);
+        if (other)
+            return place(open, *other);
+        return park(open);
     }
+    const auto honest = open.mayHaveRun ? errc::OutcomeUnknown : code;
+    refuse(found, honest, runStateOf(honest), retryAt);
 }
 
-void request_desk::step(group_state &group, const request_event &event)
+void request_desk::park(open_request &open)
 {
-    group.scheduler.step(event, clock::now(), m_actions);
-    carryOut(group);
+    const auto id = open.request->id;
+    open.heldBy = holder::Parked;
+    if (m_parked.size() < m_limits.parked) {
+        m_parked.push_back(id);
+        return;
+    }
+    const auto code = open.mayHaveRun ? errc::OutcomeUnknown : errc::Overloaded;
+    refuse(m_open.find(id), code, runStateOf(code), clock::now() + retryAfterRefusal);
 }
 
-void request_desk::carryOut(group_state &group)
+void request_desk::retryParked()
 {
-    group.changed = true;
-    for (const auto &action : m_actions)
-        std::visit([&](const auto &typed) { carryOut(group, typed); }, action);
-    m_actions.clear();
-    armTimer(group);
+    const auto now = clock::now();
+    auto parked = std::move(m_parked);
+    m_parked.clear();
+    for (const auto id : parked) {
+        const auto found = m_open.find(id);
+        if (found == m_open.end())
+            continue;
+        auto &open = found->second;
+        if (now < open.parkedUntil) {
+            place(open);
+            continue;
+        }
+        const bool late = open.request->deadline <= now;
+        const auto code = late ? errc::DeadlinePassed : errc::NoWorker;
+        const auto honest = open.mayHaveRun ? errc::OutcomeUnknown : code;
+        refuse(found, honest, runStateOf(honest), now + retryAfterRefusal);
+    }
 }
 
-void request_desk::carryOut(group_state &group, const send_request &action)
+// --- Requests on their way out
+
+void request_desk::sendEnded(backend::send_ended &&ended)
 {
-    PLANTAINGAP_INVARIANT(group.authority.has_value(), "only an owner sends requests");
-    const auto &open = m_open.at(action.request);
-    m_outlets.sendToWorker({open.request, action.worker, group.about.name, *group.authority});
+    const auto found = m_open.find(ended.request);
+    PLANTAINGAP_INVARIANT(found != m_open.end(), "an ended send belongs to an open request");
+    auto &open = found->second;
+    open.sent = false;
+    open.mayHaveRun = open.mayHaveRun || ended.outcome == send_outcome::Unknown;
+    const auto group = open.group;
+    const bool former = open.heldBy == holder::FormerTenure;
+    const bool again = open.request->idempotent || !open.mayHaveRun;
+    if (ended.answer)
+        answer(found, std::move(ended.answer));
+    else if (former && again)
+        return tryElsewhere(found, errc::NotReady, clock::now() + retryAfterRefusal);
+    else if (former)
+        return refuse(found, errc::OutcomeUnknown, run_state::Unknown, clock::now());
+    if (former)
+        return;
+    auto *owned = tenure(group);
+    PLANTAINGAP_INVARIANT(owned != nullptr, "a request of a tenure ends in it");
+    step(*owned, request_ended {ended.request, ended.outcome});
 }
 
-void request_desk::carryOut(group_state &, const refuse_request &action)
+void request_desk::forwardEnded(peer::forward_ended &&ended)
 {
-    const auto found = m_open.find(action.request);
-    PLANTAINGAP_INVARIANT(found != m_open.end(), "a refused request is open");
-    refuse(*found->second.request, action.code, runStateOf(action.code), action.retryAt);
+    const auto found = m_open.find(ended.request);
+    PLANTAINGAP_INVARIANT(found != m_open.end(), "an ended forward belongs to an open request");
+    auto &open = found->second;
+    const auto retryAt = clock::now() + retryAfterRefusal;
+    if (!ended.answer) {
+        m_router.suspect(ended.owner);
+        open.mayHaveRun = open.mayHaveRun || !ended.notSent;
+        if (open.request->idempotent || !open.mayHaveRun)
+            return tryElsewhere(found, errc::NotReady, retryAt);
+        return refuse(found, errc::OutcomeUnknown, run_state::Unknown, retryAt);
+    }
+    const auto &told = *ended.answer;
+    const bool moved = told.code == errc::NotReady || told.code == errc::NoWorker
+                       || told.code == errc::Stopping || told.code == errc::Overloaded;
+    if (moved && told.run == run_state::NotRun)
+        return tryElsewhere(found, told.code, told.retryAt);
+    if (told.code != errc::Ok && told.run == run_state::NotRun && open.mayHaveRun)
+        return refuse(found, errc::OutcomeUnknown, run_state::Unknown, retryAt);
+    answer(found, std::move(ended.answer));
+}
+
+void request_desk::answer(open_table::iterator found, service_answer_ptr answer)
+{
+    const auto &open = found->second;
+    auto *owned = open.heldBy == holder::Tenure ? tenure(open.group) : nullptr;
+    const bool keyed = owned && owned->keys && !open.request->idempotent;
+    if (keyed && answer->code == errc::Ok)
+        owned->keys->answered(*open.request, answer->status);
     m_open.erase(found);
+    m_outlets.answer(std::move(answer));
 }
 
-void request_desk::refuse(const service_request &request, errc code, run_state run,
-                          time_point retryAt)
+void request_desk::refuse(open_table::iterator found, errc code, run_state run, time_point retryAt)
 {
+    const auto &request = *found->second.request;
     support::log_event(support::log_level::Debug, "request.refused")
         .field("request", request.name)
         .field("code", make_error_code(code).message());
-    auto answer = std::make_shared<service_answer>();
-    answer->id = request.id;
-    answer->code = code;
-    answer->run = run;
-    answer->retryAt = retryAt;
-    m_outlets.answer(std::move(answer));
+    auto refusal = std::make_shared<service_answer>();
+    refusal->id = request.id;
+    refusal->code = code;
+    refusal->run = run;
+    refusal->retryAt = retryAt;
+    answer(found, std::move(refusal));
+}
+
+void request_desk::refuseKey(const refuse_key &refused)
+{
+    const auto found = m_open.find(refused.request);
+    if (found == m_open.end())
+        return;
+    auto run = run_state::NotRun;
+    if (refused.code == errc::DuplicateKey)
+        run = refused.status ? run_state::Run : run_state::Unknown;
+    refuse(found, refused.code, run, clock::now() + retryAfterRefusal);
 }
 
-void request_desk::armTimer(const group_state &group)
+void request_desk::step(group_tenure &owned, const request_event &event)
 {
-    const auto next = group.scheduler.nextDeadline();
+    // A list of its own: carrying out an action may lead to another step.
+    std::vector<request_action> actions = std::move(m_actions);
+    actions.clear();
+    owned.scheduler.step(event, clock::now(), actions);
+    owned.changed = true;
+    for (const auto &action : actions)
+        std::visit([&](const auto &typed) { carryOut(owned, typed); }, action);
+    m_actions = std::move(actions);
+    armTimer(owned);
+}
+
+void request_desk::carryOut(group_tenure &owned, const send_request &action)
+{
+    auto &open = m_open.at(action.request);
+    PLANTAINGAP_INVARIANT(tenure(open.group) == &owned, "only the owner of a group sends");
+    open.sent = true;
+    m_outlets.sendToWorker({open.request, action.worker, owned.name(), owned.authority()});
+}
+
+void request_desk::carryOut(group_tenure &, const refuse_request &action)
+{
+    const auto found = m_open.find(action.request);
+    PLANTAINGAP_INVARIANT(found != m_open.end(), "a refused request is open");
+    if (action.code == errc::NoWorker)
+        return tryElsewhere(found, action.code, action.retryAt);
+    refuse(found, action.code, runStateOf(action.code), action.retryAt);
+}
+
+// --- What other instances are told, and tell
+
+void request_desk::learn(const std::vector<group_summary> &summaries)
+{
+    for (const auto &summary : summaries) {
+        m_router.trust(summary.owner);
+        if (!tenure(summary.group))
+            m_router.learn(summary);
+    }
+    if (!m_parked.empty())
+        retryParked();
+}
+
+void request_desk::refreshSummaries()
+{
+    const auto now = clock::now();
+    for (auto &[id, owned] : m_tenures) {
+        if (!owned->changed)
+            continue;
+        owned->changed = false;
+        for (const auto &summary : owned->summaries(m_self, m_limits.router.region, now))
+            m_router.learn(summary);
+    }
+}
+
+void request_desk::publish()
+{
+    const auto now = clock::now();
+    std::vector<group_summary> own;
+    for (auto &[id, owned] : m_tenures) {
+        // Kept fresh in the router too, where nothing else happens.
+        owned->changed = true;
+        const auto told = owned->summaries(m_self, m_limits.router.region, now);
+        own.insert(own.end(), told.begin(), told.end());
+    }
+    m_outlets.summaries(std::move(own));
+    retryParked();
+    m_publishTimer.expires_at(now + m_limits.summaryEvery);
+    m_publishTimer.async_wait([this](const auto &error) {
+        if (!error)
+            publish();
+    });
+}
+
+void request_desk::armTimer(const group_tenure &owned)
+{
+    const auto next = owned.scheduler.nextDeadline();
     if (!next || (m_armedFor && *m_armedFor <= *next))
         return;
     m_armedFor = next;
@@ -207,14 +491,16 @@
 void request_desk::expire()
 {
     m_armedFor.reset();
-    for (auto &[id, group] : m_groups) {
+    for (auto &[id, owned] : m_tenures) {
+        std::vector<request_action> actions;
         const auto now = clock::now();
-        const auto next = group.scheduler.nextDeadline();
-        if (!next)
-            continue;
-        if (*next <= now)
-            group.scheduler.expire(now, m_actions);
-        carryOut(group);
+        const auto next = owned->scheduler.nextDeadline();
+        if (next && *next <= now)
+            owned->scheduler.expire(now, actions);
+        owned->changed = owned->changed || !actions.empty();
+        for (const auto &action : actions)
+            std::visit([&](const auto &typed) { carryOut(*owned, typed); }, action);
+        armTimer(*owned);
     }
 }
 
--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -59,7 +59,7 @@
     char next = 0;
     while (read(m_output, &next, 1) == 1 && next != '\n')
         m_ready.push_back(next);
-    REQUIRE_MESSAGE(m_ready.starts_with("ready "), "no ready line: ", m_ready);
+    REQUIRE_MESSAGE(m_ready.starts_with("event=ready"), "no ready line: ", m_ready);
 }
 
 boost::asio::ip::tcp::endpoint child_process::address(const std::string &key) const
--- /dev/null
+++ b/tests/process/several_instances_test.cpp
@@ -0,0 +1,91 @@
+#include "process/test_cluster.h"
+
+#include <boost/json/parse.hpp>
+#include <csignal>
+#include <doctest/doctest.h>
+
+using namespace plantaingap;
+using namespace plantaingap::test;
+namespace json = boost::json;
+
+namespace {
+
+std::int64_t countIn(const json::value &report, const char *name)
+{
+    return report.at(name).to_number<std::int64_t>();
+}
+
+// Every request had one whole answer of its own, and no worker ran more than its slots.
+void checkAllAnswered(const json::value &report, const test_cluster &cluster, std::int64_t requests)
+{
+    CHECK(countIn(report, "answered") == requests);
+    CHECK(countIn(report, "refused") == 0);
+    CHECK(countIn(report, "unknown") == 0);
+    CHECK(countIn(report, "failed") == 0);
+    CHECK(countIn(report, "crossed") == 0);
+    CHECK(cluster.count("over_slots") == 0);
+}
+
+} // namespace
+
+TEST_CASE("three instances serve every request once, whichever owns the worker")
+{
+    test_cluster cluster(4, 3, {});
+    for (unsigned index = 0; index < 3; ++index)
+        cluster.awaitService(index);
+    auto load = cluster.load(24, 6000, {});
+    const auto report = json::parse(load.rest());
+    CHECK(load.wait() == 0);
+    checkAllAnswered(report, cluster, 6000);
+    CHECK(cluster.count("repeated") <= 1); // the question of awaitService alone
+}
+
+TEST_CASE("a request that is not idempotent runs once, whoever is asked again")
+{
+    test_cluster cluster(4, 3, {});
+    for (unsigned index = 0; index < 3; ++index)
+        cluster.awaitService(index);
+    const auto before = cluster.count("served");
+    const headers given = {{"Plantaingap-Idempotent", "false"},
+                           {"Plantaingap-Request-Key", "certificate-1"}};
+    const auto first = fetch(cluster.entry(0).address("callers"),
+                             call("/services/register-search/", "certificate 1", given));
+    CHECK(first.result_int() == 200);
+    CHECK(first.body() == "certificate 1");
+    for (unsigned index = 0; index < 3; ++index) {
+        const auto again = fetch(cluster.entry(index).address("callers"),
+                                 call("/services/register-search/", "certificate 1", given));
+        CHECK(again.result_int() == 409);
+        CHECK(again["Plantaingap-Run"] == "yes");
+    }
+    CHECK(cluster.count("served") == before + 1);
+}
+
+TEST_CASE("a planned stop under load loses nothing and hands its groups over")
+{
+    test_cluster cluster(4, 3, {"--work-us=2000"});
+    for (unsigned index = 0; index < 3; ++index)
+        cluster.awaitService(index);
+    auto load = cluster.load(12, 6000, {"--follow"});
+    cluster.entry(0).signal(SIGTERM);
+    CHECK(cluster.entry(0).wait() == 0);
+    const auto report = json::parse(load.rest());
+    CHECK(load.wait() == 0);
+    checkAllAnswered(report, cluster, 6000);
+}
+
+TEST_CASE("idempotent requests at the others survive the kill of an instance")
+{
+    test_cluster cluster(4, 3, {"--work-us=2000"});
+    for (unsigned index = 0; index < 3; ++index)
+        cluster.awaitService(index);
+    auto load = cluster.load(12, 6000, {"--follow"});
+    cluster.entry(0).signal(SIGKILL);
+    CHECK(cluster.entry(0).wait() == -SIGKILL);
+    const auto report = json::parse(load.rest());
+    load.wait();
+    // Callers of the killed instance lost the connection; they ask again elsewhere.
+    CHECK(countIn(report, "answered") == 6000);
+    CHECK(countIn(report, "crossed") == 0);
+    CHECK(cluster.count("over_slots") == 0);
+}
--- a/tests/process/whole_path_test.cpp
+++ b/tests/process/whole_path_test.cpp
@@ -1,59 +1,15 @@
-#include "process/child_process.h"
-#include "support/http_client.h"
+#include "process/test_cluster.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <doctest/doctest.h>
-#include <map>
 
 using namespace plantaingap;
-using namespace plantaingap::support;
-using test::child_process;
-using test::temporary_file;
-namespace asio = boost::asio;
-namespace http = boost::beast::http;
+using namespace plantaingap::test;
 namespace json = boost::json;
-using tcp = asio::ip::tcp;
 
 namespace {
 
-// Long enough for a loaded machine; no test expects it to pass.
-constexpr std::chrono::minutes patience {2};
-
-using headers = std::map<std::string, std::string>;
-
-http_response fetch(const tcp::endpoint &server, http_request request)
-{
-    asio::io_context context;
-    http_client client(context, server, 0);
-    http_response response;
-    asio::co_spawn(
-        context,
-        [&]() -> asio::awaitable<void> {
-            auto outcome = co_await client.fetch(std::move(request), clock::now() + patience);
-            if (outcome.has_value())
-                response = std::move(*outcome);
-        },
-        asio::detached);
-    context.run();
-    return response;
-}
-
-http_request call(const std::string &target, const std::string &body, const headers &given)
-{
-    auto request = makeRequest(http::verb::post, target, body, "text/plain");
-    for (const auto &[name, value] : given)
-        request.set(name, value);
-    return request;
-}
-
-std::string addressOf(const child_process &process, const std::string &key)
-{
-    return formatEndpoint(process.address(key));
-}
-
 // Settings of one instance that serves register-search on these workers.
 std::string settingsFor(const std::vector<const child_process *> &workers)
 {
--- a/tools/load.cpp
+++ b/tools/load.cpp
@@ -31,6 +31,9 @@
     std::size_t bodyBytes = 0;
     // Requests that are not idempotent, each with a key of its own.
     bool keyed = false;
+    // A caller whose instance went away, or refused as not run, goes on to the next one, with the
+    // same request if it is idempotent or was not run.
+    bool follow = false;
 };
 
 struct load_counts
@@ -40,6 +43,8 @@
     std::uint64_t unknown = 0;
     std::uint64_t failed = 0;
     std::uint64_t crossed = 0;
+    // Asked again elsewhere.
+    std::uint64_t repeated = 0;
     std::vector<duration> latencies;
 };
 
@@ -67,18 +72,33 @@
 private:
     asio::awaitable<void> call(std::size_t caller)
     {
-        support::http_client client(m_context, m_plan.servers[caller % m_plan.servers.size()], 1);
+        auto at = caller % m_plan.servers.size();
+        auto client = std::make_unique<support::http_client>(m_context, m_plan.servers[at], 1);
         while (m_left > 0) {
             --m_left;
             auto body = "request " + std::to_string(++m_sent) + " ";
             body.resize(std::max(body.size(), m_plan.bodyBytes), '.');
+            const auto message = request(body);
             const auto sentAt = clock::now();
-            const auto outcome = co_await client.fetch(request(body), sentAt + patience);
+            auto outcome = co_await client->fetch(message, sentAt + patience);
+            while (m_plan.follow && clock::now() < sentAt + patience && mayAskAgain(outcome)) {
+                ++m_counts.repeated;
+                at = (at + 1) % m_plan.servers.size();
+                client = std::make_unique<support::http_client>(m_context, m_plan.servers[at], 1);
+                outcome = co_await client->fetch(message, sentAt + patience);
+            }
             m_counts.latencies.push_back(clock::now() - sentAt);
             count(outcome, body);
         }
     }
 
+    bool mayAskAgain(const support::http_outcome &outcome) const
+    {
+        if (outcome.has_error())
+            return !m_plan.keyed || !outcome.error().written;
+        return outcome->result() != http::status::ok && (*outcome)["Plantaingap-Run"] == "no";
+    }
+
     support::http_request request(const std::string &body) const
     {
         auto message = support::makeRequest(http::verb::post, m_plan.target, body, "text/plain");
@@ -128,6 +148,7 @@
     report["unknown"] = m_counts.unknown;
     report["failed"] = m_counts.failed;
     report["crossed"] = m_counts.crossed;
+    report["repeated"] = m_counts.repeated;
     report["per_second"] = static_cast<double>(latencies.size()) / took;
     if (!latencies.empty()) {
         report["p50_us"] = quantile(0.5);
@@ -151,7 +172,8 @@
         "callers", options::value(&plan.callers)->default_value(8), "requests at once")(
         "requests", options::value(&plan.requests)->default_value(10000), "requests in all")(
         "body-bytes", options::value(&plan.bodyBytes)->default_value(64), "size of a request")(
-        "keyed", options::bool_switch(&plan.keyed), "requests are not idempotent");
+        "keyed", options::bool_switch(&plan.keyed), "requests are not idempotent")(
+        "follow", options::bool_switch(&plan.follow), "ask the next server when one goes away");
     options::variables_map given;
     options::store(options::parse_command_line(argc, argv, known), given);
     if (given.count("help") > 0) {
@@ -169,7 +191,7 @@
     }
     asio::io_context context(1);
     load_run run(context, std::move(plan));
-    std::cout << "ready load" << std::endl;
+    std::cout << "event=ready" << std::endl;
     run.start();
     context.run();
     std::cout << boost::json::serialize(run.report()) << std::endl;
--- a/tools/task_stand_in.h
+++ b/tools/task_stand_in.h
@@ -68,6 +68,7 @@
 
     // Tasks started here since the start of the worker.
     std::uint64_t starts() const { return m_starts; }
+    const epoch &highest() const { return m_rules.highest(); }
     const std::set<task_id> &running() const { return m_rules.running(); }
 
 private:
