--- a/src/platform/platform_client.cpp
+++ b/src/platform/platform_client.cpp
@@ -89,7 +89,10 @@
     json::array rows;
     for (const auto &change : changes) {
         rows.push_back(
-            json::object {{"key", change.key}, {"expect", change.expect}, {"value", change.value}});
+            json::object {{"key", change.key},
+                          {"expect", change.expect},
+                          {"value", change.value},
+                          {"kind", kindNames.at(static_cast<std::size_t>(change.kind))}});
     }
     const char *name = mode == commit_mode::AllOrNone ? "all" : "each";
     return json::serialize(json::object {{"mode", name}, {"rows", std::move(rows)}});
--- a/src/support/http_server.cpp
+++ b/src/support/http_server.cpp
@@ -1,5 +1,7 @@
 #include "support/http_server.h"
 
+#include "support/log.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -59,6 +61,7 @@
     asio::awaitable<void> accept();
     asio::awaitable<void> servePlain(tcp::socket socket);
     asio::awaitable<void> serveTls(tcp::socket socket);
+    asio::awaitable<http_response> answer(http_request request, http_peer peer);
     template<class Stream>
     asio::awaitable<void> serve(Stream &stream, http_peer peer);
 
@@ -117,6 +120,22 @@
     co_await stream.async_shutdown(asTuple);
 }
 
+// A handler that throws is a fault of the program; its caller is told so and the others go on.
+asio::awaitable<http_response> http_server::state::answer(http_request request, http_peer peer)
+{
+    const std::string target(request.target());
+    std::string reason;
+    try {
+        co_return co_await handle(std::move(request), std::move(peer));
+    } catch (const std::exception &fault) {
+        reason = fault.what();
+    }
+    log_event(log_level::Error, "http.handler_fault")
+        .field("target", target)
+        .field("reason", reason);
+    co_return makeResponse(http::status::internal_server_error, "text/plain", "fault\n");
+}
+
 template<class Stream>
 asio::awaitable<void> http_server::state::serve(Stream &stream, http_peer peer)
 {
@@ -143,7 +162,7 @@
             keep = parser.get().keep_alive();
             ++unanswered;
             beast::get_lowest_layer(stream).expires_never();
-            response = co_await handle(parser.release(), peer);
+            response = co_await answer(parser.release(), peer);
             --unanswered;
         }
         keep = keep && !stopping;
--- a/tests/support/http_test.cpp
+++ b/tests/support/http_test.cpp
@@ -17,6 +17,8 @@
 
 asio::awaitable<http_response> echo(http_request request, http_peer)
 {
+    if (request.body() == "fault")
+        throw std::runtime_error("the handler failed");
     co_return makeResponse(http::status::ok, "text/plain", request.body());
 }
 
@@ -62,6 +64,8 @@
     const std::vector<raw_row> rows = {
         {"no HTTP at all", "hello\r\n\r\n", "HTTP/1.1 400"},
         {"a body over the bound", "POST / HTTP/1.1\r\nContent-Length: 99\r\n\r\n", "HTTP/1.1 413"},
+        {"a request whose handler throws", "POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nfault",
+         "HTTP/1.1 500"},
         {"a well-formed request", "GET / HTTP/1.1\r\n\r\n", "HTTP/1.1 200"},
     };
     for (const auto &row : rows) {
