--- a/src/support/http_server.cpp
+++ b/src/support/http_server.cpp
@@ -165,7 +165,7 @@
             response = co_await answer(parser.release(), peer);
             --unanswered;
         }
-        keep = keep && !stopping;
+        keep = keep && !stopping && response.keep_alive();
         response.keep_alive(keep);
         beast::get_lowest_layer(stream).expires_after(writePatience);
         const auto [writeError, written] = co_await http::async_write(stream, response, asTuple);
