Read settings and configuration sets with their places

Cause: operators declare everything in files; a bad file must change nothing and be told whole. Ruled out: a parser of our own, and searching the text for keys after the fact.

Change: tables of member pointers carry key, unit, bounds, default and meaning; reader, writer and docs/CONFIGURATION.md follow them.

--- a/daemons/plantaingap.cpp
+++ b/daemons/plantaingap.cpp
@@ -1,4 +1,9 @@
+#include "operator/document_keys.h"
+
+#include <iostream>
+
 int main()
 {
+    std::cout << plantaingap::operators::documentKeys();
     return 0;
 }
--- /dev/null
+++ b/src/operator/settings.h
@@ -0,0 +1,105 @@
+#ifndef PLANTAINGAP_OPERATOR_SETTINGS_H
+#define PLANTAINGAP_OPERATOR_SETTINGS_H
+
+#include "support/json_document.h"
+#include "support/log.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <plantaingap/result.h>
+#include <string>
+#include <vector>
+
+// The settings of one entry instance: who it is, where it listens, whom it talks to, and what it
+// may take. Read once at the start; everything that operators change later is in configuration.h.
+namespace plantaingap::operators {
+
+// The files of one TLS identity, PEM. Peers must show a certificate that the authorities signed.
+struct tls_settings
+{
+    std::string certificateFile;
+    std::string keyFile;
+    std::string authoritiesFile;
+
+    bool operator==(const tls_settings &) const = default;
+};
+
+// Whether a listener asks callers for a certificate.
+enum class client_certificates : std::uint8_t { Required, NotAsked };
+
+struct link_security
+{
+    std::optional<tls_settings> callers;
+    client_certificates callerCertificates = client_certificates::NotAsked;
+    std::optional<tls_settings> administration;
+    client_certificates administrationCertificates = client_certificates::NotAsked;
+    // Between instances certificates are always asked of both sides.
+    std::optional<tls_settings> peers;
+    std::optional<tls_settings> platform;
+
+    bool operator==(const link_security &) const = default;
+};
+
+enum class principal_role : std::uint8_t {
+    // May read everything and apply configurations.
+    Operator,
+    // May read, and submit and cancel for the teams that list it.
+    Submitter,
+};
+
+// Who may use the administration API. The token stands alone in a file.
+struct principal_settings
+{
+    std::string name;
+    principal_role role = principal_role::Submitter;
+    std::string tokenFile;
+
+    bool operator==(const principal_settings &) const = default;
+};
+
+struct instance_limits
+{
+    std::uint32_t callerThreads = 1;
+    std::uint32_t callerConnections = 4096;
+    // Messages that a ring between two duties holds.
+    std::uint32_t ringMessages = 4096;
+    // Requests that wait in this instance, over all services.
+    std::uint32_t queuedRequests = 16'384;
+    std::uint32_t requestBodyKib = 8192;
+    // Answers up to this size are taken whole before the caller sees the first byte.
+    std::uint32_t wholeAnswerKib = 1024;
+
+    bool operator==(const instance_limits &) const = default;
+};
+
+struct instance_settings
+{
+    std::string instance;
+    std::string region;
+    std::string dataCentre;
+    boost::asio::ip::tcp::endpoint callerListen;
+    boost::asio::ip::tcp::endpoint adminListen;
+    boost::asio::ip::tcp::endpoint peerListen;
+    // Instances to ask first, before the platform's list is known.
+    std::vector<boost::asio::ip::tcp::endpoint> peers;
+    boost::asio::ip::tcp::endpoint platform;
+    link_security tls;
+    std::vector<principal_settings> principals;
+    instance_limits limits;
+    // From the signal to stop until what still runs is given up.
+    std::chrono::milliseconds stopDeadline {30'000};
+    support::log_level logLevel = support::log_level::Info;
+
+    bool operator==(const instance_settings &) const = default;
+};
+
+// The settings, or everything that is wrong with them.
+using settings_outcome = boost::system::result<instance_settings, findings>;
+settings_outcome parseSettings(const std::string &file, std::string_view text);
+settings_outcome loadSettings(const std::string &file);
+
+} // namespace plantaingap::operators
+
+#endif
--- /dev/null
+++ b/src/operator/settings_tables.h
@@ -0,0 +1,132 @@
+#ifndef PLANTAINGAP_OPERATOR_SETTINGS_TABLES_H
+#define PLANTAINGAP_OPERATOR_SETTINGS_TABLES_H
+
+#include "operator/document_table.h"
+#include "operator/settings.h"
+
+// The keys of an instance's settings file.
+namespace plantaingap::operators {
+
+template<>
+struct enum_names<support::log_level>
+{
+    static constexpr std::array<std::pair<std::string_view, support::log_level>, 4> names {
+        {{"debug", support::log_level::Debug},
+         {"info", support::log_level::Info},
+         {"warning", support::log_level::Warning},
+         {"error", support::log_level::Error}}};
+};
+
+template<>
+struct enum_names<client_certificates>
+{
+    static constexpr std::array<std::pair<std::string_view, client_certificates>, 2> names {
+        {{"required", client_certificates::Required},
+         {"not_asked", client_certificates::NotAsked}}};
+};
+
+template<>
+struct enum_names<principal_role>
+{
+    static constexpr std::array<std::pair<std::string_view, principal_role>, 2> names {
+        {{"operator", principal_role::Operator}, {"submitter", principal_role::Submitter}}};
+};
+
+template<>
+struct document_table<tls_settings>
+{
+    static constexpr std::string_view title = "TLS identity";
+    static constexpr std::string_view doc = "Names of PEM files.";
+    static constexpr auto fields = std::make_tuple(
+        required("certificate", &tls_settings::certificateFile, filledRule,
+                 "The certificate shown, with its chain."),
+        required("key", &tls_settings::keyFile, filledRule, "Its private key."),
+        required("authorities", &tls_settings::authoritiesFile, filledRule,
+                 "Authorities whose certificates are accepted from the other side."));
+};
+
+template<>
+struct document_table<link_security>
+{
+    static constexpr std::string_view title = "TLS";
+    static constexpr std::string_view doc = "A link without an identity speaks plain TCP.";
+    static constexpr auto fields = std::make_tuple(
+        optional("callers", &link_security::callers, anyValue, "Callers' listener."),
+        optional("caller_certificates", &link_security::callerCertificates, anyValue,
+                 "Whether callers must show a certificate."),
+        optional("administration", &link_security::administration, anyValue,
+                 "Administration listener."),
+        optional("administration_certificates", &link_security::administrationCertificates,
+                 anyValue, "Whether operators' programs must show a certificate."),
+        optional("peers", &link_security::peers, anyValue,
+                 "Between instances; both sides show a certificate."),
+        optional("platform", &link_security::platform, anyValue, "Towards the platform."));
+};
+
+template<>
+struct document_table<principal_settings>
+{
+    static constexpr std::string_view title = "Principal";
+    static constexpr std::string_view doc = "Who may use the administration API.";
+    static constexpr auto fields = std::make_tuple(
+        required("name", &principal_settings::name, nameRule, "As the audit trail names it."),
+        required(
+            "role", &principal_settings::role, anyValue,
+            "operator: applies configurations; submitter: submits for the teams that list it."),
+        required("token_file", &principal_settings::tokenFile, filledRule,
+                 "File that holds the bearer token alone, at least 16 characters."));
+};
+
+template<>
+struct document_table<instance_limits>
+{
+    static constexpr std::string_view title = "Limits";
+    static constexpr std::string_view doc = "What the instance takes at most.";
+    static constexpr auto fields = std::make_tuple(
+        optional("caller_threads", &instance_limits::callerThreads, range(1, 64),
+                 "Threads that talk to callers."),
+        optional("caller_connections", &instance_limits::callerConnections, range(1, 1'000'000),
+                 "Open connections of callers; more are closed at once."),
+        optional("ring_messages", &instance_limits::ringMessages, range(16, 1'048'576),
+                 "Messages that a ring between two duties holds."),
+        optional("queued_requests", &instance_limits::queuedRequests, range(1, 10'000'000),
+                 "Requests that wait in the instance, over all services."),
+        optional("request_body_kib", &instance_limits::requestBodyKib, range(1, 1'048'576),
+                 "Largest body of a request, KiB."),
+        optional("whole_answer_kib", &instance_limits::wholeAnswerKib, range(1, 1'048'576),
+                 "Answers up to this size are taken whole before they are passed on, KiB."));
+};
+
+template<>
+struct document_table<instance_settings>
+{
+    static constexpr std::string_view title = "Settings of an instance";
+    static constexpr std::string_view doc =
+        "The file given to plantaingapd. Addresses are IP numbers with a port; relative names of "
+        "files are relative to the settings file.";
+    static constexpr auto fields = std::make_tuple(
+        required("instance", &instance_settings::instance, nameRule, "Unique in the cell."),
+        required("region", &instance_settings::region, nameRule, "Where the instance runs."),
+        required("data_centre", &instance_settings::dataCentre, nameRule,
+                 "Where in the region it runs."),
+        required("caller_listen", &instance_settings::callerListen, anyValue, "For callers."),
+        required("admin_listen", &instance_settings::adminListen, anyValue,
+                 "For the administration API and metrics."),
+        required("peer_listen", &instance_settings::peerListen, anyValue, "For other instances."),
+        optional("peers", &instance_settings::peers, range(0, 10'000),
+                 "Other instances' peer_listen, asked until the platform's list is known."),
+        required("platform", &instance_settings::platform, anyValue,
+                 "The platform's table, object store and lists."),
+        optional("tls", &instance_settings::tls, anyValue, "Which links are encrypted."),
+        optional("principals", &instance_settings::principals, range(0, 10'000),
+                 "Who may use the administration API; with none, nobody may."),
+        optional("limits", &instance_settings::limits, anyValue,
+                 "What the instance takes at most."),
+        optional("stop_deadline", &instance_settings::stopDeadline, range(100, 3'600'000),
+                 "From the signal to stop until what still runs is given up."),
+        optional("log_level", &instance_settings::logLevel, anyValue, "The lowest level told."));
+};
+
+} // namespace plantaingap::operators
+
+#endif
