Spread short requests evenly over groups; let forwarded ones end

Cause: forwarded requests counted until the next summary, although quick ones last 30 ms; free slots held back for quick work counted as room for long work; and choosing the emptier group by summaries that are older than the request lasts sent quick work in waves, for which owners keep slots idle.

Change: forwarded requests decay with their service time; waiting requests of the class mean a wait; classes that last less than two summary periods are spread evenly among groups without a wait.

One row of the router's test relied on the rule that changed; it now compares groups that wait by unlike times, as strictly.

--- a/benchmarks/request_routing.cpp
+++ b/benchmarks/request_routing.cpp
@@ -93,7 +93,7 @@
 {
     const auto chosen = from.routes.choose(service, name, now);
     const auto group = chosen ? number(chosen->group) : number(from.region) * groupsPerRegion;
-    from.routes.noteForwarded(group_id {group}, service);
+    from.routes.noteForwarded(group_id {group}, service, name, now);
     return group;
 }
 
@@ -356,6 +356,7 @@
     }
     router_limits limits;
     limits.regionCost = std::chrono::milliseconds(costMilliseconds);
+    limits.summaryPeriod = std::chrono::milliseconds(periodMilliseconds);
     // Even load, and one region with more than it can carry.
     for (const double skew : {1.0, 1.4}) {
         for (const auto &each : rules) {
--- a/src/decision/router.cpp
+++ b/src/decision/router.cpp
@@ -1,6 +1,8 @@
 #include "decision/router.h"
 
 #include <algorithm>
+#include <cmath>
+#include <numeric>
 
 namespace plantaingap::decision {
 
@@ -32,7 +34,7 @@
     if (summary.asOf < known.summary.asOf)
         return;
     known.summary = summary;
-    known.forwardedSince = 0;
+    known.forwarded = {};
 }
 
 void router::forget(group_id group)
@@ -85,9 +87,28 @@
     return route {group, known->second.summary.owner};
 }
 
-void router::noteForwarded(group_id group, service_id service)
+void router::noteForwarded(group_id group, service_id service, work_class name, time_point now)
 {
-    ++m_services[service][group].forwardedSince;
+    auto &known = m_services[service][group];
+    age(known, now);
+    known.forwarded[static_cast<std::size_t>(name)] += 1;
+}
+
+duration router::serviceTime(const known_group &known, std::size_t name)
+{
+    const auto told = known.summary.serviceTime[name];
+    return told > duration {} ? told : assumedServiceTime[name];
+}
+
+void router::age(known_group &known, time_point now)
+{
+    const auto passed = std::max(duration {}, now - known.forwardedAt);
+    for (std::size_t name = 0; name < known.forwarded.size(); ++name) {
+        const auto part = static_cast<double>(passed.count())
+                          / static_cast<double>(serviceTime(known, name).count());
+        known.forwarded[name] *= std::exp(-part);
+    }
+    known.forwardedAt = now;
 }
 
 bool router::usable(const known_group &known, time_point now) const
@@ -105,9 +126,10 @@
         return std::nullopt;
     m_near.clear();
     m_far.clear();
-    for (const auto &[group, known] : found->second) {
+    for (auto &[group, known] : found->second) {
         if (group == excluded || !usable(known, now))
             continue;
+        age(known, now);
         auto &side = known.summary.region == m_limits.region ? m_near : m_far;
         side.push_back(&known);
     }
@@ -138,9 +160,15 @@
 {
     if (!left || !right)
         return left ? left : right;
-    const auto leftCost = std::pair(cost(*left, name), busyShare(*left));
-    const auto rightCost = std::pair(cost(*right, name), busyShare(*right));
-    return rightCost < leftCost ? right : left;
+    const auto leftCost = cost(*left, name);
+    const auto rightCost = cost(*right, name);
+    if (leftCost != rightCost)
+        return rightCost < leftCost ? right : left;
+    // Requests that end before the next summary comes are spread evenly. Sent after late summaries
+    // they would come in waves, for which owners keep slots idle.
+    if (serviceTime(*left, static_cast<std::size_t>(name)) < 2 * m_limits.summaryPeriod)
+        return left;
+    return busyShare(*right) < busyShare(*left) ? right : left;
 }
 
 duration router::cost(const known_group &known, work_class name) const
@@ -152,28 +180,29 @@
 duration router::expectedWait(const known_group &known, work_class name) const
 {
     const auto &summary = known.summary;
+    const auto forwarded = std::accumulate(known.forwarded.begin(), known.forwarded.end(), 0.0);
     // A request waits for those of its class and of shorter ones; longer ones come after it.
-    std::uint64_t ahead = known.forwardedSince;
-    duration total {};
+    double work = 0;
+    std::uint64_t ahead = 0;
     for (std::size_t each = 0; each <= static_cast<std::size_t>(name); ++each) {
-        const auto seen = summary.serviceTime[each];
-        const auto time = seen > duration {} ? seen : assumedServiceTime[each];
+        const auto there = summary.waiting[each] + known.forwarded[each];
+        work += there * static_cast<double>(serviceTime(known, each).count());
         ahead += summary.waiting[each];
-        total += time * static_cast<duration::rep>(summary.waiting[each]);
     }
-    if (ahead < summary.freeSlots)
+    // Free slots beside waiting requests are held back for shorter work.
+    if (ahead == 0 && forwarded < summary.freeSlots)
         return {};
-    const auto own = summary.serviceTime[static_cast<std::size_t>(name)];
-    const auto time = own > duration {} ? own : assumedServiceTime[static_cast<std::size_t>(name)];
-    const auto excess = static_cast<duration::rep>(known.forwardedSince) + 1;
-    return (total + time * excess) / static_cast<duration::rep>(summary.slots);
+    const auto own =
+        static_cast<double>(serviceTime(known, static_cast<std::size_t>(name)).count());
+    return duration(static_cast<duration::rep>((work + own) / summary.slots));
 }
 
 double router::busyShare(const known_group &known) const
 {
     const auto &summary = known.summary;
+    const auto forwarded = std::accumulate(known.forwarded.begin(), known.forwarded.end(), 0.0);
     const auto busy = summary.slots - std::min(summary.slots, summary.freeSlots);
-    return static_cast<double>(busy + known.forwardedSince) / summary.slots;
+    return (busy + forwarded) / summary.slots;
 }
 
 std::uint64_t router::random(std::uint64_t bound)
--- a/src/decision/router.h
+++ b/src/decision/router.h
@@ -42,6 +42,8 @@
     region_id region {};
     // A summary older than this is not used.
     duration staleAfter = std::chrono::seconds(5);
+    // Between two summaries of a group.
+    duration summaryPeriod = std::chrono::seconds(1);
     // What crossing to another region is worth: traffic between regions is paid by volume, and
     // each way takes 30 ms. A request crosses only when it gains more than this.
     duration regionCost = std::chrono::milliseconds(500);
@@ -80,20 +82,25 @@
     std::optional<route> chooseByKey(service_id service, std::uint64_t keyHash,
                                      std::span<const group_id> groups, time_point now) const;
 
-    // A request was forwarded to the group; counted until a summary shows it.
-    void noteForwarded(group_id group, service_id service);
+    // A request was forwarded to the group; counted until a summary shows it or it has ended in all
+    // likelihood.
+    void noteForwarded(group_id group, service_id service, work_class name, time_point now);
 
 private:
     struct known_group
     {
         group_summary summary;
-        // Forwarded since the summary was taken: the summary does not show these yet.
-        std::uint32_t forwardedSince = 0;
+        // Forwarded since the summary came and still there, by class, as of a time.
+        std::array<double, 3> forwarded {};
+        time_point forwardedAt {};
     };
 
     using known_groups = std::map<group_id, known_group>;
 
     bool usable(const known_group &known, time_point now) const;
+    static duration serviceTime(const known_group &known, std::size_t name);
+    // Lets the forwarded requests end that have taken their time.
+    static void age(known_group &known, time_point now);
     duration expectedWait(const known_group &known, work_class name) const;
     duration cost(const known_group &known, work_class name) const;
     // The share of the slots that is taken, which tells groups apart that have room.
--- a/tests/decision/router_test.cpp
+++ b/tests/decision/router_test.cpp
@@ -83,12 +83,12 @@
          {summary(1, 1, 10), summary(2, 1, 9)},
          [](router &one) {
              for (int each = 0; each < 10; ++each)
-                 one.noteForwarded(group_id {1}, search);
+                 one.noteForwarded(group_id {1}, search, work_class::Normal, start);
          },
          start,
          2},
         {"an older summary does not replace a newer one",
-         {summary(1, 1, 60), summary(2, 1, 50)},
+         {summary(1, 1, 60), summary(2, 1, 0, 50)},
          [](router &one) {
              auto older = summary(1, 1, 0, 500);
              older.asOf = start - 1s;
