Remember fifty requests of a kind and caller instead of twenty

Cause: a tail of 8% over a memory of twenty requests passes the tolerated 20% every now and then.

Change: each request takes 2% from the weight of those before it; the window of quick requests grows by three per request seen, to about 150 as before.

--- a/src/decision/size_estimate.cpp
+++ b/src/decision/size_estimate.cpp
@@ -14,14 +14,14 @@
 // A class is too short for a kind when more than this share of its requests took longer.
 constexpr double tolerated = 0.2;
 // Each request seen takes this part from the weight of those before it.
-constexpr double forgottenPerSample = 0.05;
+constexpr double forgottenPerSample = 0.02;
 constexpr auto halfLife = std::chrono::minutes(10);
 constexpr std::size_t pairLimit = 65536;
 constexpr std::size_t kindLimit = 16384;
 constexpr std::size_t callerLimit = 65536;
 // Quick requests at once before the first one was seen to end.
 constexpr double firstWindow = 4;
-constexpr double windowPerSample = 8;
+constexpr double windowPerSample = 3;
 
 constexpr std::size_t at(work_class name)
 {
