Refuse early what would wait too long for its class

Cause: with quick work at 1.8 times the slots, the queue stood at its bound and every answered quick request had waited 1.2 s, whatever its deadline of 5 s; at another bound it would have been longer.

Change: a request that is expected to wait longer than its class may (1 s, 30 s, 30 min) is refused as not run, with a hint from the drain rate. The benchmark also times the loss of a rack.

--- a/benchmarks/request_policy.cpp
+++ b/benchmarks/request_policy.cpp
@@ -70,7 +70,10 @@
     std::array<class_result, 3> classes;
     std::vector<std::uint32_t> stepNanoseconds;
     double slotSeconds = 0;
+    // Of the whole run, the benchmark's own share included.
     double cpuSeconds = 0;
+    // The longest time that the steps for the loss of one rack took together.
+    double rackLossSeconds = 0;
 };
 
 double quantile(std::vector<double> &values, double part)
@@ -242,6 +245,7 @@
 {
     const auto racks = m_scenario.workers / workersPerRack;
     const auto rack = m_random() % racks;
+    const auto stepsBefore = static_cast<std::ptrdiff_t>(m_result.stepNanoseconds.size());
     for (std::uint32_t each = 0; each < workersPerRack; ++each)
         step(worker_removed {worker_id {static_cast<std::uint32_t>(rack * workersPerRack + each)}});
     std::vector<std::uint64_t> lost;
@@ -255,6 +259,9 @@
     std::ranges::sort(lost);
     for (const auto id : lost)
         step(request_ended {request_id {id}, send_outcome::Unknown});
+    const auto &spent = m_result.stepNanoseconds;
+    const auto sum = std::accumulate(spent.begin() + stepsBefore, spent.end(), 0.0);
+    m_result.rackLossSeconds = std::max(m_result.rackLossSeconds, 1e-9 * sum);
     m_calendar.push({m_now + 30s, happening::RackBack, rack, 0});
     m_calendar.push({m_now + 60s, happening::RackLost, 0, 0});
 }
@@ -363,6 +370,7 @@
     all.push_back({.name = "caroni-quiet", .kinds = caroni(0.1, 0)});
     all.push_back({.name = "caroni-flood", .kinds = caroni(0.1, 0.8)});
     all.push_back({.name = "caroni-overload", .kinds = caroni(0.1, 1.4)});
+    all.push_back({.name = "caroni-quick-overload", .kinds = caroni(1.5, 0.3), .length = 120s});
     all.push_back({.name = "caroni-waves-quiet", .kinds = caroni(0.1, 0), .waves = true});
     all.push_back({.name = "caroni-waves", .kinds = caroni(0.1, 0.75), .waves = true});
     all.push_back({.name = "caroni-liar", .kinds = caroni(0.1, 0.8), .liarShare = 0.2});
@@ -375,6 +383,11 @@
     all.push_back({.name = "group-flood", .workers = 8, .kinds = rielsur(0.1, 0.3, 0.5)});
     all.push_back(
         {.name = "target-quiet", .workers = 2696, .kinds = caroni(0.01, 0, 0.1), .length = 120s});
+    all.push_back({.name = "target-racks",
+                   .workers = 2696,
+                   .kinds = caroni(0.01, 0.79, 0.1),
+                   .losesRacks = true,
+                   .length = 90s});
     all.push_back({.name = "target-flood",
                    .workers = 2696,
                    .kinds = caroni(0.01, 0.79, 0.1),
@@ -401,10 +414,12 @@
     std::vector<double> steps(result.stepNanoseconds.begin(), result.stepNanoseconds.end());
     const auto total = std::accumulate(steps.begin(), steps.end(), 0.0);
     std::printf("scenario=%s policy=%s slot_use=%.3f steps=%zu steps_per_second=%.0f step_us "
-                "p50=%.2f p99=%.2f longest=%.0f\n",
+                "p50=%.2f p99=%.2f longest=%.0f cpu_us_per_step=%.2f rack_loss_ms=%.3f\n",
                 name.c_str(), policy.c_str(), result.slotSeconds / slots, steps.size(),
                 1e9 * static_cast<double>(steps.size()) / total, 1e-3 * quantile(steps, 0.5),
-                1e-3 * quantile(steps, 0.99), 1e-3 * quantile(steps, 1));
+                1e-3 * quantile(steps, 0.99), 1e-3 * quantile(steps, 1),
+                1e6 * result.cpuSeconds / static_cast<double>(steps.size()),
+                1e3 * result.rackLossSeconds);
 }
 
 // How long a quick request that comes behind many cancellations waits for its decision.
--- a/include/plantaingap/request_scheduler.h
+++ b/include/plantaingap/request_scheduler.h
@@ -1,6 +1,7 @@
 #ifndef PLANTAINGAP_REQUEST_SCHEDULER_H
 #define PLANTAINGAP_REQUEST_SCHEDULER_H
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -128,6 +129,10 @@
     // Slots held back from longer work: the mean of quick work in progress and so many standard
     // deviations above it.
     double headroomDeviations = 3;
+    // A request that is expected to wait longer than this is refused at once, by class; a deadline
+    // that comes sooner goes first.
+    std::array<duration, 3> waitAtMost = {std::chrono::seconds(1), std::chrono::seconds(30),
+                                          std::chrono::minutes(30)};
     // Actions per step; what is left is done by the next expire().
     std::uint32_t actionsPerStep = 64;
 };
--- a/src/decision/service_lane.cpp
+++ b/src/decision/service_lane.cpp
@@ -39,17 +39,26 @@
     const auto name = classify(request.arrival);
     if (request.arrival.deadline <= now)
         return refuse(request, errc::DeadlinePassed, now + shortestRetry, actions);
-    if (queue(name).size() >= m_limits.queueLimit)
-        return refuse(request, errc::Overloaded, retryHint(name, now), actions);
-    // A request that would be dropped at its deadline is told so at once.
-    const auto ahead = queue(name).size();
-    if (ahead > 0 && now + queue(name).expectedWait(ahead) > request.arrival.deadline)
+    if (!mayQueue(request.arrival, name, now))
         return refuse(request, errc::Overloaded, retryHint(name, now), actions);
     charge(request, name);
     enqueue(request);
     queue(name).pushBack(request);
 }
 
+bool service_lane::mayQueue(const request_arrived &arrival, work_class name, time_point now)
+{
+    const auto ahead = queue(name).size();
+    if (ahead >= m_limits.queueLimit)
+        return false;
+    if (ahead == 0)
+        return true;
+    // A request that would be dropped at its deadline is told so at once.
+    const auto wait = queue(name).expectedWait(ahead);
+    return wait <= m_limits.waitAtMost[static_cast<std::size_t>(name)]
+           && now + wait <= arrival.deadline;
+}
+
 void service_lane::cancel(request_state &request)
 {
     if (request.phase == request_phase::Running && !mutated("requests.skip_phase_check")) {
--- a/src/decision/service_lane.h
+++ b/src/decision/service_lane.h
@@ -39,6 +39,7 @@
 private:
     class_queue &queue(work_class name) { return m_queues[static_cast<std::size_t>(name)]; }
     work_class classify(const request_arrived &arrival) const;
+    bool mayQueue(const request_arrived &arrival, work_class name, time_point now);
     bool withinWindow(const request_arrived &arrival) const;
     void charge(request_state &request, work_class name);
     void discharge(const request_state &request);
