Hold back two deviations for quick work instead of three

Cause: one rack at 90% load met the goal for long work by no measure, and 48 workers met the one for quick work with room to spare.

--- a/include/plantaingap/request_scheduler.h
+++ b/include/plantaingap/request_scheduler.h
@@ -128,7 +128,7 @@
     duration patience = std::chrono::seconds(30);
     // Slots held back from longer work: the mean of quick work in progress and so many standard
     // deviations above it.
-    double headroomDeviations = 3;
+    double headroomDeviations = 2;
     // A request that is expected to wait longer than this is refused at once, by class; a deadline
     // that comes sooner goes first.
     std::array<duration, 3> waitAtMost = {std::chrono::seconds(1), std::chrono::seconds(30),
