--- a/src/backend/worker_lease.cpp
+++ b/src/backend/worker_lease.cpp
@@ -90,8 +90,6 @@
     if (event.recordedAt)
         m_formersLapse =
             *event.recordedAt + outlast(m_limits.storeGrace + m_limits.lease, m_limits.driftPpm);
-    else if (mutated("lease.rank_counts_time"))
-        m_formersLapse = now + outlast(m_limits.storeGrace + m_limits.lease, m_limits.driftPpm);
     for (auto &[id, worker] : m_workers) {
         unready(id, worker, actions);
         worker.answered.reset();
@@ -299,10 +297,9 @@
                           std::vector<lease_action> &actions)
 {
     worker.askedAt = now;
-    const time_point counted = mutated("lease.count_from_now") ? now : worker.stampedAt;
     const duration age = mutated("lease.renew_from_now") ? now - worker.stampedAt : duration {};
     const worker_stamp until {worker.stamp->boot, worker.stamp->uptime + m_limits.lease + age};
-    worker.ownLapse = std::max(worker.ownLapse, counted + leaseMargin(m_limits));
+    worker.ownLapse = std::max(worker.ownLapse, worker.stampedAt + leaseMargin(m_limits));
     actions.emplace_back(send_order {renew_order {id, *m_authority, until}});
 }
 
--- a/src/peer/ownership.cpp
+++ b/src/peer/ownership.cpp
@@ -42,6 +42,7 @@
     if (m_authority && graceOver(now) && !mutated("ownership.skip_store_grace"))
         lose(actions);
     std::visit([&](const auto &typed) { on(typed, now, actions); }, event);
+    PLANTAINGAP_INVARIANT(!m_authority || *m_authority >= m_heard, "ownership.acts_below_heard");
 }
 
 bool group_ownership::storeAway(time_point now) const
--- a/src/peer/ownership.h
+++ b/src/peer/ownership.h
@@ -22,6 +22,9 @@
     // The highest epoch under which this instance ever acted; goes into its heartbeat replies.
     epoch acted() const { return m_acted; }
 
+    // The highest epoch known of.
+    epoch heard() const { return m_heard; }
+
     // The row as last read.
     const std::optional<group_row> &row() const { return m_row; }
 
