--- a/benchmarks/task_policy_baselines.h
+++ b/benchmarks/task_policy_baselines.h
@@ -223,7 +223,7 @@
                 continue;
             if (m_order == order::FirstCome)
                 return at;
-            const double score = PlacementRules[1].score(worker.free - need, worker.capacity, at);
+            const double score = placementRules[1].score(worker.free - need, worker.capacity, at);
             if (!best || score < bestScore) {
                 best = at;
                 bestScore = score;
@@ -246,7 +246,7 @@
     std::function<std::unique_ptr<task_policy>()> make;
 };
 
-inline const std::vector<named_policy> TaskPolicies = {
+inline const std::vector<named_policy> taskPolicies = {
     {"plantaingap", [] { return std::make_unique<scheduler_policy>(2); }},
     {"plantaingap-best-fit", [] { return std::make_unique<scheduler_policy>(1); }},
     {"plantaingap-first-fit", [] { return std::make_unique<scheduler_policy>(0); }},
--- a/include/plantaingap/task_scheduler.h
+++ b/include/plantaingap/task_scheduler.h
@@ -331,7 +331,7 @@
     std::uint32_t blameAfter = 3;
     // Failures of one task before it has failed for good.
     std::uint32_t taskAttempts = 5;
-    // The rule that chooses among workers, as an index into PlacementRules.
+    // The rule that chooses among workers, as an index into placementRules.
     std::uint32_t placementRule = 2;
 };
 
--- a/src/decision/capacity_index.cpp
+++ b/src/decision/capacity_index.cpp
@@ -4,7 +4,7 @@
 
 capacity_index::capacity_index()
 {
-    m_heads.fill(None);
+    m_heads.fill(noWorker);
 }
 
 void capacity_index::set(std::uint32_t worker, const resources &free)
@@ -18,12 +18,12 @@
         return;
     unlink(worker);
     moved.cell = cell;
-    moved.previous = None;
+    moved.previous = noWorker;
     moved.next = m_heads[cell];
-    if (moved.next != None)
+    if (moved.next != noWorker)
         m_entries[moved.next].previous = worker;
     m_heads[cell] = worker;
-    m_filled[cell / Levels] |= 1U << (cell % Levels);
+    m_filled[cell / levels] |= 1U << (cell % levels);
 }
 
 void capacity_index::remove(std::uint32_t worker)
@@ -35,17 +35,17 @@
 void capacity_index::unlink(std::uint32_t worker)
 {
     auto &left = m_entries[worker];
-    if (left.cell == None)
+    if (left.cell == noWorker)
         return;
-    if (left.next != None)
+    if (left.next != noWorker)
         m_entries[left.next].previous = left.previous;
-    if (left.previous != None)
+    if (left.previous != noWorker)
         m_entries[left.previous].next = left.next;
     else
         m_heads[left.cell] = left.next;
-    if (m_heads[left.cell] == None)
-        m_filled[left.cell / Levels] &= ~(1U << (left.cell % Levels));
-    left.cell = None;
+    if (m_heads[left.cell] == noWorker)
+        m_filled[left.cell / levels] &= ~(1U << (left.cell % levels));
+    left.cell = noWorker;
 }
 
 } // namespace plantaingap::decision
--- a/src/decision/capacity_index.h
+++ b/src/decision/capacity_index.h
@@ -29,16 +29,16 @@
     void visitFitting(const resources &need, Visit visit) const;
 
 private:
-    static constexpr std::uint32_t None = ~0U;
-    static constexpr int Levels = 32;
-    static constexpr int AcceleratorLevels = 5;
+    static constexpr std::uint32_t noWorker = ~0U;
+    static constexpr int levels = 32;
+    static constexpr int acceleratorLevels = 5;
 
     struct entry
     {
         resources free;
-        std::uint32_t cell = None;
-        std::uint32_t next = None;
-        std::uint32_t previous = None;
+        std::uint32_t cell = noWorker;
+        std::uint32_t next = noWorker;
+        std::uint32_t previous = noWorker;
     };
 
     // Half octaves above the unit of 64: 0, then 64..95, 96..127, 128..191 and so on.
@@ -50,39 +50,40 @@
         const int octave = std::bit_width(units) - 1;
         const int half = static_cast<int>((units >> (octave - 1)) & 1U);
         const int found = 2 * octave + half - 1;
-        return found < Levels ? found : Levels - 1;
+        return found < levels ? found : levels - 1;
     }
 
     static int acceleratorLevel(std::int64_t count)
     {
         const int found = std::bit_width(static_cast<std::uint64_t>(count < 0 ? 0 : count));
-        return found < AcceleratorLevels ? found : AcceleratorLevels - 1;
+        return found < acceleratorLevels ? found : acceleratorLevels - 1;
     }
 
     static std::uint32_t cellOf(const resources &free)
     {
-        const int row = acceleratorLevel(free.accelerators) * Levels + level(free.milliCores);
-        return static_cast<std::uint32_t>(row * Levels + level(free.memoryMib));
+        const int row = acceleratorLevel(free.accelerators) * levels + level(free.milliCores);
+        const int cell = row * levels + level(free.memoryMib);
+        return static_cast<std::uint32_t>(cell);
     }
 
     void unlink(std::uint32_t worker);
 
     std::vector<entry> m_entries;
-    std::array<std::uint32_t, AcceleratorLevels * Levels * Levels> m_heads {};
+    std::array<std::uint32_t, acceleratorLevels * levels * levels> m_heads {};
     // One bit per memory level that has workers, for each pair of the other levels.
-    std::array<std::uint32_t, AcceleratorLevels * Levels> m_filled {};
+    std::array<std::uint32_t, acceleratorLevels * levels> m_filled {};
 };
 
 template<class Visit>
 void capacity_index::visitFitting(const resources &need, Visit visit) const
 {
     const std::uint32_t memoryMask = ~0U << level(need.memoryMib);
-    for (int a = acceleratorLevel(need.accelerators); a < AcceleratorLevels; ++a) {
-        for (int c = level(need.milliCores); c < Levels; ++c) {
-            const auto row = static_cast<std::size_t>(a * Levels + c);
+    for (int a = acceleratorLevel(need.accelerators); a < acceleratorLevels; ++a) {
+        for (int c = level(need.milliCores); c < levels; ++c) {
+            const auto row = static_cast<std::size_t>(a) * levels + static_cast<std::size_t>(c);
             for (std::uint32_t bits = m_filled[row] & memoryMask; bits != 0; bits &= bits - 1) {
-                const auto cell = row * Levels + static_cast<std::size_t>(std::countr_zero(bits));
-                for (auto at = m_heads[cell]; at != None; at = m_entries[at].next) {
+                const auto cell = row * levels + static_cast<std::size_t>(std::countr_zero(bits));
+                for (auto at = m_heads[cell]; at != noWorker; at = m_entries[at].next) {
                     if (need.fitsIn(m_entries[at].free) && !visit(at))
                         return;
                 }
--- a/src/decision/preemption.cpp
+++ b/src/decision/preemption.cpp
@@ -12,11 +12,11 @@
 
 // Workers with room to make that are compared for one preemption, and workers that are looked at;
 // claims may have taken the room of some.
-constexpr std::uint32_t Candidates = 16;
-constexpr std::uint32_t Looked = 256;
+constexpr std::uint32_t mostCandidates = 16;
+constexpr std::uint32_t mostLooked = 256;
 
 // A checkpoint costs about this much work even when nothing else is lost.
-constexpr double CheckpointCost = 1.0;
+constexpr double checkpointCost = 1.0;
 
 bool takesQuotaBack(const task_step &step, const job_record &job, const task_ref &victim)
 {
@@ -28,8 +28,8 @@
     const auto &teams = step.ledger.teams();
     if (mutated("tasks.preempt_within_quota"))
         return job.spec.team != victim.job->spec.team;
-    return teams.shareWith(job.spec.team, job.need) <= WholeQuota
-           && teams.shareWith(victim.job->spec.team, resources {} - task.held) >= WholeQuota;
+    return teams.shareWith(job.spec.team, job.need) <= wholeQuota
+           && teams.shareWith(victim.job->spec.team, resources {} - task.held) >= wholeQuota;
 }
 
 // What the worker could give the job now: claims of lower levels do not bind it.
@@ -81,10 +81,10 @@
 {
     const auto &task = victim.job->tasks[victim.index];
     if (victim.job->spec.checkpointable && task.phase == task_phase::Running)
-        return CheckpointCost;
+        return checkpointCost;
     const std::chrono::duration<double> unsaved = step.now - task.savedAt;
     const bool together = victim.job->spec.kind == job_kind::AllOrNothing;
-    return CheckpointCost + unsaved.count() * (together ? victim.job->placed() : 1.0);
+    return checkpointCost + unsaved.count() * (together ? victim.job->placed() : 1.0);
 }
 
 std::optional<victims> chooseVictims(const task_step &step, const job_record &job,
@@ -128,8 +128,8 @@
 {
     std::optional<victims> best;
     std::uint32_t bestWorker = 0;
-    auto candidates = Candidates;
-    auto looked = Looked;
+    auto candidates = mostCandidates;
+    auto looked = mostLooked;
     step.ledger.yielding().visitFitting(job.need, [&](std::uint32_t worker) {
         if (accepts(step.ledger, job, worker)) {
             auto offer = chooseVictims(step, job, worker);
--- a/src/decision/task_offers.cpp
+++ b/src/decision/task_offers.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // Jobs of one team that are looked at before the next team's turn.
-constexpr std::uint32_t JobsPerTeam = 4;
+constexpr std::uint32_t jobsPerTeam = 4;
 
 // Gives claimed room to tasks that were promised it. All-or-nothing jobs collect theirs instead.
 void serveClaims(task_step &step, std::uint32_t worker)
@@ -69,7 +69,7 @@
             const bool together = job->spec.kind == job_kind::AllOrNothing;
             if (!together && startOn(step, *job, worker))
                 return true;
-            if (++jobs == JobsPerTeam)
+            if (++jobs == jobsPerTeam)
                 break;
         }
     }
@@ -87,7 +87,7 @@
 {
     if (!mayStart(step, job) || job.spec.kind == job_kind::AllOrNothing)
         return;
-    const auto &rule = PlacementRules[step.limits.placementRule];
+    const auto &rule = placementRules[step.limits.placementRule];
     while (job.waiting.size() > job.claimedTasks && step.budget > 0) {
         const auto worker = chooseWorker(step.ledger, job, rule);
         if (!worker)
@@ -103,7 +103,7 @@
         return;
     serveClaims(step, worker);
     auto lookAhead = step.limits.lookAhead;
-    for (std::size_t level = 0; level < WorkLevels; ++level) {
+    for (std::size_t level = 0; level < workLevels; ++level) {
         while (step.budget > 0 && lookAhead > 0 && record.free().milliCores > 0
                && startFromLevel(step, static_cast<work_level>(level), worker, lookAhead)) { }
     }
--- a/src/decision/task_placement.cpp
+++ b/src/decision/task_placement.cpp
@@ -43,11 +43,11 @@
 }
 
 // Spreading looks at more workers, since the tight ones may share a rack.
-constexpr std::uint32_t SpreadCandidates = 64;
+constexpr std::uint32_t spreadCandidates = 64;
 
 } // namespace
 
-const std::array<placement_rule, 3> PlacementRules {{
+const std::array<placement_rule, 3> placementRules {{
     {"first-fit", ~0U, firstFit},
     {"best-fit", 16, bestFit},
     {"balanced-fit", 16, balancedFit},
@@ -66,7 +66,7 @@
 {
     const bool spreads =
         job.spec.spread == spread_rule::Racks || job.spec.spread == spread_rule::DataCentres;
-    auto candidates = spreads ? std::max(rule.candidates, SpreadCandidates) : rule.candidates;
+    auto candidates = spreads ? std::max(rule.candidates, spreadCandidates) : rule.candidates;
     std::optional<std::uint32_t> best;
     std::pair<std::uint32_t, double> bestScore;
     const auto need = mutated("tasks.skip_capacity_check") ? resources {} : job.need;
@@ -87,8 +87,8 @@
 
 std::uint32_t copiesIn(const resources &need, const resources &room)
 {
-    constexpr std::int64_t Many = 1'000'000;
-    std::int64_t copies = Many;
+    constexpr std::int64_t many = 1'000'000;
+    std::int64_t copies = many;
     if (need.milliCores > 0)
         copies = std::min(copies, room.milliCores / need.milliCores);
     if (need.memoryMib > 0)
--- a/src/decision/task_placement.h
+++ b/src/decision/task_placement.h
@@ -20,7 +20,7 @@
 };
 
 // First-fit, best-fit and balanced fit. docs/POLICY-TASKS.md has the figures for the choice.
-extern const std::array<placement_rule, 3> PlacementRules;
+extern const std::array<placement_rule, 3> placementRules;
 
 // A worker of the index with room for one more task of the job, none when there is none.
 std::optional<std::uint32_t> chooseWorker(const task_ledger &ledger, const job_record &job,
--- a/src/decision/task_scheduler.cpp
+++ b/src/decision/task_scheduler.cpp
@@ -13,18 +13,18 @@
 namespace {
 
 // Timers that one call of expire() handles.
-constexpr int TimersPerStep = 64;
+constexpr int timersPerStep = 64;
 
 // One copy in this many of a service is away at a time while it is moved off a leaving worker.
-constexpr std::size_t MovedPart = 10;
-constexpr auto DrainPause = std::chrono::milliseconds(500);
+constexpr std::size_t movedPart = 10;
+constexpr auto drainPause = std::chrono::milliseconds(500);
 
 // The pause before a retry is doubled up to this many times.
-constexpr std::uint32_t MostDoublings = 6;
+constexpr std::uint32_t mostDoublings = 6;
 
 // Retries for each start, and how many may be saved up.
-constexpr double RetryPart = 0.2;
-constexpr double MostRetryTokens = 100;
+constexpr double retryPart = 0.2;
+constexpr double mostRetryTokens = 100;
 
 } // namespace
 
@@ -49,18 +49,18 @@
 
 void task_scheduler::expire(time_point now, std::vector<task_action> &actions)
 {
-    static constexpr handler Handlers[] = {
+    static constexpr handler handlers[] = {
         &task_scheduler::onSweep,     &task_scheduler::onContinue, &task_scheduler::onCheckpoint,
         &task_scheduler::onStopAgain, &task_scheduler::onRetry,    &task_scheduler::onStartBy,
         &task_scheduler::onProbe,     &task_scheduler::onDrain,
     };
     auto context = begin(now, actions);
-    for (int handled = 0; handled < TimersPerStep; ++handled) {
+    for (int handled = 0; handled < timersPerStep; ++handled) {
         if (m_timers.empty() || m_timers.begin()->first > now || context.budget == 0)
             break;
         const auto due = m_timers.begin()->second;
         m_timers.erase(m_timers.begin());
-        (this->*Handlers[static_cast<std::size_t>(due.kind)])(context, due);
+        (this->*handlers[static_cast<std::size_t>(due.kind)])(context, due);
     }
     finish(context);
 }
@@ -74,7 +74,7 @@
 {
     const auto starts = m_ledger.starts() - m_startsSeen;
     m_startsSeen = m_ledger.starts();
-    m_retryTokens = std::min(MostRetryTokens, m_retryTokens + RetryPart * double(starts));
+    m_retryTokens = std::min(mostRetryTokens, m_retryTokens + retryPart * double(starts));
     if (m_sweepSet || !anyoneWaits())
         return;
     m_sweepSet = true;
@@ -83,7 +83,7 @@
 
 bool task_scheduler::anyoneWaits() const
 {
-    for (std::size_t level = 0; level < WorkLevels; ++level) {
+    for (std::size_t level = 0; level < workLevels; ++level) {
         if (!m_ledger.teams().order(static_cast<work_level>(level)).empty())
             return true;
     }
@@ -182,13 +182,13 @@
     for (const auto &ref : record.tasks) {
         const bool service = ref.job->spec.kind == job_kind::Service;
         const auto missing = ref.job->tasks.size() - ref.job->count(task_phase::Running);
-        if (service && !late && missing > ref.job->tasks.size() / MovedPart)
+        if (service && !late && missing > ref.job->tasks.size() / movedPart)
             left = true;
         else
             stopTask(step, *ref.job, ref.index, stop_reason::WorkerLeaves, record.leaveBy);
     }
     if (left)
-        m_timers.emplace(step.now + DrainPause, timer {timer_kind::Drain, {}, record.id});
+        m_timers.emplace(step.now + drainPause, timer {timer_kind::Drain, {}, record.id});
 }
 
 void task_scheduler::on(const worker_lost &event, task_step &step)
@@ -354,7 +354,7 @@
     const bool affordable = m_retryTokens >= 1;
     m_retryTokens -= affordable ? 1 : 0;
     const auto failures = std::max(job.tasks[index].failures, 1U);
-    const auto doublings = affordable ? std::min(failures - 1, MostDoublings) : MostDoublings;
+    const auto doublings = affordable ? std::min(failures - 1, mostDoublings) : mostDoublings;
     m_ledger.release(job, index, task_phase::Delayed);
     m_timers.emplace(step.now + m_limits.retryPause * (1U << doublings),
                      timer {timer_kind::Retry, job.taskId(index), {}});
--- a/src/decision/task_state.h
+++ b/src/decision/task_state.h
@@ -109,7 +109,7 @@
 // Work is taken in this order; inside a level the team with the smallest share comes first.
 enum class work_level : std::uint8_t { Urgent, Service, Normal, Idle, Count };
 
-constexpr auto WorkLevels = static_cast<std::size_t>(work_level::Count);
+constexpr auto workLevels = static_cast<std::size_t>(work_level::Count);
 
 constexpr work_level levelOf(const job_submitted &job)
 {
--- a/src/decision/task_sweep.cpp
+++ b/src/decision/task_sweep.cpp
@@ -10,11 +10,11 @@
 namespace {
 
 // All-or-nothing jobs that are tried in one sweep, and how long one that did not fit waits.
-constexpr std::uint32_t TogetherPerSweep = 2;
-constexpr auto TogetherPause = std::chrono::milliseconds(500);
+constexpr std::uint32_t togetherPerSweep = 2;
+constexpr auto togetherPause = std::chrono::milliseconds(500);
 
 // Jobs for which others may be stopped in one sweep.
-constexpr std::uint32_t ReturnsPerSweep = 8;
+constexpr std::uint32_t returnsPerSweep = 8;
 
 // The first waiting jobs of a level by their teams' share, as ids, since starting them changes the
 // order.
@@ -51,7 +51,7 @@
 {
     if (job.reserving || startTogether(step, job))
         return;
-    job.nextAttempt = std::max(job.nextAttempt, step.now + TogetherPause);
+    job.nextAttempt = std::max(job.nextAttempt, step.now + togetherPause);
     const bool urgent = job.level == work_level::Urgent;
     const bool mayReserve = urgent || m_reserving.size() < m_limits.reservations;
     if (!mayReserve || !reserve(step, job))
@@ -80,7 +80,7 @@
 void task_scheduler::sweepTogether(task_step &step)
 {
     for (const auto level : {work_level::Urgent, work_level::Normal, work_level::Idle}) {
-        const auto jobs = firstJobs(m_ledger, level, TogetherPerSweep, [&](const job_record &job) {
+        const auto jobs = firstJobs(m_ledger, level, togetherPerSweep, [&](const job_record &job) {
             return job.spec.kind == job_kind::AllOrNothing && !job.reserving
                    && job.nextAttempt <= step.now;
         });
@@ -102,7 +102,7 @@
 void task_scheduler::sweepReturns(task_step &step)
 {
     const auto jobs =
-        firstJobs(m_ledger, work_level::Normal, ReturnsPerSweep, [&](const job_record &job) {
+        firstJobs(m_ledger, work_level::Normal, returnsPerSweep, [&](const job_record &job) {
             return job.spec.kind == job_kind::Batch && job.waiting.size() > job.claimedTasks
                    && step.now - job.acceptedAt >= m_limits.returnPatience;
         });
@@ -110,7 +110,7 @@
         if (step.budget == 0)
             return;
         const auto share = m_ledger.teams().shareWith(job->spec.team, job->need);
-        if (share <= WholeQuota && mayStart(step, *job))
+        if (share <= wholeQuota && mayStart(step, *job))
             preemptFor(step, *job);
     }
 }
@@ -120,10 +120,10 @@
     const auto &teams = m_ledger.teams();
     std::vector<job_record *> found;
     std::uint32_t empty = 0;
-    while (found.size() < m_limits.lookAhead && empty < WorkLevels * teams.teamCount()) {
+    while (found.size() < m_limits.lookAhead && empty < workLevels * teams.teamCount()) {
         if (m_sweepTeam >= teams.teamCount()) {
             m_sweepTeam = 0;
-            m_sweepLevel = (m_sweepLevel + 1) % WorkLevels;
+            m_sweepLevel = (m_sweepLevel + 1) % workLevels;
         }
         const auto &queue = teams.queue(static_cast<work_level>(m_sweepLevel), m_sweepTeam);
         const auto next = queue.upper_bound(m_sweepJob);
--- a/src/decision/team_ledger.cpp
+++ b/src/decision/team_ledger.cpp
@@ -14,8 +14,8 @@
     if (used <= 0)
         return 0;
     if (quota > 0)
-        return used * WholeQuota / quota;
-    return WholeQuota + used * WholeQuota / std::max<std::int64_t>(total, 1);
+        return used * wholeQuota / quota;
+    return wholeQuota + used * wholeQuota / std::max<std::int64_t>(total, 1);
 }
 
 } // namespace
@@ -121,7 +121,7 @@
     const auto share = shareOf(team, team.used);
     if (share == team.share)
         return;
-    for (std::size_t level = 0; level < WorkLevels; ++level) {
+    for (std::size_t level = 0; level < workLevels; ++level) {
         if (team.queues[level].empty())
             continue;
         m_orders[level].erase({team.share, at});
--- a/src/decision/team_ledger.h
+++ b/src/decision/team_ledger.h
@@ -14,7 +14,7 @@
 // resource. Up to a million the team lives within its quota; above it borrows.
 using dominant_share = std::int64_t;
 
-constexpr dominant_share WholeQuota = 1'000'000;
+constexpr dominant_share wholeQuota = 1'000'000;
 
 class team_ledger
 {
@@ -64,7 +64,7 @@
         resources used;
         resources expected;
         dominant_share share = 0;
-        std::array<job_queue, WorkLevels> queues;
+        std::array<job_queue, workLevels> queues;
     };
 
     std::uint32_t find(team_id team);
@@ -73,7 +73,7 @@
 
     std::unordered_map<team_id, std::uint32_t> m_index;
     std::vector<team_record> m_teams;
-    std::array<team_order, WorkLevels> m_orders;
+    std::array<team_order, workLevels> m_orders;
     resources m_total;
     resources m_used;
 };
--- a/src/decision/usage_reclaim.cpp
+++ b/src/decision/usage_reclaim.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // Reports before the peak of a task is trusted.
-constexpr std::uint32_t EnoughReports = 3;
+constexpr std::uint32_t enoughReports = 3;
 
 // A task keeps its peak and a third, and never less than an eighth of what it declared.
 std::int64_t keptOf(std::int64_t peak, std::int64_t declared)
@@ -107,7 +107,7 @@
         return answerShortage(step, *job, index, report.used, asOf);
     const bool settled = asOf - task.startedAt >= step.limits.usageSettles;
     if (job->keepDeclared || job->spec.kind != job_kind::Batch || !settled
-        || task.reports < EnoughReports)
+        || task.reports < enoughReports)
         return;
     auto limit = kept(task.peak, job->need);
     limit.milliCores = std::min(limit.milliCores, task.held.milliCores);
--- a/src/decision/wait_reasons.cpp
+++ b/src/decision/wait_reasons.cpp
@@ -8,7 +8,7 @@
 wait_reason whyNoPlace(const task_ledger &ledger, const job_record &job)
 {
     const auto free = ledger.total() - ledger.used();
-    if (ledger.teams().shareWith(job.spec.team, job.need) > WholeQuota)
+    if (ledger.teams().shareWith(job.spec.team, job.need) > wholeQuota)
         return wait_reason::OverQuota;
     return job.need.fitsIn(free) ? wait_reason::Fragmented : wait_reason::NoCapacity;
 }
--- a/src/decision/worker_health.cpp
+++ b/src/decision/worker_health.cpp
@@ -8,10 +8,10 @@
 namespace {
 
 // More workers than one in this many are never quarantined at a time: then it is not the workers.
-constexpr std::uint32_t QuarantinePart = 4;
+constexpr std::uint32_t quarantinePart = 4;
 
 // The pause between probes is doubled up to this many times.
-constexpr std::uint32_t PauseDoublings = 5;
+constexpr std::uint32_t pauseDoublings = 5;
 
 bool addOnce(auto &list, auto item)
 {
@@ -67,7 +67,7 @@
         job.failedWorkers.erase(job.failedWorkers.begin());
     }
     addOnce(record.failedJobs, job.spec.job);
-    const bool others = m_quarantined * QuarantinePart < step.ledger.workerCount();
+    const bool others = m_quarantined * quarantinePart < step.ledger.workerCount();
     if (record.failedJobs.size() < step.limits.blameAfter || !others
         || mutated("tasks.never_quarantine"))
         return verdict::Undecided;
@@ -97,7 +97,7 @@
     auto &record = step.ledger.worker(worker);
     record.quarantined = true;
     record.probing = false;
-    const auto doublings = std::min(record.quarantines++, PauseDoublings);
+    const auto doublings = std::min(record.quarantines++, pauseDoublings);
     const auto probeAt = step.now + step.limits.probePause * (1U << doublings);
     step.timers.emplace(probeAt, timer {timer_kind::Probe, {}, record.id});
     step.actions.emplace_back(quarantine_worker {record.id, probeAt});
