Keep processors and memory beside free accelerators

Cause: batch work filled the workers with accelerators, whose jobs then found accelerators without processors.

--- a/src/decision/task_offers.cpp
+++ b/src/decision/task_offers.cpp
@@ -45,7 +45,8 @@
 bool startOn(task_step &step, job_record &job, std::uint32_t worker)
 {
     const auto &record = step.ledger.worker(worker);
-    if (!accepts(step.ledger, job, worker) || !mayStart(step, job))
+    if (!accepts(step.ledger, job, worker) || !mayStart(step, job)
+        || strandsAccelerators(step.ledger, job, record))
         return false;
     const bool fits = job.need.fitsIn(record.open());
     if (!fits && !mayBackfill(job, record))
--- a/src/decision/task_placement.cpp
+++ b/src/decision/task_placement.cpp
@@ -42,6 +42,9 @@
     return at != job.domains.end() && at->first == domain ? at->second : 0;
 }
 
+// So many workers whose accelerators must be kept for others end a search.
+constexpr std::uint32_t mostSkips = 32;
+
 // Spreading looks at more workers, since the tight ones may share a rack.
 constexpr std::uint32_t spreadCandidates = 64;
 
@@ -61,12 +64,26 @@
     return ledger.worker(worker).takesWork() || mutated("tasks.place_unconfirmed");
 }
 
+bool strandsAccelerators(const task_ledger &ledger, const job_record &job,
+                         const worker_record &worker)
+{
+    const auto &capacity = worker.capacity;
+    if (capacity.accelerators == 0 || job.need.accelerators > 0
+        || ledger.teams().waitingForAccelerators() == 0 || job.level == work_level::Urgent)
+        return false;
+    const auto left = worker.free() - job.need;
+    const auto kept = left.accelerators;
+    return left.milliCores * 2 * capacity.accelerators < capacity.milliCores * kept
+           || left.memoryMib * 2 * capacity.accelerators < capacity.memoryMib * kept;
+}
+
 std::optional<std::uint32_t> chooseWorker(const task_ledger &ledger, const job_record &job,
                                           const placement_rule &rule)
 {
     const bool spreads =
         job.spec.spread == spread_rule::Racks || job.spec.spread == spread_rule::DataCentres;
     auto candidates = spreads ? std::max(rule.candidates, spreadCandidates) : rule.candidates;
+    auto skips = mostSkips;
     std::optional<std::uint32_t> best;
     std::pair<std::uint32_t, double> bestScore;
     const auto need = mutated("tasks.skip_capacity_check") ? resources {} : job.need;
@@ -74,6 +91,8 @@
         if (!accepts(ledger, job, worker))
             return true;
         const auto &record = ledger.worker(worker);
+        if (strandsAccelerators(ledger, job, record))
+            return --skips > 0;
         const auto left = record.open() - job.need;
         const std::pair score {copiesNear(job, record), rule.score(left, record.capacity, worker)};
         if (!best || score < bestScore) {
--- a/src/decision/task_placement.h
+++ b/src/decision/task_placement.h
@@ -29,6 +29,11 @@
 // True when the job may be placed on this worker; whether it fits is another question.
 bool accepts(const task_ledger &ledger, const job_record &job, std::uint32_t worker);
 
+// True when the task would leave accelerators of the worker without processors or memory while jobs
+// wait for accelerators. Each free accelerator keeps half of its even part of the worker.
+bool strandsAccelerators(const task_ledger &ledger, const job_record &job,
+                         const worker_record &worker);
+
 // How many times the need goes into the room.
 std::uint32_t copiesIn(const resources &need, const resources &room);
 
--- a/src/decision/team_ledger.cpp
+++ b/src/decision/team_ledger.cpp
@@ -69,6 +69,7 @@
         m_orders[level].emplace(team.share, at);
     team.queues[level].emplace(job.sequence, &job);
     job.queued = true;
+    m_waitingForAccelerators += job.spec.each.accelerators > 0 ? 1 : 0;
 }
 
 void team_ledger::dequeue(job_record &job)
@@ -82,6 +83,7 @@
     if (team.queues[level].empty())
         m_orders[level].erase({team.share, at});
     job.queued = false;
+    m_waitingForAccelerators -= job.spec.each.accelerators > 0 ? 1 : 0;
 }
 
 dominant_share team_ledger::share(team_id team) const
--- a/src/decision/team_ledger.h
+++ b/src/decision/team_ledger.h
@@ -54,6 +54,9 @@
 
     std::uint32_t teamCount() const { return static_cast<std::uint32_t>(m_teams.size()); }
 
+    // Waiting jobs whose tasks need accelerators.
+    std::uint32_t waitingForAccelerators() const { return m_waitingForAccelerators; }
+
     // The sum over all teams.
     const resources &used() const { return m_used; }
 
@@ -74,6 +77,7 @@
     std::unordered_map<team_id, std::uint32_t> m_index;
     std::vector<team_record> m_teams;
     std::array<team_order, workLevels> m_orders;
+    std::uint32_t m_waitingForAccelerators = 0;
     resources m_total;
     resources m_used;
 };
--- a/tests/decision/task_policy_test.cpp
+++ b/tests/decision/task_policy_test.cpp
@@ -323,3 +323,15 @@
     CHECK(group.all<start_task>()[0].task == task_id {job_id {1}, 1, 11});
     CHECK(group.scheduler.used() == Half * 2);
 }
+
+TEST_CASE("work without need of accelerators leaves room beside them while others wait for them")
+{
+    task_fixture group;
+    group.addWorkers(1, Worker);
+    group.send(someJob(1, job_kind::Service, 1, {1'000, 1'024, 1}, 1));
+    group.send(someJob(2, job_kind::Batch, 1, {1'000, 1'024, 2}, 2));
+    group.runStarted();
+    group.send(someJob(3, job_kind::Batch, 8, Core, 3));
+    // One accelerator is free: half of its even part, two cores of eight, stays free with it.
+    CHECK(group.count<start_task>() == 5);
+}
