--- a/src/decision/team_ledger.cpp
+++ b/src/decision/team_ledger.cpp
@@ -14,8 +14,8 @@
     if (used <= 0)
         return 0;
     if (quota > 0)
-        return used * WholeQuota / quota;
-    return WholeQuota + used * WholeQuota / std::max<std::int64_t>(total, 1);
+        return used * wholeQuota / quota;
+    return wholeQuota + used * wholeQuota / std::max<std::int64_t>(total, 1);
 }
 
 } // namespace
@@ -69,6 +69,7 @@
         m_orders[level].emplace(team.share, at);
     team.queues[level].emplace(job.sequence, &job);
     job.queued = true;
+    m_waitingForAccelerators += job.spec.each.accelerators > 0 ? 1 : 0;
 }
 
 void team_ledger::dequeue(job_record &job)
@@ -82,6 +83,7 @@
     if (team.queues[level].empty())
         m_orders[level].erase({team.share, at});
     job.queued = false;
+    m_waitingForAccelerators -= job.spec.each.accelerators > 0 ? 1 : 0;
 }
 
 dominant_share team_ledger::share(team_id team) const
@@ -121,7 +123,7 @@
     const auto share = shareOf(team, team.used);
     if (share == team.share)
         return;
-    for (std::size_t level = 0; level < WorkLevels; ++level) {
+    for (std::size_t level = 0; level < workLevels; ++level) {
         if (team.queues[level].empty())
             continue;
         m_orders[level].erase({team.share, at});
