--- a/src/decision/team_ledger.h
+++ b/src/decision/team_ledger.h
@@ -14,7 +14,7 @@
 // resource. Up to a million the team lives within its quota; above it borrows.
 using dominant_share = std::int64_t;
 
-constexpr dominant_share WholeQuota = 1'000'000;
+constexpr dominant_share wholeQuota = 1'000'000;
 
 class team_ledger
 {
@@ -54,6 +54,9 @@
 
     std::uint32_t teamCount() const { return static_cast<std::uint32_t>(m_teams.size()); }
 
+    // Waiting jobs whose tasks need accelerators.
+    std::uint32_t waitingForAccelerators() const { return m_waitingForAccelerators; }
+
     // The sum over all teams.
     const resources &used() const { return m_used; }
 
@@ -64,7 +67,7 @@
         resources used;
         resources expected;
         dominant_share share = 0;
-        std::array<job_queue, WorkLevels> queues;
+        std::array<job_queue, workLevels> queues;
     };
 
     std::uint32_t find(team_id team);
@@ -73,7 +76,8 @@
 
     std::unordered_map<team_id, std::uint32_t> m_index;
     std::vector<team_record> m_teams;
-    std::array<team_order, WorkLevels> m_orders;
+    std::array<team_order, workLevels> m_orders;
+    std::uint32_t m_waitingForAccelerators = 0;
     resources m_total;
     resources m_used;
 };
