--- a/include/plantaingap/result.h
+++ b/include/plantaingap/result.h
@@ -52,6 +52,8 @@
     // Where in the document, as a JSON pointer, for example /services/0/slots_per_worker.
     std::string path;
     std::string message;
+
+    bool operator==(const finding &) const = default;
 };
 
 using findings = std::vector<finding>;
