Adopt ends that a former owner has not recorded

Cause: process.control_test 'a planned stop hands the group and its jobs' counted 14 starts where 10 were due: tasks that had ended well under the former owner, but whose end was not in the table yet, were run again, since their attempts were none of the new owner's. Ruled out: a second submission of the job (it is refused by its row). Change: workers repeat ends until they are recorded; the new owner tells such a task as running, holding nothing, and then as ended, so that the scheduler adopts it. Conclusion: a batch task's end survives a change of owner.

--- a/src/runtime/group_control.cpp
+++ b/src/runtime/group_control.cpp
@@ -80,7 +80,7 @@
             running.push_back({message.answer.running[at], message.held[at]});
         // Ends first: a task that is not running any more would else count as lost.
         for (const auto &ended : message.ended)
-            noteEnded(ended);
+            noteEnded(message.answer.worker, ended);
         feedLeases(message.answer);
         noteStarted(message.answer.running);
     });
@@ -140,16 +140,12 @@
             m_jobs.insert_or_assign(job.job, job);
             feedScheduler(job);
         }
-        const auto unsettled = std::move(m_unsettled);
-        m_unsettled.clear();
         const auto unconfirmed = std::move(m_unconfirmed);
         m_unconfirmed.clear();
         for (const auto worker : unconfirmed) {
             if (m_leases.ready(worker))
                 confirmWorker({worker, {}});
         }
-        for (const auto &ended : unsettled)
-            noteEnded(ended);
     });
 }
 
@@ -222,7 +218,8 @@
     m_scheduler.reset();
     m_loaded = false;
     m_unconfirmed.clear();
-    m_unsettled.clear();
+    m_formerEnds.clear();
+    m_settledEnds.clear();
     m_starting.clear();
     m_jobs.clear();
     m_accepted.clear();
@@ -280,15 +277,38 @@
         m_unconfirmed.insert(event.worker);
         return;
     }
-    feedScheduler(decision::worker_confirmed {event.worker, m_running[event.worker]});
+    // What a former owner started and has ended since is told as running, holding nothing, and then
+    // as ended: the scheduler adopts it under its attempt and does not run it again.
+    auto running = m_running[event.worker];
+    const auto ends = std::move(m_formerEnds[event.worker]);
+    m_formerEnds.erase(event.worker);
+    for (const auto &[task, outcome] : ends)
+        running.push_back({task, {}});
+    feedScheduler(decision::worker_confirmed {event.worker, std::move(running)});
+    for (const auto &[task, outcome] : ends) {
+        m_settledEnds.insert(task);
+        settleEnd({task, outcome});
+    }
 }
 
-void group_control::noteEnded(const backend::ended_task &ended)
+bool group_control::startedHere(const task_id &task) const
 {
-    if (!m_loaded) {
-        m_unsettled.push_back(ended);
+    const auto &authority = m_ownership.authority();
+    return authority && task.attempt > attemptFloor(*authority);
+}
+
+void group_control::noteEnded(worker_id worker, const backend::ended_task &ended)
+{
+    if (!m_scheduler)
         return;
-    }
+    if (startedHere(ended.task))
+        return settleEnd(ended);
+    if (!m_settledEnds.contains(ended.task))
+        m_formerEnds[worker].emplace(ended.task, ended.outcome);
+}
+
+void group_control::settleEnd(const backend::ended_task &ended)
+{
     m_starting.erase(ended.task);
     if (ended.outcome == decision::task_outcome::Succeeded)
         m_actions->emplace_back(task_finished {ended.task});
--- a/src/runtime/group_control.h
+++ b/src/runtime/group_control.h
@@ -110,7 +110,9 @@
     void begin(const authority_gained &event);
     void end();
     void confirmWorker(const worker_ready &event);
-    void noteEnded(const backend::ended_task &ended);
+    void noteEnded(worker_id worker, const backend::ended_task &ended);
+    void settleEnd(const backend::ended_task &ended);
+    bool startedHere(const task_id &task) const;
     void noteStarted(const std::vector<task_id> &running);
     void start(const decision::start_task &action);
 
@@ -125,9 +127,12 @@
     bool m_loaded = false;
     std::map<worker_id, decision::worker_joined> m_workers;
     std::set<worker_id> m_leaving;
-    // Workers that were ready, and ends told, before the jobs were loaded.
+    // Workers that were ready before the jobs were loaded.
     std::set<worker_id> m_unconfirmed;
-    std::vector<backend::ended_task> m_unsettled;
+    // Ends of tasks that a former owner started, until their worker is confirmed.
+    std::map<worker_id, std::map<task_id, decision::task_outcome>> m_formerEnds;
+    // Of those, the ones that the scheduler was told of: workers repeat them.
+    std::set<task_id> m_settledEnds;
     std::map<worker_id, std::vector<decision::running_task>> m_running;
     // Start orders that no answer has shown as running.
     std::set<task_id> m_starting;
