Add the operators' command line

Cause: operators change the cell only by applying files, and scripts have to tell how that ended.

Findings keep their line in JSON (seen failing first in cli_test).

--- a/daemons/plantaingap.cpp
+++ b/daemons/plantaingap.cpp
@@ -1,9 +1,11 @@
-#include "operator/document_keys.h"
+#include "operator/cli.h"
 
 #include <iostream>
 
-int main()
+// The operators' command line; its commands stand in src/operator/cli_*.cpp.
+int main(int argc, char **argv)
 {
-    std::cout << plantaingap::operators::documentKeys();
-    return 0;
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    const auto code = plantaingap::operators::runCommandLine(arguments, std::cout, std::cerr);
+    return static_cast<int>(code);
 }
--- a/src/operator/api_messages.h
+++ b/src/operator/api_messages.h
@@ -152,6 +152,7 @@
 {
     static constexpr auto fields =
         std::make_tuple(required("file", &finding::file, anyValue, ""),
+                        optional("line", &finding::line, anyValue, ""),
                         optional("path", &finding::path, anyValue, ""),
                         required("message", &finding::message, anyValue, ""));
 };
--- a/src/operator/document_reader.cpp
+++ b/src/operator/document_reader.cpp
@@ -159,6 +159,16 @@
     out = static_cast<std::uint32_t>(std::clamp<std::int64_t>(value, 0, highest));
 }
 
+void document_reader::readValue(const support::json_node &node, const value_rule &rule, int &out)
+{
+    constexpr std::int64_t highest = std::numeric_limits<int>::max();
+    value_rule narrowed = rule;
+    narrowed.highest = std::min(rule.highest, highest);
+    std::int64_t value = out;
+    readValue(node, narrowed, value);
+    out = static_cast<int>(std::clamp<std::int64_t>(value, -highest, highest));
+}
+
 void document_reader::readValue(const support::json_node &node, const value_rule &rule,
                                 std::chrono::milliseconds &out)
 {
--- a/src/operator/document_reader.h
+++ b/src/operator/document_reader.h
@@ -34,6 +34,7 @@
     void readValue(const support::json_node &node, const value_rule &rule, std::int64_t &out);
     void readValue(const support::json_node &node, const value_rule &rule, std::uint64_t &out);
     void readValue(const support::json_node &node, const value_rule &rule, std::uint32_t &out);
+    void readValue(const support::json_node &node, const value_rule &rule, int &out);
     void readValue(const support::json_node &node, const value_rule &rule,
                    std::chrono::milliseconds &out);
     void readValue(const support::json_node &node, const value_rule &rule, wall_time &out);
--- a/src/operator/document_writer.h
+++ b/src/operator/document_writer.h
@@ -56,6 +56,11 @@
     return value;
 }
 
+inline boost::json::value writeValue(int value, const value_rule &, defaults)
+{
+    return value;
+}
+
 inline boost::json::value writeValue(std::chrono::milliseconds value, const value_rule &, defaults)
 {
     return boost::json::string(formatDuration(value));
--- a/tests/operator/admin_api_test.cpp
+++ b/tests/operator/admin_api_test.cpp
@@ -4,7 +4,7 @@
 #include "operator/document_reader.h"
 #include "operator/document_writer.h"
 #include "operator/memory_administration.h"
-#include "operator/temporary_folder.h"
+#include "temporary_folder.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/tests/operator/temporary_folder.h
+++ b/tests/temporary_folder.h
@@ -1,5 +1,5 @@
-#ifndef TESTS_OPERATOR_TEMPORARY_FOLDER_H
-#define TESTS_OPERATOR_TEMPORARY_FOLDER_H
+#ifndef TESTS_TEMPORARY_FOLDER_H
+#define TESTS_TEMPORARY_FOLDER_H
 
 #include <cstdlib>
 #include <filesystem>
