--- a/src/operator/document_keys.cpp
+++ b/src/operator/document_keys.cpp
@@ -147,7 +147,7 @@
 std::string documentKeys()
 {
     return std::string(introduction) + "\n## Settings file\n" + tableText<instance_settings>()
-           + tableText<link_security>() + tableText<tls_settings>()
+           + tableText<link_security>() + tableText<support::tls_files>()
            + tableText<principal_settings>() + tableText<instance_limits>()
            + "\n## Configuration set\n" + tableText<configuration>()
            + tableText<service_declaration>() + tableText<kind_declaration>()
--- a/src/operator/settings.cpp
+++ b/src/operator/settings.cpp
@@ -98,9 +98,10 @@
 
     void checkCertificates(const link_security &tls)
     {
-        if (tls.callerCertificates == client_certificates::Required && !tls.callers)
+        if (tls.callerCertificates == support::peer_certificates::Required && !tls.callers)
             add("/tls/caller_certificates", "certificates need the key 'callers'");
-        if (tls.administrationCertificates == client_certificates::Required && !tls.administration)
+        if (tls.administrationCertificates == support::peer_certificates::Required
+            && !tls.administration)
             add("/tls/administration_certificates", "certificates need the key 'administration'");
     }
 
@@ -122,9 +123,9 @@
     for (auto *identity : {&tls.callers, &tls.administration, &tls.peers, &tls.platform}) {
         if (!*identity)
             continue;
-        resolveFile(folder, (*identity)->certificateFile);
-        resolveFile(folder, (*identity)->keyFile);
-        resolveFile(folder, (*identity)->authoritiesFile);
+        resolveFile(folder, (*identity)->certificate);
+        resolveFile(folder, (*identity)->key);
+        resolveFile(folder, (*identity)->authorities);
     }
 }
 
--- a/src/operator/settings.h
+++ b/src/operator/settings.h
@@ -3,6 +3,7 @@
 
 #include "support/json_document.h"
 #include "support/log.h"
+#include "support/tls.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
@@ -16,28 +17,16 @@
 // may take. Read once at the start; everything that operators change later is in configuration.h.
 namespace plantaingap::operators {
 
-// The files of one TLS identity, PEM. Peers must show a certificate that the authorities signed.
-struct tls_settings
-{
-    std::string certificateFile;
-    std::string keyFile;
-    std::string authoritiesFile;
-
-    bool operator==(const tls_settings &) const = default;
-};
-
-// Whether a listener asks callers for a certificate.
-enum class client_certificates : std::uint8_t { Required, NotAsked };
-
+// Which links are encrypted, and with what; a link without files speaks plain TCP.
 struct link_security
 {
-    std::optional<tls_settings> callers;
-    client_certificates callerCertificates = client_certificates::NotAsked;
-    std::optional<tls_settings> administration;
-    client_certificates administrationCertificates = client_certificates::NotAsked;
+    std::optional<support::tls_files> callers;
+    support::peer_certificates callerCertificates = support::peer_certificates::NotAsked;
+    std::optional<support::tls_files> administration;
+    support::peer_certificates administrationCertificates = support::peer_certificates::NotAsked;
     // Between instances certificates are always asked of both sides.
-    std::optional<tls_settings> peers;
-    std::optional<tls_settings> platform;
+    std::optional<support::tls_files> peers;
+    std::optional<support::tls_files> platform;
 
     bool operator==(const link_security &) const = default;
 };
--- a/src/operator/settings_tables.h
+++ b/src/operator/settings_tables.h
@@ -18,11 +18,11 @@
 };
 
 template<>
-struct enum_names<client_certificates>
+struct enum_names<support::peer_certificates>
 {
-    static constexpr std::array<std::pair<std::string_view, client_certificates>, 2> names {
-        {{"required", client_certificates::Required},
-         {"not_asked", client_certificates::NotAsked}}};
+    static constexpr std::array<std::pair<std::string_view, support::peer_certificates>, 2> names {
+        {{"required", support::peer_certificates::Required},
+         {"not_asked", support::peer_certificates::NotAsked}}};
 };
 
 template<>
@@ -33,15 +33,15 @@
 };
 
 template<>
-struct document_table<tls_settings>
+struct document_table<support::tls_files>
 {
     static constexpr std::string_view title = "TLS identity";
     static constexpr std::string_view doc = "Names of PEM files.";
     static constexpr auto fields = std::make_tuple(
-        required("certificate", &tls_settings::certificateFile, filledRule,
+        required("certificate", &support::tls_files::certificate, filledRule,
                  "The certificate shown, with its chain."),
-        required("key", &tls_settings::keyFile, filledRule, "Its private key."),
-        required("authorities", &tls_settings::authoritiesFile, filledRule,
+        required("key", &support::tls_files::key, filledRule, "Its private key."),
+        required("authorities", &support::tls_files::authorities, filledRule,
                  "Authorities whose certificates are accepted from the other side."));
 };
 
--- a/src/support/tls.h
+++ b/src/support/tls.h
@@ -18,6 +18,8 @@
     std::string key;
     // The authorities that must have signed the other side's certificate.
     std::string authorities;
+
+    bool operator==(const tls_files &) const = default;
 };
 
 // Whether a server asks its clients for a certificate.
