Pass requests between instances, each run once and none lost

The first expectation of the count "repeated" was wrong: the question asked while waiting had one body for all; now each has its own and the count is 0.

Fails here: control_test.cpp:229, 14 starts where 10 are expected, in three runs of three; not looked into yet.

--- a/src/runtime/request_desk.cpp
+++ b/src/runtime/request_desk.cpp
@@ -214,7 +214,8 @@
     open.group = route.group;
     if (route.owner != m_self) {
         open.heldBy = holder::Peer;
-        m_router.noteForwarded(route.group, stableId<service_id>(open.request->service));
+        m_router.noteForwarded(route.group, stableId<service_id>(open.request->service),
+                               open.request->declared, clock::now());
         m_outlets.forward({route.owner, route.group, open.request});
         return;
     }
--- a/tests/process/several_instances_test.cpp
+++ b/tests/process/several_instances_test.cpp
@@ -33,11 +33,13 @@
     test_cluster cluster(4, 3, {});
     for (unsigned index = 0; index < 3; ++index)
         cluster.awaitService(index);
+    const auto before = cluster.count("served");
     auto load = cluster.load(24, 6000, {});
     const auto report = json::parse(load.rest());
     CHECK(load.wait() == 0);
     checkAllAnswered(report, cluster, 6000);
-    CHECK(cluster.count("repeated") <= 1); // the question of awaitService alone
+    CHECK(cluster.count("served") == before + 6000);
+    CHECK(cluster.count("repeated") == 0);
 }
 
 TEST_CASE("a request that is not idempotent runs once, whoever is asked again")
--- a/tests/process/test_cluster.cpp
+++ b/tests/process/test_cluster.cpp
@@ -140,8 +140,9 @@
     unsigned answered = 0;
     while (answered < inARow) {
         REQUIRE(clock::now() < until);
-        const auto answer = fetch(server, call("/services/register-search/", "is it there?",
-                                               {{"Plantaingap-Idempotent", "true"}}));
+        const auto body = "question " + std::to_string(++m_questions);
+        const auto answer = fetch(
+            server, call("/services/register-search/", body, {{"Plantaingap-Idempotent", "true"}}));
         answered = answer.result_int() == 200 ? answered + 1 : 0;
     }
 }
--- a/tests/process/test_cluster.h
+++ b/tests/process/test_cluster.h
@@ -52,6 +52,7 @@
     std::vector<std::uint16_t> m_callerPorts;
     std::vector<std::unique_ptr<temporary_file>> m_files;
     std::vector<child_process> m_entries;
+    unsigned m_questions = 0;
 };
 
 } // namespace plantaingap::test
