--- a/src/backend/order_codec.cpp
+++ b/src/backend/order_codec.cpp
@@ -204,6 +204,7 @@
 json::value toJson(const task_payload &payload)
 {
     return json::object {{"held", toJson(payload.held)},
+                         {"command", payload.command},
                          {"run_time_ns", payload.runTime.count()},
                          {"checkpointable", payload.checkpointable}};
 }
@@ -213,6 +214,7 @@
     member_reader reader(outer.member("payload"));
     task_payload payload;
     payload.held = resourcesFrom(reader, "held");
+    payload.command = reader.text("command");
     payload.runTime = duration(reader.count<std::int64_t>("run_time_ns"));
     const auto *flag = reader.member("checkpointable");
     reader.require(flag && flag->is_bool());
--- a/src/backend/order_codec.h
+++ b/src/backend/order_codec.h
@@ -14,6 +14,8 @@
 struct task_payload
 {
     resources held;
+    // As the job declares it; the worker knows what it means.
+    std::string command;
     duration runTime {};
     bool checkpointable = false;
 };
--- a/src/peer/peer_codec.cpp
+++ b/src/peer/peer_codec.cpp
@@ -83,6 +83,7 @@
         encode(told.held, *added.mutable_held());
         encode(told.acted, *added.mutable_acted());
     }
+    wire.set_config_version(heartbeat.configVersion);
     for (const auto &summary : heartbeat.summaries)
         encode(summary, *wire.add_summaries());
 }
@@ -102,6 +103,7 @@
     for (const auto &told : wire.groups())
         heartbeat.groups.push_back(
             {group_id {told.group()}, decode(told.held()), decode(told.acted())});
+    heartbeat.configVersion = wire.config_version();
     for (const auto &summary : wire.summaries())
         heartbeat.summaries.push_back(decode(summary, wire, now));
     return heartbeat;
--- a/src/peer/peer_message.h
+++ b/src/peer/peer_message.h
@@ -22,6 +22,8 @@
 {
     heartbeat_heard membership;
     std::vector<told_epochs> groups;
+    // The configuration in force at the sender; 0 for none.
+    std::uint64_t configVersion = 0;
     // Owner, region and time of receipt are filled in by the receiver.
     std::vector<decision::group_summary> summaries;
 };
--- a/src/runtime/control_duty.cpp
+++ b/src/runtime/control_duty.cpp
@@ -24,11 +24,14 @@
 // The bound of each ring into this duty.
 constexpr std::size_t ringSlots = 1024;
 
-// A worker's group: one rack of one data centre.
-std::string groupOf(const named_worker &worker)
-{
-    return worker.place.region + "/" + worker.place.dataCentre + "/" + worker.place.rack;
-}
+// How often declared jobs are compared with those that have rows.
+constexpr std::chrono::milliseconds reconcileEvery {500};
+// For a row that the reconciliation writes.
+constexpr std::chrono::seconds rowPatience {5};
+
+// In the order of peer::instance_state.
+constexpr std::array<const char *, 6> stateNames = {"unknown",  "live",    "one_way",
+                                                    "stopping", "suspect", "gone"};
 
 } // namespace
 
@@ -122,6 +125,8 @@
         asio::co_spawn(m_duty.context(), readRows(), asio::detached);
     if (clock::now() >= m_nextBeat)
         beat();
+    if (clock::now() >= m_reconcileAt)
+        reconcileJobs();
 }
 
 // One range read serves all groups of the region.
@@ -158,6 +163,7 @@
         const auto list = co_await m_platform.readList(clock::now() + m_services.callTime);
         if (list.has_value())
             updateGroups(*list);
+        co_await readCancellations();
         co_await pause(m_settings.listEvery);
     }
 }
@@ -167,9 +173,12 @@
     platform_list_read read;
     read.revision = list.revision;
     m_listed.clear();
+    m_instanceNames.clear();
+    m_instanceNames.emplace(m_self.instance, m_settings.instance);
     for (const auto &instance : list.instances) {
         const auto id = stableId<instance_id>(instance.name);
         m_listed.insert(id);
+        m_instanceNames.insert_or_assign(id, instance.name);
         read.instances.push_back({id, instance.leaving});
     }
     std::map<std::string, std::vector<named_worker>> groups;
@@ -189,6 +198,7 @@
             groups[groupOf(worker)].push_back(worker);
     }
     tellServiceGroups(list);
+    const auto before = std::exchange(m_capacities, groupCapacities(list));
     for (auto &[name, workers] : groups) {
         auto &shell = m_groups[name];
         if (!shell) {
@@ -205,6 +215,8 @@
                 shell->formerStopped(former);
         }
     }
+    if (m_capacities != before)
+        applyQuotas();
     feed(read);
 }
 
@@ -265,6 +277,7 @@
     own.membership.from = m_self;
     own.membership.region = stableId<region_id>(m_settings.region);
     own.membership.sequence = ++m_sequence;
+    own.configVersion = m_version;
     own.membership.stopping = m_stopping;
     own.membership.heard = m_membership.heard();
     own.membership.leavingWorkers = m_membership.leavingWorkers();
@@ -285,6 +298,7 @@
 
 void control_duty::noteEpochs(const control_heartbeat &heartbeat)
 {
+    m_versions[heartbeat.membership.from.instance] = heartbeat.configVersion;
     for (const auto &told : heartbeat.groups) {
         for (auto &[name, group] : m_groups) {
             if (stableId<group_id>(name) == told.group)
@@ -344,6 +358,97 @@
     order.reply(std::string(names.at(static_cast<std::size_t>(report.reason))));
 }
 
+void control_duty::on(declared_order &order)
+{
+    m_declared = std::move(order.declared);
+    m_version = order.version;
+    m_digest = std::move(order.digest);
+    beat();
+    applyQuotas();
+    m_reconcileAt = clock::now();
+}
+
+void control_duty::applyQuotas()
+{
+    if (!m_declared)
+        return;
+    resources cell;
+    for (const auto &[name, capacity] : m_capacities)
+        cell += capacity;
+    for (auto &[name, group] : m_groups)
+        group->setQuotas(quotaShares(m_declared->teams, m_capacities[name], cell));
+}
+
+// Submits declared jobs of our groups that have no row, and cancels those of ours that were
+// declared once and are no longer. Each is tried again until its row says so.
+void control_duty::reconcileJobs()
+{
+    m_reconcileAt = clock::now() + reconcileEvery;
+    if (!m_declared || m_stopping)
+        return;
+    std::set<std::string_view> declared;
+    for (const auto &job : m_declared->jobs) {
+        declared.insert(job.name);
+        auto spec = specOf(job);
+        spec.declared = true;
+        const auto found = m_groups.find(groupForJob(spec, m_capacities));
+        if (found == m_groups.end() || !found->second->control().takesJobs()
+            || found->second->desk().find(spec.name) || !m_reconciling.insert(spec.name).second)
+            continue;
+        asio::co_spawn(m_duty.context(), submitDeclared(*found->second, std::move(spec)),
+                       asio::detached);
+    }
+    for (auto &[name, group] : m_groups) {
+        if (!group->control().takesJobs())
+            continue;
+        for (const auto &[job, row] : group->desk().rows()) {
+            const bool over = !row.spec.declared || row.cancelRequested
+                              || row.state != job_state::Accepted || declared.contains(job);
+            if (over || !m_reconciling.insert(job).second)
+                continue;
+            asio::co_spawn(m_duty.context(), cancelDeclared(*group, job), asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> control_duty::submitDeclared(group_shell &group, job_spec spec)
+{
+    const auto name = spec.name;
+    const auto outcome = co_await group.submit(std::move(spec), clock::now() + rowPatience);
+    m_reconciling.erase(name);
+    log_event(log_level::Info, "job.declared")
+        .field("job", name)
+        .field("group", group.name())
+        .field("outcome", make_error_code(outcome).message());
+}
+
+asio::awaitable<void> control_duty::cancelDeclared(group_shell &group, std::string name)
+{
+    co_await group.cancel(name, clock::now() + rowPatience);
+    m_reconciling.erase(name);
+}
+
+// Cancellations that other instances took for our groups stand in rows cancel/GROUP/NAME.
+asio::awaitable<void> control_duty::readCancellations()
+{
+    const auto prefix = "cancel/" + m_settings.region + "/";
+    const auto rows = co_await m_platform.readRange(prefix, clock::now() + m_services.callTime);
+    if (rows.has_error())
+        co_return;
+    for (const auto &row : *rows) {
+        auto *group = groupWith(row.value);
+        if (!group)
+            continue;
+        const auto outcome = co_await group->cancel(row.value, clock::now() + rowPatience);
+        if (outcome != errc::Ok)
+            continue;
+        const std::vector<platform::table_change> done = {
+            {row.key, row.version, "", platform::change_kind::Remove}};
+        co_await m_platform.commit(done, platform::commit_mode::EachAlone,
+                                   clock::now() + m_services.callTime);
+    }
+}
+
 // The owned group with the most room for this job; one that knows the job already goes first.
 group_shell *control_duty::groupFor(const job_spec &spec)
 {
@@ -397,43 +502,69 @@
     order.reply(outcome);
 }
 
-boost::json::object control_duty::status() const
+operators::cell_status control_duty::status() const
 {
-    boost::json::array groups;
-    boost::json::array jobs;
+    operators::cell_status status;
+    status.version = m_version;
+    status.digest = m_digest;
+    for (const auto &[id, name] : m_instanceNames) {
+        operators::instance_status one;
+        one.instance = name;
+        const bool self = id == m_self.instance;
+        const auto version = m_versions.find(id);
+        one.version = self ? m_version : version == m_versions.end() ? 0 : version->second;
+        const auto state = self ? instance_state::Live : m_membership.stateOf(id);
+        one.state = stateNames.at(static_cast<std::size_t>(state));
+        status.version = std::max(status.version, one.version);
+        status.instances.push_back(std::move(one));
+    }
     for (const auto &[name, group] : m_groups) {
-        const auto &control = group->control();
-        const auto held = control.authority().value_or(epoch {});
-        boost::json::object entry {{"group", name},
-                                   {"owned", control.authority().has_value()},
-                                   {"generation", held.generation},
-                                   {"rank", held.rank},
-                                   {"takes_jobs", control.takesJobs()}};
-        if (control.takesJobs()) {
-            const auto &used = control.scheduler()->used();
-            const auto &total = control.scheduler()->total();
-            entry["used_milli_cores"] = used.milliCores;
-            entry["total_milli_cores"] = total.milliCores;
-            entry["used_memory_mib"] = used.memoryMib;
-            entry["total_memory_mib"] = total.memoryMib;
-            entry["used_accelerators"] = used.accelerators;
-            entry["total_accelerators"] = total.accelerators;
-        }
-        groups.push_back(std::move(entry));
-        if (!control.authority())
-            continue;
-        for (const auto &[jobName, row] : group->desk().rows()) {
-            jobs.push_back(boost::json::object {{"job", jobName},
-                                                {"team", row.spec.team},
-                                                {"group", name},
-                                                {"state", stateName(row.state)},
-                                                {"tasks", row.spec.tasks},
-                                                {"finished", row.finished.size()}});
+        addWorkers(*group, status);
+        if (group->control().authority())
+            addJobs(*group, status);
+    }
+    addTeams(status);
+    return status;
+}
+
+void control_duty::addWorkers(const group_shell &group, operators::cell_status &status) const
+{
+    const auto &row = group.control().ownership().row();
+    const auto owner = row ? m_instanceNames.find(row->owner.instance) : m_instanceNames.end();
+    for (const auto &worker : group.workers()) {
+        operators::worker_status one;
+        one.worker = worker.listed.name;
+        one.group = group.name();
+        one.owner = owner == m_instanceNames.end() ? "" : owner->second;
+        const bool ready = group.control().ready(stableId<worker_id>(worker.listed.name));
+        one.state = worker.listed.leaving ? "leaving" : ready ? "ready" : "unconfirmed";
+        one.slots = worker.listed.slots;
+        one.busy = worker.busySlots;
+        one.holds = worker.listed.capacity;
+        status.workers.push_back(std::move(one));
+    }
+}
+
+void control_duty::addJobs(const group_shell &group, operators::cell_status &status) const
+{
+    for (const auto &[name, row] : group.desk().rows()) {
+        auto one = jobStatus(row);
+        if (group.control().takesJobs() && row.state == job_state::Accepted) {
+            const auto waits = group.control().whyWaiting(jobIdOf(name)).tasksWaiting;
+            const auto left = row.spec.tasks - static_cast<std::uint32_t>(row.finished.size());
+            one.running = left - std::min(left, waits);
+            one.state = one.running > 0 ? "running" : "waiting";
         }
+        status.jobs.push_back(std::move(one));
     }
-    return {{"instance", m_settings.instance}, {"incarnation", m_self.incarnation},
-            {"stopping", m_stopping},          {"live_instances", m_candidates.size()},
-            {"groups", std::move(groups)},     {"jobs", std::move(jobs)}};
+}
+
+void control_duty::addTeams(operators::cell_status &status) const
+{
+    if (!m_declared)
+        return;
+    for (const auto &team : m_declared->teams)
+        status.teams.push_back({team.name, team.quota, {}});
 }
 
 } // namespace plantaingap::runtime
--- a/src/runtime/control_duty.h
+++ b/src/runtime/control_duty.h
@@ -1,12 +1,13 @@
 #ifndef PLANTAINGAP_RUNTIME_CONTROL_DUTY_H
 #define PLANTAINGAP_RUNTIME_CONTROL_DUTY_H
 
+#include "operator/administration.h"
 #include "peer/membership.h"
+#include "runtime/declared_cell.h"
 #include "runtime/group_shell.h"
 #include "support/duty.h"
 #include "support/mailbox.h"
 
-#include <boost/json/object.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -44,10 +45,10 @@
     job_reply reply;
 };
 
-// Asks for the state of groups, workers and jobs as JSON.
+// Asks for what this instance knows of the cell.
 struct status_order
 {
-    std::function<void(boost::json::object)> reply;
+    std::function<void(operators::cell_status)> reply;
 };
 
 // Ask why a job does not run: the reason's name, or nothing for a job that is not ours.
@@ -57,7 +58,16 @@
     std::function<void(std::optional<std::string>)> reply;
 };
 
-using control_order = std::variant<submit_order, cancel_order, status_order, why_order>;
+// The configuration that came in force: teams' quotas and the declared jobs.
+struct declared_order
+{
+    std::uint64_t version = 0;
+    std::string digest;
+    std::shared_ptr<const configuration> declared;
+};
+
+using control_order =
+    std::variant<submit_order, cancel_order, status_order, why_order, declared_order>;
 
 // The duty that owns groups of workers: membership, ownership, leases and jobs, on one thread with
 // its own connections to the platform and to the workers' order interface. The other duties hand in
@@ -102,6 +112,7 @@
     void on(cancel_order &order);
     void on(status_order &order);
     void on(why_order &order);
+    void on(declared_order &order);
     void feed(const membership_event &event);
     void noteEpochs(const control_heartbeat &heartbeat);
     void noteIdle(const control_heartbeat &heartbeat, time_point askedAt);
@@ -111,7 +122,12 @@
     void tick();
     void beat();
     control_heartbeat ownHeartbeat();
-    boost::json::object status() const;
+    operators::cell_status status() const;
+    void addWorkers(const group_shell &group, operators::cell_status &status) const;
+    void addJobs(const group_shell &group, operators::cell_status &status) const;
+    void addTeams(operators::cell_status &status) const;
+    void applyQuotas();
+    void reconcileJobs();
     group_shell *groupFor(const job_spec &spec);
     group_shell *groupWith(std::string_view job);
 
@@ -119,6 +135,9 @@
     boost::asio::awaitable<void> runListReads();
     boost::asio::awaitable<void> readRows();
     boost::asio::awaitable<void> submit(submit_order order);
+    boost::asio::awaitable<void> submitDeclared(group_shell &group, job_spec spec);
+    boost::asio::awaitable<void> cancelDeclared(group_shell &group, std::string name);
+    boost::asio::awaitable<void> readCancellations();
     boost::asio::awaitable<void> cancel(cancel_order order);
     boost::asio::awaitable<void> waitHandedOver(time_point deadline, std::function<void()> done);
     boost::asio::awaitable<void> pause(duration span);
@@ -134,7 +153,17 @@
     std::map<worker_id, std::string> m_workerNames;
     std::vector<instance_ref> m_candidates;
     std::set<instance_id> m_listed;
+    std::map<instance_id, std::string> m_instanceNames;
+    std::map<instance_id, std::uint64_t> m_versions;
+    std::uint64_t m_version = 0;
+    std::string m_digest;
     service_groups m_serviceGroups;
+    // Whole capacities, of all regions.
+    std::map<std::string, resources> m_capacities;
+    std::shared_ptr<const configuration> m_declared;
+    // Declared jobs whose submission or cancellation is under way.
+    std::set<std::string, std::less<>> m_reconciling;
+    time_point m_reconcileAt {};
     time_point m_nextBeat {};
     std::uint64_t m_sequence = 0;
     bool m_stopping = false;
--- a/src/runtime/control_note.h
+++ b/src/runtime/control_note.h
@@ -79,6 +79,8 @@
 {
     heartbeat_heard membership;
     std::vector<group_epochs> groups;
+    // The configuration in force at the sender; 0 for none.
+    std::uint64_t configVersion = 0;
 };
 
 } // namespace plantaingap::runtime
--- a/src/runtime/group_control.cpp
+++ b/src/runtime/group_control.cpp
@@ -166,6 +166,16 @@
     });
 }
 
+void group_control::setQuotas(const std::vector<decision::quota_changed> &quotas, time_point now,
+                              std::vector<control_action> &actions)
+{
+    m_quotas = quotas;
+    within(now, actions, [&] {
+        for (const auto &quota : m_quotas)
+            feedScheduler(quota);
+    });
+}
+
 decision::wait_report group_control::whyWaiting(job_id job) const
 {
     if (takesJobs())
@@ -179,7 +189,7 @@
     if (found == m_jobs.end())
         return {};
     const auto &job = found->second;
-    return {job.each, job.runTime, job.checkpointable};
+    return {job.each, {}, job.runTime, job.checkpointable};
 }
 
 void group_control::pass(const ownership_action &action)
@@ -205,6 +215,8 @@
     m_scheduler = std::make_unique<decision::task_scheduler>(m_limits.tasks);
     for (const auto &[id, worker] : m_workers)
         feedScheduler(worker);
+    for (const auto &quota : m_quotas)
+        feedScheduler(quota);
     for (const auto worker : m_leaving)
         feedScheduler(decision::worker_draining {worker, m_now + m_limits.drain});
     feedLeases(event);
--- a/src/runtime/group_control.h
+++ b/src/runtime/group_control.h
@@ -87,7 +87,11 @@
     void jobsLoaded(const epoch &authority, const std::vector<decision::job_submitted> &jobs,
                     time_point now, std::vector<control_action> &actions);
 
-    // A job whose row was just committed under our epoch, its cancellation, a team's quota.
+    // The teams' shares of this group; kept over changes of owner.
+    void setQuotas(const std::vector<decision::quota_changed> &quotas, time_point now,
+                   std::vector<control_action> &actions);
+
+    // A job whose row was just committed under our epoch, or its cancellation.
     void step(const decision::task_event &event, time_point now,
               std::vector<control_action> &actions);
 
@@ -127,6 +131,7 @@
     bool m_loaded = false;
     std::map<worker_id, decision::worker_joined> m_workers;
     std::set<worker_id> m_leaving;
+    std::vector<decision::quota_changed> m_quotas;
     // Workers that were ready before the jobs were loaded.
     std::set<worker_id> m_unconfirmed;
     // Ends of tasks that a former owner started, until their worker is confirmed.
--- a/src/runtime/group_shell.cpp
+++ b/src/runtime/group_shell.cpp
@@ -119,6 +119,13 @@
     carryOut(std::move(actions));
 }
 
+void group_shell::setQuotas(const std::vector<decision::quota_changed> &quotas)
+{
+    std::vector<control_action> actions;
+    m_control.setQuotas(quotas, clock::now(), actions);
+    carryOut(std::move(actions));
+}
+
 void group_shell::formerStopped(const instance_ref &former)
 {
     std::vector<control_action> actions;
@@ -135,6 +142,14 @@
         spawn(flushJobs());
 }
 
+std::vector<group_shell::worker_view> group_shell::workers() const
+{
+    std::vector<worker_view> views;
+    for (const auto &[id, link] : m_workers)
+        views.push_back({link.listed, link.busySlots});
+    return views;
+}
+
 bool group_shell::takeReadWanted()
 {
     return std::exchange(m_readWanted, false);
@@ -184,8 +199,11 @@
 {
     backend::order_message message {m_name, action, {}, {}};
     const auto worker = std::visit([](const auto &order) { return order.worker; }, action);
-    if (const auto *starting = std::get_if<start_order>(&action))
+    if (const auto *starting = std::get_if<start_order>(&action)) {
         message.payload = m_control.payloadOf(starting->task);
+        if (const auto *row = m_desk.find(starting->task.job))
+            message.payload.command = row->spec.command;
+    }
     const auto link = m_workers.find(worker);
     if (link == m_workers.end())
         return;
--- a/src/runtime/group_shell.h
+++ b/src/runtime/group_shell.h
@@ -40,6 +40,7 @@
     void setWorkers(std::vector<named_worker> workers);
     void step(const ownership_event &event);
     void workerLeaving(worker_id worker);
+    void setQuotas(const std::vector<decision::quota_changed> &quotas);
     void formerStopped(const instance_ref &former);
     void tick();
 
@@ -49,6 +50,13 @@
     boost::asio::awaitable<errc> submit(job_spec spec, time_point deadline);
     boost::asio::awaitable<errc> cancel(std::string name, time_point deadline);
 
+    struct worker_view
+    {
+        named_worker listed;
+        std::uint32_t busySlots = 0;
+    };
+    std::vector<worker_view> workers() const;
+
 private:
     struct worker_link
     {
--- a/src/runtime/job_desk.cpp
+++ b/src/runtime/job_desk.cpp
@@ -19,6 +19,16 @@
 
 } // namespace
 
+std::string jobRowKey(std::string_view group, std::string_view name)
+{
+    return "job/" + std::string(group) + "/" + std::string(name);
+}
+
+std::string jobNameKey(std::string_view name)
+{
+    return "job-name/" + std::string(name);
+}
+
 job_desk::job_desk(platform::platform_client &platform, std::string group, std::string groupKey)
     : m_platform(platform)
     , m_group(std::move(group))
@@ -36,7 +46,7 @@
 
 std::string job_desk::keyOf(std::string_view name) const
 {
-    return "job/" + m_group + "/" + std::string(name);
+    return jobRowKey(m_group, name);
 }
 
 const job_row *job_desk::find(std::string_view name) const
@@ -45,6 +55,12 @@
     return found == m_rows.end() ? nullptr : &found->second;
 }
 
+const job_row *job_desk::find(job_id job) const
+{
+    const auto name = m_names.find(job);
+    return name == m_names.end() ? nullptr : find(name->second);
+}
+
 void job_desk::remember(const platform::table_row &stored, job_row row)
 {
     const auto name = row.spec.name;
@@ -79,6 +95,7 @@
         const job_row row {spec, job_state::Accepted, false, {}};
         const std::vector<table_change> changes = {
             {m_groupKey, authority.generation, "", change_kind::Check},
+            {jobNameKey(spec.name), 0, m_group, change_kind::Write},
             {keyOf(spec.name), 0, jobRowText(row), change_kind::Write}};
         const auto outcomes = co_await m_platform.commit(changes, commit_mode::AllOrNone, deadline);
         if (outcomes.back() == write_outcome::NotSent)
@@ -108,7 +125,7 @@
     if (stored.has_error())
         co_return errc::OutcomeUnknown;
     if (!stored->has_value())
-        co_return std::nullopt;
+        co_return co_await settleElsewhere(spec, deadline);
     auto row = jobRowFrom((*stored)->value);
     if (row.has_error() || row->spec != spec)
         co_return errc::VersionConflict;
@@ -116,6 +133,23 @@
     co_return errc::Ok;
 }
 
+// The name may belong to a job of another group: accepted there if it is the same job.
+boost::asio::awaitable<std::optional<errc>> job_desk::settleElsewhere(const job_spec &spec,
+                                                                      time_point deadline)
+{
+    const auto named = co_await m_platform.read(jobNameKey(spec.name), deadline);
+    if (named.has_error())
+        co_return errc::OutcomeUnknown;
+    if (!named->has_value() || (*named)->value == m_group)
+        co_return std::nullopt;
+    const auto key = jobRowKey((*named)->value, spec.name);
+    const auto stored = co_await m_platform.read(key, deadline);
+    if (stored.has_error() || !stored->has_value())
+        co_return errc::OutcomeUnknown;
+    const auto row = jobRowFrom((*stored)->value);
+    co_return row.has_value() && row->spec == spec ? errc::Ok : errc::VersionConflict;
+}
+
 boost::asio::awaitable<errc> job_desk::requestCancel(std::string name, time_point deadline)
 {
     while (true) {
--- a/src/runtime/job_desk.h
+++ b/src/runtime/job_desk.h
@@ -10,12 +10,17 @@
 
 namespace plantaingap::runtime {
 
+// Keys of the table's rows.
+std::string jobRowKey(std::string_view group, std::string_view name);
+std::string jobNameKey(std::string_view name);
+
 // The job rows of one group, for its owner: reads them, inserts and cancels jobs durably, and
 // records their progress in grouped commits. It schedules nothing.
 //
 // A job is inserted together with a check of the group's row: the transaction fails when another
 // owner was recorded meanwhile, so a job is never accepted behind the back of an owner who has
-// already read its rows.
+// already read its rows. The same transaction inserts the row job-name/NAME, which says what group
+// the job is in, so that a name is used once in the whole cell whichever instance is asked.
 class job_desk
 {
 public:
@@ -44,6 +49,7 @@
 
     bool dirty() const { return !m_dirty.empty(); }
     const job_row *find(std::string_view name) const;
+    const job_row *find(job_id job) const;
     const std::map<std::string, job_row, std::less<>> &rows() const { return m_rows; }
 
 private:
@@ -55,6 +61,8 @@
     std::string keyOf(std::string_view name) const;
     boost::asio::awaitable<std::optional<errc>> settleInsert(const job_spec &spec,
                                                              time_point deadline);
+    boost::asio::awaitable<std::optional<errc>> settleElsewhere(const job_spec &spec,
+                                                                time_point deadline);
     boost::asio::awaitable<errc> writeRow(std::string name, job_row row, time_point deadline);
     boost::asio::awaitable<void> mergeStored(std::string name, time_point deadline);
     void remember(const platform::table_row &stored, job_row row);
--- a/src/runtime/job_row.cpp
+++ b/src/runtime/job_row.cpp
@@ -101,10 +101,12 @@
     spec.tasks = static_cast<std::uint32_t>(reader.count("tasks"));
     spec.each = {reader.count("milli_cores"), reader.count("memory_mib"),
                  reader.count("accelerators")};
+    spec.command = reader.text("command");
     spec.taskKind = reader.text("task_kind");
     spec.checkpointable = reader.flag("checkpointable");
     spec.runTime = std::chrono::milliseconds(reader.count("run_time_ms"));
     spec.spread = reader.oneOf("spread", spreads);
+    spec.declared = reader.flag("declared");
     if (reader.object->contains("start_by_ms"))
         spec.startBy = wall_time(std::chrono::milliseconds(reader.count("start_by_ms")));
     return spec;
@@ -124,10 +126,12 @@
                          {"milli_cores", spec.each.milliCores},
                          {"memory_mib", spec.each.memoryMib},
                          {"accelerators", spec.each.accelerators},
+                         {"command", spec.command},
                          {"task_kind", spec.taskKind},
                          {"checkpointable", spec.checkpointable},
                          {"run_time_ms", runTime.count()},
                          {"spread", nameIn(spreads, spec.spread)},
+                         {"declared", spec.declared},
                          {"state", nameIn(states, row.state)},
                          {"cancel_requested", row.cancelRequested}};
     if (spec.startBy)
--- a/src/runtime/job_row.h
+++ b/src/runtime/job_row.h
@@ -21,6 +21,8 @@
     decision::urgency urgent = decision::urgency::Normal;
     std::uint32_t tasks = 1;
     resources each;
+    // What a worker is told to run.
+    std::string command;
     // Run times are learned per kind of task; the name when empty.
     std::string taskKind;
     bool checkpointable = false;
@@ -29,6 +31,8 @@
     // Given up when not started by then; as wall time, since it outlives processes.
     std::optional<wall_time> startBy;
     decision::spread_rule spread = decision::spread_rule::Anywhere;
+    // Declared in the configuration: cancelled when it is declared no longer.
+    bool declared = false;
 
     bool operator==(const job_spec &) const = default;
 };
--- a/src/runtime/peer_desk.cpp
+++ b/src/runtime/peer_desk.cpp
@@ -15,6 +15,7 @@
     heartbeat.membership = control.membership;
     for (const auto &group : control.groups)
         heartbeat.groups.push_back({group.group, group.held, group.acted});
+    heartbeat.configVersion = control.configVersion;
     heartbeat.summaries = summaries;
     return heartbeat;
 }
@@ -25,6 +26,7 @@
     control.membership = heartbeat.membership;
     for (const auto &group : heartbeat.groups)
         control.groups.push_back({group.group, group.held, group.acted});
+    control.configVersion = heartbeat.configVersion;
     return control;
 }
 
--- a/tools/task_stand_in.h
+++ b/tools/task_stand_in.h
@@ -7,7 +7,9 @@
 
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
+#include <cstdio>
 #include <map>
+#include <optional>
 #include <vector>
 
 // The part of a worker stand-in that runs tasks: it obeys orders by the rules that a worker must
@@ -84,11 +86,23 @@
         if (!order || !m_rules.running().contains(order->task) || m_tasks.contains(order->task))
             return;
         ++m_starts;
-        const bool endless = message.payload.runTime == duration::zero();
-        const auto endsAt = endless ? duration::max() : uptime + message.payload.runTime;
+        const auto runTime = runTimeOf(message.payload);
+        const auto endsAt = runTime ? uptime + *runTime : duration::max();
         m_tasks[order->task] = {message.payload.held, endsAt};
     }
 
+    // The command "run for N ms" ends after that time; without it the declared run time counts, and
+    // a task without either runs until it is stopped.
+    static std::optional<duration> runTimeOf(const backend::task_payload &payload)
+    {
+        long long span = 0;
+        if (std::sscanf(payload.command.c_str(), "run for %lld ms", &span) == 1)
+            return std::chrono::milliseconds(span);
+        if (payload.runTime > duration::zero())
+            return payload.runTime;
+        return std::nullopt;
+    }
+
     // The rules stop tasks on orders and lapses; what they no longer run is gone.
     void forgetStopped()
     {
