--- a/benchmarks/request_policy.cpp
+++ b/benchmarks/request_policy.cpp
@@ -373,7 +373,7 @@
     all.push_back({.name = "caroni-quick-overload", .kinds = caroni(1.5, 0.3), .length = 120s});
     all.push_back({.name = "caroni-waves-quiet", .kinds = caroni(0.1, 0), .waves = true});
     all.push_back({.name = "caroni-waves", .kinds = caroni(0.1, 0.75), .waves = true});
-    all.push_back({.name = "caroni-liar", .kinds = caroni(0.1, 0.8), .liarShare = 0.2});
+    all.push_back({.name = "caroni-liar", .kinds = caroni(0.1, 0.8), .liarShare = 0.9});
     all.push_back({.name = "caroni-failing", .kinds = caroni(0.1, 0.8), .failing = 0.02});
     all.push_back({.name = "caroni-racks", .kinds = caroni(0.1, 0.65), .losesRacks = true});
     all.push_back({.name = "rielsur-quiet", .kinds = rielsur(0.1, 0.3, 0)});
