Let a leaving or full worker keep no other from its probe

Cause: the quarantined worker whose probe was due first held up all probes while it was leaving or had no free slot; and one that left went on counting against the bound of workers in quarantine.

Change: a worker that goes ends its quarantine; a step looks at eight due probes for one with a free slot. The test was seen failing in both rows (2 in quarantine; 0 and 1 expected).

--- a/src/decision/worker_pool.cpp
+++ b/src/decision/worker_pool.cpp
@@ -6,6 +6,7 @@
 
 // At most one worker in so many is quarantined at once: when more fail, it is hardly the workers.
 constexpr std::size_t quarantinePart = 4;
+constexpr int probesLookedAt = 8;
 
 } // namespace
 
@@ -31,6 +32,7 @@
     if (found == m_workers.end())
         return;
     found->second.leaving = true;
+    endQuarantine(worker, found->second);
     m_index.setAvailable(worker, false);
 }
 
@@ -39,14 +41,21 @@
     const auto found = m_workers.find(worker);
     if (found == m_workers.end())
         return;
-    if (found->second.health.quarantined()) {
-        m_probes.erase({found->second.health.probeAt(), worker});
-        --m_quarantined;
-    }
+    endQuarantine(worker, found->second);
     m_workers.erase(found);
     m_index.remove(worker);
 }
 
+// A worker that goes is no longer judged; should it come back, it starts afresh.
+void worker_pool::endQuarantine(worker_id worker, worker_entry &entry)
+{
+    if (!entry.health.quarantined())
+        return;
+    m_probes.erase({entry.health.probeAt(), worker});
+    --m_quarantined;
+    entry.health = {};
+}
+
 std::optional<worker_pool::placement> worker_pool::place(std::optional<worker_id> avoid)
 {
     const auto worker = m_index.pick(avoid);
@@ -58,15 +67,19 @@
 
 std::optional<worker_pool::placement> worker_pool::placeProbe(time_point now)
 {
-    if (m_probes.empty() || m_probes.begin()->first > now)
-        return std::nullopt;
-    const auto worker = m_probes.begin()->second;
-    const auto &entry = m_workers.at(worker);
-    if (entry.leaving || !m_index.hasFreeSlot(worker))
-        return std::nullopt;
-    m_probes.erase(m_probes.begin());
-    m_index.occupy(worker);
-    return placement {worker, entry.stay, true};
+    int looked = 0;
+    for (auto due = m_probes.begin(); due != m_probes.end() && due->first <= now; ++due) {
+        // A full worker keeps no other from its probe, but a step looks at a few only.
+        if (++looked > probesLookedAt)
+            break;
+        const auto worker = due->second;
+        if (!m_index.hasFreeSlot(worker))
+            continue;
+        m_probes.erase(due);
+        m_index.occupy(worker);
+        return placement {worker, m_workers.at(worker).stay, true};
+    }
+    return std::nullopt;
 }
 
 void worker_pool::release(const placement &held, kind_id kind, send_outcome outcome, time_point now)
@@ -99,6 +112,11 @@
 
 void worker_pool::judgeProbe(worker_id worker, worker_entry &entry, bool failed, time_point now)
 {
+    // It left while the probe ran.
+    if (!entry.health.quarantined())
+        return;
+    // It may have come back and been quarantined anew meanwhile.
+    m_probes.erase({entry.health.probeAt(), worker});
     if (failed) {
         entry.health.quarantine(now);
     } else if (entry.health.probeAnswered()) {
--- a/src/decision/worker_pool.h
+++ b/src/decision/worker_pool.h
@@ -48,6 +48,7 @@
 
     void judge(worker_id worker, worker_entry &entry, time_point now);
     void judgeProbe(worker_id worker, worker_entry &entry, bool failed, time_point now);
+    void endQuarantine(worker_id worker, worker_entry &entry);
     bool mayQuarantineOneMore() const;
 
     slot_index m_index;
--- a/tests/decision/request_policy_test.cpp
+++ b/tests/decision/request_policy_test.cpp
@@ -287,6 +287,29 @@
     CHECK(cell.scheduler.quarantined(search) == 0);
 }
 
+TEST_CASE("a quarantined worker that leaves or is full keeps no other from its probe")
+{
+    for (const bool leaves : {true, false}) {
+        CAPTURE(leaves);
+        bench cell;
+        cell.addWorkers(8, 2);
+        for (int each = 0; each < 60; ++each)
+            cell.serve(worker_id {3}, lookup);
+        cell.pass(10ms);
+        for (int each = 0; each < 60; ++each)
+            cell.serve(worker_id {4}, lookup);
+        REQUIRE(cell.scheduler.quarantined(search) == 2);
+        if (leaves)
+            cell.step(worker_leaving {worker_id {3}});
+        else
+            cell.step(worker_slots_confirmed {worker_id {3}, 2});
+        cell.pass(5s);
+        for (int each = 0; each < 3; ++each)
+            cell.serve(worker_id {99}, lookup);
+        CHECK(cell.scheduler.quarantined(search) == (leaves ? 0 : 1));
+    }
+}
+
 TEST_CASE("a kind that fails on every worker is not blamed on the workers")
 {
     bench cell;
