Prove a task in two places only by overlapping times

No task ran twice: a worker had restarted, the former owner moved its task to a worker that the new owner had not reached yet, and the new owner held an older report of the restarted worker. In a daemon the check would have aborted a healthy instance. Now two reports count only if the times certainly spent running overlap.

--- a/include/plantaingap/worker_lease.h
+++ b/include/plantaingap/worker_lease.h
@@ -153,7 +153,8 @@
     worker_id worker {};
 };
 
-// The task certainly does not run at this worker, and no order in flight can start it there.
+// The task certainly does not run at this worker, and no order in flight can start it there. It may
+// be known at another worker by then, where a former owner started it.
 struct task_stopped
 {
     worker_id worker {};
--- a/src/backend/worker_lease.cpp
+++ b/src/backend/worker_lease.cpp
@@ -60,7 +60,7 @@
     // An order that is stale on arrival would only cost the worker time.
     if (now - worker.stampedAt >= m_limits.startWindow)
         return errc::NotReady;
-    if (knownElsewhere(keyOf(request.task), worker_id {~0U}))
+    if (known(keyOf(request.task)))
         return errc::DuplicateKey;
     const bool fresh = request.origin == task_origin::Accepted && m_authority->rank == 0;
     if (!fresh && !allSettled() && !mutated("lease.skip_restart_certainty"))
@@ -68,11 +68,11 @@
     return errc::Ok;
 }
 
-bool worker_leases::knownElsewhere(const task_key &key, worker_id except) const
+bool worker_leases::known(const task_key &key) const
 {
     return std::ranges::any_of(m_workers, [&](const auto &entry) {
-        const auto &[id, worker] = entry;
-        return id != except && (worker.running.contains(key) || worker.starting.contains(key));
+        const auto &worker = entry.second;
+        return worker.running.contains(key) || worker.starting.contains(key);
     });
 }
 
@@ -172,7 +172,7 @@
     const bool first = worker.answered != m_authority;
     worker.answered = m_authority;
     worker.lapsed = false;
-    compare(event, worker, actions);
+    compare(event, worker, now, actions);
     review(event.worker, worker, actions);
     // What a former owner left running may be close to its lapse.
     if (first)
@@ -197,22 +197,37 @@
     return true;
 }
 
-void worker_leases::compare(const worker_answer &event, worker_state &worker,
+// Another worker's report may be older than the task's end there; only times that were certainly
+// spent running on both prove a task in two places.
+bool worker_leases::ranAtOnce(const task_key &key, const running_task &task, worker_id except) const
+{
+    return std::ranges::any_of(m_workers, [&](const auto &entry) {
+        const auto other = entry.second.running.find(key);
+        if (entry.first == except || other == entry.second.running.end())
+            return false;
+        return std::max(task.since, other->second.since)
+               < std::min(task.until, other->second.until);
+    });
+}
+
+void worker_leases::compare(const worker_answer &event, worker_state &worker, time_point now,
                             std::vector<lease_action> &actions)
 {
-    std::map<task_key, task_id> running;
+    std::map<task_key, running_task> running;
     for (const auto &task : event.running)
-        running.emplace(keyOf(task), task);
-    for (const auto &[key, task] : worker.running) {
+        running.emplace(keyOf(task), running_task {task, now, event.askedAt});
+    for (const auto &[key, former] : worker.running) {
         const auto still = running.find(key);
-        if (still == running.end() || still->second != task) {
-            worker.stopping.erase(task);
-            actions.emplace_back(task_stopped {event.worker, task});
+        if (still != running.end() && still->second.task == former.task) {
+            still->second.since = former.since;
+            continue;
         }
+        worker.stopping.erase(former.task);
+        actions.emplace_back(task_stopped {event.worker, former.task});
     }
     worker.running = std::move(running);
     for (const auto &[key, task] : worker.running)
-        PLANTAINGAP_INVARIANT(!knownElsewhere(key, event.worker), "lease.task_in_one_place");
+        PLANTAINGAP_INVARIANT(!ranAtOnce(key, task, event.worker), "lease.task_in_one_place");
     resolveStarts(event, worker, actions);
     // An earlier stop was lost, or overtook the start.
     for (const auto &task : worker.stopping)
@@ -238,8 +253,8 @@
 
 void worker_leases::endAll(worker_id id, worker_state &worker, std::vector<lease_action> &actions)
 {
-    for (const auto &[key, task] : worker.running)
-        actions.emplace_back(task_stopped {id, task});
+    for (const auto &[key, running] : worker.running)
+        actions.emplace_back(task_stopped {id, running.task});
     for (const auto &[key, started] : worker.starting) {
         if (!worker.running.contains(key))
             actions.emplace_back(task_stopped {id, started.task});
@@ -262,7 +277,7 @@
     worker.ready = true;
     worker_ready message {id, {}};
     for (const auto &[key, task] : worker.running)
-        message.running.push_back(task);
+        message.running.push_back(task.task);
     actions.emplace_back(std::move(message));
 }
 
--- a/src/backend/worker_lease.h
+++ b/src/backend/worker_lease.h
@@ -35,6 +35,14 @@
         worker_stamp latestStart;
     };
 
+    // Certainly ran from since until until, by our clock: between two answers that report it.
+    struct running_task
+    {
+        task_id task;
+        time_point since {};
+        time_point until {};
+    };
+
     struct worker_state
     {
         std::optional<worker_stamp> stamp;
@@ -50,7 +58,7 @@
         // When the last lease that we may have given lapses.
         time_point ownLapse = time_point::min();
         time_point askedAt = time_point::min();
-        std::map<task_key, task_id> running;
+        std::map<task_key, running_task> running;
         std::map<task_key, started_task> starting;
         std::set<task_id> stopping;
     };
@@ -69,7 +77,7 @@
 
     bool accept(const worker_answer &event, worker_state &worker, time_point now,
                 std::vector<lease_action> &actions);
-    void compare(const worker_answer &event, worker_state &worker,
+    void compare(const worker_answer &event, worker_state &worker, time_point now,
                  std::vector<lease_action> &actions);
     void resolveStarts(const worker_answer &event, worker_state &worker,
                        std::vector<lease_action> &actions);
@@ -83,7 +91,8 @@
     void checkLapse(worker_id id, worker_state &worker, time_point now,
                     std::vector<lease_action> &actions);
     bool covered(const worker_state &worker) const;
-    bool knownElsewhere(const task_key &key, worker_id except) const;
+    bool known(const task_key &key) const;
+    bool ranAtOnce(const task_key &key, const running_task &task, worker_id except) const;
 
     lease_limits m_limits;
     std::optional<epoch> m_authority;
--- a/tests/matrix/coordination_world.cpp
+++ b/tests/matrix/coordination_world.cpp
@@ -410,6 +410,9 @@
                 at.rules.taskEnded(task);
         }
         answer.askedAt = askedAt;
+        const auto deaf = m_deafUntil.find({sender, number(id)});
+        if (deaf != m_deafUntil.end() && m_network.now() < deaf->second)
+            return {};
         return answerTo(m_instances[sender],
                         [this, answer](instance &asker) { give(asker, lease_event(answer)); });
     };
@@ -668,6 +671,8 @@
         });
     else if (scenario == "a worker falls silent")
         onOwner([this](instance &self) { m_cutUntil[{self.index, 0}] = m_network.now() + 14s; });
+    else if (scenario == "a worker's answers are lost")
+        onOwner([this](instance &self) { m_deafUntil[{self.index, 0}] = m_network.now() + 14s; });
     else if (scenario == "a successor holds one worker")
         onOwner([this](instance &self) { splitBySuccessor(self); });
     else if (scenario == "a worker forgets its epoch")
--- a/tests/matrix/coordination_world.h
+++ b/tests/matrix/coordination_world.h
@@ -113,6 +113,8 @@
     std::set<instance_ref> m_gone;
     // Links between an instance and a worker that are cut, and until when.
     std::map<std::pair<std::uint32_t, std::uint32_t>, sim_time> m_cutUntil;
+    // Links over which orders arrive and answers do not.
+    std::map<std::pair<std::uint32_t, std::uint32_t>, sim_time> m_deafUntil;
 };
 
 } // namespace plantaingap::matrix
