--- a/tests/matrix/cells.cpp
+++ b/tests/matrix/cells.cpp
@@ -75,7 +75,6 @@
 
 void addPairs(const protocol &which, const cell &single, std::vector<cell> &cells)
 {
-    // A pair at every step and phase of the scenarios that differ most; the seed tells them apart.
     for (const fault second : which.seconds) {
         cell pair = single;
         pair.second = second;
@@ -105,6 +104,7 @@
             }
         }
     }
+    // All pairs would be six times as many; every sixth single gets each second fault.
     const auto singles = cells;
     for (std::size_t index = 0; index < singles.size(); index += 6)
         addPairs(which, singles[index], cells);
--- a/tests/matrix/mutation_test.cpp
+++ b/tests/matrix/mutation_test.cpp
@@ -1,10 +1,12 @@
 #include "matrix/cells.h"
 #include "matrix/coordination_world.h"
+#include "platform/backoff.h"
 
 #include <cstdio>
 #include <cstdlib>
 #include <doctest/doctest.h>
 #include <plantaingap/mutation.h>
+#include <set>
 
 #ifdef PLANTAINGAP_MUTATIONS
 
@@ -78,6 +80,7 @@
     {"store.share_sent_read", "a read on its way is not joined",
      "durable writes and requests sent once"},
     {"store.skip_budget", "calls stay within the budget", "durable writes and requests sent once"},
+    {"store.skip_jitter", "instances that failed together come back spread", "backoff"},
     {"membership.skip_sequence", "an older heartbeat is passed over", "membership and leaving"},
     {"membership.skip_list_revision", "an older list is passed over", "membership and leaving"},
 };
@@ -96,6 +99,18 @@
     return {};
 }
 
+// Of a hundred instances that fail together, hardly two may come back together.
+std::string herd()
+{
+    std::set<plantaingap::time_point> returns;
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+        plantaingap::platform::backoff machine(std::chrono::milliseconds(50),
+                                               std::chrono::seconds(5), seed);
+        returns.insert(machine.failed(plantaingap::time_point {}));
+    }
+    return returns.size() >= 90 ? "" : "backoff: a hundred instances come back together";
+}
+
 // Tries the cells of the scenario, then random runs, until one goes red.
 std::string caughtBy(const mutation_row &row)
 {
@@ -106,6 +121,8 @@
         if (!found.empty())
             return found;
     }
+    if (std::string_view(row.protocol) == "backoff")
+        return herd();
     if (std::string_view(row.protocol) != "ownership and leases")
         return {};
     for (std::uint64_t seed = 1; seed <= 1500; ++seed) {
