--- a/tests/matrix/cells.cpp
+++ b/tests/matrix/cells.cpp
@@ -1,6 +1,9 @@
 #include "matrix/cells.h"
 
+#include "matrix/config_world.h"
 #include "matrix/coordination_world.h"
+#include "matrix/membership_world.h"
+#include "matrix/store_world.h"
 
 #include <cstdio>
 
@@ -28,18 +31,50 @@
       "planned handover", "takeover with the store away", "owner cut off from the rest",
       "cancellations", "a worker reached by the former owner alone",
       "a dead owner's worker cannot be reached", "a worker falls silent",
-      "a successor holds one worker", "a worker forgets its epoch"},
+      "a worker's answers are lost", "a successor holds one worker", "a worker forgets its epoch"},
      {step::TableRead, step::TableWrite, step::Query, step::Renew, step::Start, step::Stop,
       step::Heartbeat},
      everyFault,
      {fault::Crash, fault::PausePastLease, fault::StoreAway, fault::StoreReplyLost,
       fault::WorkerRestart, fault::CutFromPeers, fault::CutFromWorkers, fault::CutFromStore},
+     1,
+     1,
      runIn<coordination_world>},
+    {"configuration in force",
+     {"one operator at a time", "operators race", "start with the store away"},
+     {step::HeadRead, step::HeadWrite, step::AuditWrite, step::Fetch, step::Heartbeat},
+     {fault::Crash, fault::PausePastLease, fault::Lost, fault::Duplicated, fault::Delayed,
+      fault::Reordered, fault::StoreAway, fault::StoreReplyLost, fault::Rival, fault::CutFromPeers,
+      fault::CutFromStore},
+     {fault::Crash, fault::PausePastLease, fault::StoreAway, fault::StoreReplyLost, fault::Rival,
+      fault::CutFromPeers, fault::CutFromStore},
+     20,
+     7,
+     runIn<config_world>},
+    {"durable writes and requests sent once",
+     {"repeats at once", "repeats later"},
+     {step::Commit, step::ReadBack, step::RequestSend},
+     {fault::Crash, fault::PausePastLease, fault::Lost, fault::Duplicated, fault::Delayed,
+      fault::Reordered, fault::StoreAway, fault::StoreReplyLost, fault::StoreSlow,
+      fault::CutFromStore},
+     {fault::Crash, fault::PausePastLease, fault::StoreAway, fault::StoreReplyLost,
+      fault::StoreSlow, fault::CutFromStore},
+     20,
+     7,
+     runIn<store_world>},
+    {"membership and leaving",
+     {"a worker leaves", "an instance is stopped by plan"},
+     {step::Heartbeat, step::ListRead},
+     {fault::Crash, fault::PausePastLease, fault::Lost, fault::Duplicated, fault::Delayed,
+      fault::Reordered, fault::CutFromPeers},
+     {fault::Crash, fault::PausePastLease, fault::CutFromPeers},
+     60,
+     3,
+     runIn<membership_world>},
 };
 
 void addPairs(const protocol &which, const cell &single, std::vector<cell> &cells)
 {
-    // A pair at every step and phase of the scenarios that differ most; the seed tells them apart.
     for (const fault second : which.seconds) {
         cell pair = single;
         pair.second = second;
@@ -62,11 +97,14 @@
         for (const step at : which.steps) {
             for (const auto when : {phase::BeforeSend, phase::SentNotApplied,
                                     phase::AppliedNotAnswered, phase::Answered}) {
-                for (const fault what : which.faults)
-                    cells.push_back({scenario, {what, at, when, 1}, {}, cells.size() + 1});
+                for (const fault what : which.faults) {
+                    for (std::uint32_t nth = 1; nth <= which.occurrences; nth += which.everyNth)
+                        cells.push_back({scenario, {what, at, when, nth}, {}, cells.size() + 1});
+                }
             }
         }
     }
+    // All pairs would be six times as many; every sixth single gets each second fault.
     const auto singles = cells;
     for (std::size_t index = 0; index < singles.size(); index += 6)
         addPairs(which, singles[index], cells);
