Hold a worker's slot until it is done, past the caller's deadline

Cause: the connection to the worker was cut at the caller's deadline and the slot counted as free, while the worker still ran the request: the next one met a busy worker. Now the caller is told at its deadline that the outcome is unknown, and the slot stays taken until the answer is there, or 60 s more have passed.

--- a/src/backend/worker_transport.cpp
+++ b/src/backend/worker_transport.cpp
@@ -14,6 +14,10 @@
 
 namespace {
 
+// An answer is awaited this much longer than its caller waits: the worker's slot is held until
+// then.
+constexpr std::chrono::seconds slotPatience {60};
+
 support::http_request workerRequest(const send_order &order)
 {
     const auto &request = *order.request;
@@ -115,7 +119,8 @@
 
 asio::awaitable<void> worker_transport::run(std::shared_ptr<worker_link> link, send_order order)
 {
-    auto outcome = co_await link->client.fetch(workerRequest(order), order.request->deadline);
+    auto outcome =
+        co_await link->client.fetch(workerRequest(order), order.request->deadline + slotPatience);
     send_ended ended;
     ended.request = order.request->id;
     ended.worker = order.worker;
--- a/src/runtime/instance.cpp
+++ b/src/runtime/instance.cpp
@@ -113,7 +113,7 @@
                 else
                     transport.add(std::get<backend::worker_address>(message));
             })
-    , ends(schedulingDuty.context(), openTogether,
+    , ends(schedulingDuty.context(), openTogether + noteSlots,
            [this](backend::send_ended &&ended) { desk->sendEnded(std::move(ended)); })
     , answers(callerDuty.context(), openRequests,
               [this](service_answer_ptr &&answer) { listener.deliver(answer); })
--- a/src/runtime/request_desk.cpp
+++ b/src/runtime/request_desk.cpp
@@ -326,6 +326,7 @@
     PLANTAINGAP_INVARIANT(found != m_open.end(), "an ended send belongs to an open request");
     auto &open = found->second;
     open.sent = false;
+    m_sent.erase({open.request->deadline, ended.request});
     open.mayHaveRun = open.mayHaveRun || ended.outcome == send_outcome::Unknown;
     const auto group = open.group;
     const bool former = open.heldBy == holder::FormerTenure;
@@ -373,8 +374,10 @@
     const bool keyed = owned && owned->keys && !open.request->idempotent;
     if (keyed && answer->code == errc::Ok)
         owned->keys->answered(*open.request, answer->status);
+    const bool told = open.told;
     m_open.erase(found);
-    m_outlets.answer(std::move(answer));
+    if (!told)
+        m_outlets.answer(std::move(answer));
 }
 
 void request_desk::refuse(open_table::iterator found, errc code, run_state run, time_point retryAt)
@@ -420,6 +423,8 @@
     auto &open = m_open.at(action.request);
     PLANTAINGAP_INVARIANT(tenure(open.group) == &owned, "only the owner of a group sends");
     open.sent = true;
+    m_sent.emplace(open.request->deadline, action.request);
+    armTimerAt(open.request->deadline);
     m_outlets.sendToWorker({open.request, action.worker, owned.name(), owned.authority()});
 }
 
@@ -478,20 +483,46 @@
 
 void request_desk::armTimer(const group_tenure &owned)
 {
-    const auto next = owned.scheduler.nextDeadline();
-    if (!next || (m_armedFor && *m_armedFor <= *next))
+    if (const auto next = owned.scheduler.nextDeadline())
+        armTimerAt(*next);
+}
+
+void request_desk::armTimerAt(time_point next)
+{
+    if (m_armedFor && *m_armedFor <= next)
         return;
     m_armedFor = next;
-    m_timer.expires_at(*next);
+    m_timer.expires_at(next);
     m_timer.async_wait([this](const auto &error) {
         if (!error)
             expire();
     });
 }
 
+// Tells callers whose deadline passes while their request is on a worker. The slot is not free
+// before the worker has answered, or the transport has given up on it.
+void request_desk::tellLate(time_point now)
+{
+    while (!m_sent.empty() && m_sent.begin()->first <= now) {
+        const auto id = m_sent.begin()->second;
+        m_sent.erase(m_sent.begin());
+        auto &open = m_open.at(id);
+        open.told = true;
+        auto late = std::make_shared<service_answer>();
+        late->id = id;
+        late->code = errc::OutcomeUnknown;
+        late->run = run_state::Unknown;
+        late->retryAt = now;
+        m_outlets.answer(std::move(late));
+    }
+    if (!m_sent.empty())
+        armTimerAt(m_sent.begin()->first);
+}
+
 void request_desk::expire()
 {
     m_armedFor.reset();
+    tellLate(clock::now());
     for (auto &[id, owned] : m_tenures) {
         std::vector<request_action> actions;
         const auto now = clock::now();
--- a/src/runtime/request_desk.h
+++ b/src/runtime/request_desk.h
@@ -85,6 +85,8 @@
         // Sent to a worker and not ended.
         bool sent = false;
         bool forwarded = false;
+        // The caller was told at its deadline; only the worker's slot is still held.
+        bool told = false;
         // Until when it may stay parked.
         time_point parkedUntil {};
     };
@@ -120,6 +122,8 @@
     void refreshSummaries();
     void publish();
     void armTimer(const group_tenure &owned);
+    void armTimerAt(time_point next);
+    void tellLate(time_point now);
     void expire();
 
     boost::asio::io_context &m_context;
@@ -134,6 +138,8 @@
     std::map<group_id, std::unique_ptr<group_tenure>> m_tenures;
     open_table m_open;
     std::deque<request_id> m_parked;
+    // Requests on workers by their deadlines.
+    std::set<std::pair<time_point, request_id>> m_sent;
     // Kept between steps to save its memory.
     std::vector<decision::request_action> m_actions;
     boost::asio::steady_timer m_timer;
--- a/tests/process/several_instances_test.cpp
+++ b/tests/process/several_instances_test.cpp
@@ -91,3 +91,17 @@
     CHECK(countIn(report, "crossed") == 0);
     CHECK(cluster.count("over_slots") == 0);
 }
+
+TEST_CASE("a request that outlasts its caller's deadline holds its slot until the worker is done")
+{
+    test_cluster cluster(1, 1, {"--work-us=150000"});
+    cluster.awaitService(0);
+    const auto before = cluster.count("served");
+    auto load = cluster.load(16, 64, {"--deadline-ms=50"});
+    const auto report = json::parse(load.rest());
+    load.wait();
+    CHECK(countIn(report, "failed") == 0);
+    CHECK(countIn(report, "unknown") == cluster.count("served") - before);
+    CHECK(countIn(report, "unknown") + countIn(report, "refused") == 64);
+    CHECK(cluster.count("over_slots") == 0);
+}
--- a/tools/load.cpp
+++ b/tools/load.cpp
@@ -34,6 +34,7 @@
     // A caller whose instance went away, or refused as not run, goes on to the next one, with the
     // same request if it is idempotent or was not run.
     bool follow = false;
+    std::uint32_t deadlineMs = 0;
 };
 
 struct load_counts
@@ -106,6 +107,8 @@
         message.set("Plantaingap-Idempotent", m_plan.keyed ? "false" : "true");
         if (m_plan.keyed)
             message.set("Plantaingap-Request-Key", "load-" + std::to_string(m_sent));
+        if (m_plan.deadlineMs > 0)
+            message.set("Plantaingap-Deadline-Ms", std::to_string(m_plan.deadlineMs));
         // The stand-in for workers wants it when it is called directly.
         message.set("Plantaingap-Request-Id", std::to_string(m_sent));
         return message;
@@ -172,7 +175,8 @@
         "callers", options::value(&plan.callers)->default_value(8), "requests at once")(
         "requests", options::value(&plan.requests)->default_value(10000), "requests in all")(
         "body-bytes", options::value(&plan.bodyBytes)->default_value(64), "size of a request")(
-        "keyed", options::bool_switch(&plan.keyed), "requests are not idempotent")(
+        "deadline-ms", options::value(&plan.deadlineMs)->default_value(0),
+        "0 for none")("keyed", options::bool_switch(&plan.keyed), "requests are not idempotent")(
         "follow", options::bool_switch(&plan.follow), "ask the next server when one goes away");
     options::variables_map given;
     options::store(options::parse_command_line(argc, argv, known), given);
