--- a/src/operator/cli_configuration.cpp
+++ b/src/operator/cli_configuration.cpp
@@ -69,7 +69,7 @@
 
 std::string versionTarget(const po::variables_map &options, const std::string &key)
 {
-    const std::string target = "/v1/configuration";
+    std::string target = "/v1/configuration";
     if (!options.contains(key))
         return target;
     return target + "?version=" + std::to_string(options[key].as<std::uint64_t>());
--- a/src/operator/cli_connection.cpp
+++ b/src/operator/cli_connection.cpp
@@ -50,7 +50,7 @@
 
 cli_connection::cli_connection(asio::ip::tcp::endpoint server, std::string token,
                                support::tls_context tls, std::chrono::milliseconds timeout)
-    : m_client(m_context, server, 1, std::move(tls))
+    : m_client(m_context, std::move(server), 1, std::move(tls))
     , m_token(std::move(token))
     , m_timeout(timeout)
 { }
