Bound what quotas returned and reservations cost

Now quota is taken back where that loses less than a tenth of the time waited, or from work that ran on it for five minutes. Tried and reverted: keeping room for batch jobs that were overtaken for 30 s.

--- a/src/decision/all_or_nothing.cpp
+++ b/src/decision/all_or_nothing.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+// How often it is looked whether stopping others would fill a reservation.
+constexpr auto reviewPause = std::chrono::milliseconds(500);
+
 struct worker_offer
 {
     std::uint32_t worker = 0;
@@ -142,29 +145,41 @@
     return worker.claimed.fitsIn(worker.free());
 }
 
-// Backfill that must end for the claims on this worker, or batch work of teams that hold a larger
-// share than the job's. Empty result: even that is not enough.
+// Batch work gives way to a job whose team holds less, or lives within its quota with the job.
+bool givesWay(const task_step &step, const job_record &job, const task_ref &ref)
+{
+    const auto &task = ref.job->tasks[ref.index];
+    if (ref.job->spec.kind != job_kind::Batch || !mayYield(*ref.job)
+        || step.now - task.startedAt < step.limits.minimumRun)
+        return false;
+    const auto &teams = step.ledger.teams();
+    return teams.share(ref.job->spec.team) > teams.share(job.spec.team)
+           || teams.shareWith(job.spec.team, {}) <= wholeQuota;
+}
+
+// What must end for the claims on this worker, backfill first and then what loses least. None when
+// even that is not enough.
 std::optional<victims> fillersOn(const task_step &step, const job_record &job,
                                  const worker_record &worker, bool alsoBatch)
 {
-    victims chosen;
+    std::vector<std::pair<double, task_ref>> offered;
     auto room = worker.free();
-    const auto &teams = step.ledger.teams();
-    const auto share = teams.share(job.spec.team);
     for (const auto &ref : worker.tasks) {
         const auto &task = ref.job->tasks[ref.index];
-        if (task.phase == task_phase::Stopping) {
+        if (task.phase == task_phase::Stopping)
             room += task.held;
-            continue;
-        }
-        const bool older = step.now - task.startedAt >= step.limits.minimumRun;
-        const bool larger = alsoBatch && older && ref.job->spec.kind == job_kind::Batch
-                            && teams.share(ref.job->spec.team) > share;
+        else if (task.backfill)
+            offered.emplace_back(0, ref);
+        else if (mayPreempt(step, job, ref) || (alsoBatch && givesWay(step, job, ref)))
+            offered.emplace_back(lostWork(step, ref), ref);
+    }
+    std::stable_sort(offered.begin(), offered.end(),
+                     [](const auto &left, const auto &right) { return left.first < right.first; });
+    victims chosen;
+    for (const auto &[cost, ref] : offered) {
         if (worker.claimed.fitsIn(room))
-            continue;
-        if (!task.backfill && !larger && !mayPreempt(step, job, ref))
-            continue;
-        room += task.held;
+            break;
+        room += ref.job->tasks[ref.index].held;
         chosen.tasks.push_back(ref);
     }
     if (!worker.claimed.fitsIn(room))
@@ -185,11 +200,28 @@
 {
     const auto workers = job.claimedWorkers;
     step.ledger.dropClaims(job);
-    job.nextAttempt = step.now + step.limits.reservationPatience;
+    job.nextAttempt = step.now + step.limits.reservationYield;
     for (const auto worker : workers)
         offerWorker(step, worker);
 }
 
+// Stops what still runs in the claimed room, when that is all that is missing.
+bool stopFillers(task_step &step, const job_record &job, bool alsoBatch)
+{
+    victims fillers;
+    for (const auto at : job.claimedWorkers) {
+        const auto &worker = step.ledger.worker(at);
+        if (isFull(worker))
+            continue;
+        const auto chosen = fillersOn(step, job, worker, alsoBatch);
+        if (!chosen)
+            return false;
+        fillers.tasks.insert(fillers.tasks.end(), chosen->tasks.begin(), chosen->tasks.end());
+    }
+    stopVictims(step, job, fillers);
+    return true;
+}
+
 } // namespace
 
 bool startTogether(task_step &step, job_record &job)
@@ -229,35 +261,23 @@
     }
     job.reserving = true;
     job.reservedAt = step.now;
+    job.nextReview = step.now;
     return true;
 }
 
 void reviewReservation(task_step &step, job_record &job)
 {
+    const auto full = [&](std::uint32_t at) { return isFull(step.ledger.worker(at)); };
+    if (std::all_of(job.claimedWorkers.begin(), job.claimedWorkers.end(), full))
+        return startClaimed(step, job);
+    if (step.now < job.nextReview)
+        return;
+    job.nextReview = step.now + reviewPause;
     const bool patient = step.now < job.reservedAt + step.limits.reservationYield;
     const bool alsoBatch = !patient || job.level == work_level::Urgent;
-    bool full = true;
-    bool fillable = true;
-    victims fillers;
-    for (const auto at : job.claimedWorkers) {
-        const auto &worker = step.ledger.worker(at);
-        if (isFull(worker))
-            continue;
-        full = false;
-        const auto chosen = fillersOn(step, job, worker, alsoBatch);
-        if (!chosen) {
-            fillable = false;
-            break;
-        }
-        fillers.tasks.insert(fillers.tasks.end(), chosen->tasks.begin(), chosen->tasks.end());
-    }
-    if (full)
-        return startClaimed(step, job);
-    if (fillable) {
+    if (stopFillers(step, job, alsoBatch))
         job.filling = true;
-        return stopVictims(step, job, fillers);
-    }
-    if (step.now >= job.reservedAt + step.limits.reservationPatience)
+    else if (step.now >= job.reservedAt + step.limits.reservationPatience)
         giveUp(step, job);
 }
 
--- a/src/decision/preemption.cpp
+++ b/src/decision/preemption.cpp
@@ -18,6 +18,10 @@
 // A checkpoint costs about this much work even when nothing else is lost.
 constexpr double checkpointCost = 1.0;
 
+// A team takes quota back where that loses less than this part of the time that it has waited, or
+// where the work has run on it for long enough.
+constexpr double worthLosing = 0.1;
+
 bool takesQuotaBack(const task_step &step, const job_record &job, const task_ref &victim)
 {
     const auto &task = victim.job->tasks[victim.index];
@@ -25,6 +29,10 @@
         return false;
     if (step.now - task.startedAt < step.limits.minimumRun)
         return false;
+    const std::chrono::duration<double> waited = step.now - job.servedAt;
+    const bool cheap = lostWork(step, victim) <= waited.count() * worthLosing;
+    if (!cheap && step.now - task.startedAt < step.limits.borrowedRun)
+        return false;
     const auto &teams = step.ledger.teams();
     if (mutated("tasks.preempt_within_quota"))
         return job.spec.team != victim.job->spec.team;
--- a/src/decision/task_ledger.cpp
+++ b/src/decision/task_ledger.cpp
@@ -88,6 +88,7 @@
     job.level = levelOf(submitted);
     job.sequence = ++m_submissions;
     job.acceptedAt = now;
+    job.servedAt = now;
     job.barrier = submitted.origin == job_origin::Recovered ? m_joins : 0;
     job.tasks.resize(submitted.tasks);
     for (auto &task : job.tasks)
@@ -149,6 +150,7 @@
     move(job, index, task_phase::Starting);
     task.attempt = std::max(task.attempt, job.spec.attemptFloor) + 1;
     ++m_starts;
+    job.servedAt = now;
     task.checkpointAsked = false;
     task.backfill = false;
     task.startedAt = now;
--- a/src/decision/task_scheduler.h
+++ b/src/decision/task_scheduler.h
@@ -83,6 +83,7 @@
     void sweepTogether(task_step &step);
     void sweepPreemption(task_step &step, work_level level);
     void sweepReturns(task_step &step);
+    void takeBack(task_step &step, job_record &job);
     void sweepWaiting(task_step &step);
     bool anyoneWaits() const;
 
@@ -96,6 +97,8 @@
     std::uint64_t m_startsSeen = 0;
     // All-or-nothing jobs that collect room.
     std::vector<job_id> m_reserving;
+    // When teams may take quota back next.
+    time_point m_nextReturn {};
     // The sweep goes through the waiting jobs in parts; where it goes on.
     std::size_t m_sweepLevel = 0;
     std::uint32_t m_sweepTeam = 0;
--- a/src/decision/task_state.h
+++ b/src/decision/task_state.h
@@ -131,6 +131,8 @@
     // Order of acceptance.
     std::uint64_t sequence = 0;
     time_point acceptedAt {};
+    // When a task of the job was last started, or the job accepted.
+    time_point servedAt {};
     std::vector<task_record> tasks;
     std::array<std::uint32_t, static_cast<std::size_t>(task_phase::Count)> counts {};
     // Tasks that wait, in order.
@@ -143,6 +145,7 @@
     std::uint32_t claimedTasks = 0;
     std::vector<std::uint32_t> claimedWorkers;
     time_point reservedAt {};
+    time_point nextReview {};
     time_point nextAttempt {};
     bool reserving = false;
     // What still runs in the claimed room has been told to end; nothing new is let in.
--- a/src/decision/task_sweep.cpp
+++ b/src/decision/task_sweep.cpp
@@ -9,12 +9,17 @@
 
 namespace {
 
+// Waiting jobs that are offered the group in one sweep.
+constexpr std::size_t jobsPerSweep = 16;
+
 // All-or-nothing jobs that are tried in one sweep, and how long one that did not fit waits.
 constexpr std::uint32_t togetherPerSweep = 2;
 constexpr auto togetherPause = std::chrono::milliseconds(500);
 
 // Jobs for which others may be stopped in one sweep.
-constexpr std::uint32_t returnsPerSweep = 8;
+constexpr std::uint32_t returnsPerSweep = 4;
+constexpr std::uint32_t returnsPerJob = 8;
+constexpr auto returnPause = std::chrono::milliseconds(500);
 
 // The first waiting jobs of a level by their teams' share, as ids, since starting them changes the
 // order.
@@ -101,17 +106,28 @@
 // Teams within their quota take back what others borrowed, after some patience.
 void task_scheduler::sweepReturns(task_step &step)
 {
+    if (step.now < m_nextReturn)
+        return;
+    m_nextReturn = step.now + returnPause;
     const auto jobs =
         firstJobs(m_ledger, work_level::Normal, returnsPerSweep, [&](const job_record &job) {
             return job.spec.kind == job_kind::Batch && job.waiting.size() > job.claimedTasks
-                   && step.now - job.acceptedAt >= m_limits.returnPatience;
+                   && step.now - job.servedAt >= m_limits.returnPatience;
         });
     for (auto *job : jobs) {
-        if (step.budget == 0)
+        if (mayStart(step, *job))
+            takeBack(step, *job);
+    }
+}
+
+// Several tasks at a time, since the patience begins anew when the job is served.
+void task_scheduler::takeBack(task_step &step, job_record &job)
+{
+    const auto &teams = m_ledger.teams();
+    for (std::uint32_t tasks = 0; tasks < returnsPerJob && step.budget > 0; ++tasks) {
+        const bool within = teams.shareWith(job.spec.team, job.need) <= wholeQuota;
+        if (!within || job.waiting.size() <= job.claimedTasks || !preemptFor(step, job))
             return;
-        const auto share = m_ledger.teams().shareWith(job->spec.team, job->need);
-        if (share <= wholeQuota && mayStart(step, *job))
-            preemptFor(step, *job);
     }
 }
 
@@ -120,7 +136,7 @@
     const auto &teams = m_ledger.teams();
     std::vector<job_record *> found;
     std::uint32_t empty = 0;
-    while (found.size() < m_limits.lookAhead && empty < workLevels * teams.teamCount()) {
+    while (found.size() < jobsPerSweep && empty < workLevels * teams.teamCount()) {
         if (m_sweepTeam >= teams.teamCount()) {
             m_sweepTeam = 0;
             m_sweepLevel = (m_sweepLevel + 1) % workLevels;
