--- a/benchmarks/task_policy.cpp
+++ b/benchmarks/task_policy.cpp
@@ -67,6 +67,7 @@
     bool badWorkers = false;
     bool rackLosses = false;
     bool lateUsage = false;
+    bool cancelWaves = false;
 };
 
 const std::vector<fault> faults = {
@@ -75,6 +76,7 @@
     {"bad-workers", false, true, false, false},
     {"rack-losses", false, false, true, false},
     {"late-usage", false, false, false, true},
+    {"cancel-waves", false, false, false, false, true},
 };
 
 double cpuSeconds()
@@ -177,7 +179,7 @@
         account(next);
         m_now = next;
         if (m_policy->nextDeadline() && *m_policy->nextDeadline() <= m_now)
-            measured([&] { m_policy->expire(m_now, m_actions); });
+            measured(m_timerTimes, [&] { m_policy->expire(m_now, m_actions); });
         while (!m_plan.empty() && m_plan.top().at <= m_now) {
             const auto what = m_plan.top().what;
             m_plan.pop();
@@ -187,16 +189,16 @@
 
     void send(const task_event &event)
     {
-        measured([&] { m_policy->step(event, m_now, m_actions); });
+        measured(m_eventTimes, [&] { m_policy->step(event, m_now, m_actions); });
     }
 
-    void measured(const deed &decide)
+    void measured(std::vector<double> &times, const deed &decide)
     {
         const auto before = cpuSeconds();
         decide();
         const auto spent = cpuSeconds() - before;
         if (m_now >= m_warm && m_warm != time_point {}) {
-            m_stepTimes.push_back(spent * 1e6);
+            times.push_back(spent * 1e6);
             m_cpu += spent;
         }
         obey();
@@ -214,6 +216,8 @@
             m_bad[at] = at % 50 == 7;
         if (m_fault.rackLosses)
             plan(m_now + seconds(60), [this] { loseRack(); });
+        if (m_fault.cancelWaves)
+            plan(m_now + seconds(30), [this] { submitWave(); });
         if (m_fault.lateUsage)
             plan(m_now + seconds(10), [this] { reportUsage(); });
     }
@@ -327,12 +331,32 @@
         submit(kind_of_work::Batch, 1 + below(15), shape(), run);
     }
 
+    // Ten thousand jobs arrive at once and are cancelled at once ten seconds later.
+    void submitWave()
+    {
+        const auto first = m_jobs + 1;
+        for (int at = 0; at < 10'000; ++at)
+            submit(kind_of_work::Batch, 1, {500, 1'024, 0}, m_scenario.runSeconds);
+        plan(m_now + seconds(10), [this, first] { cancelWave(first); });
+        plan(m_now + seconds(60), [this] { submitWave(); });
+    }
+
+    void cancelWave(std::uint64_t first)
+    {
+        const auto before = m_cpu;
+        for (std::uint64_t id = first; id < first + 10'000; ++id)
+            send(job_cancelled {job_id {id}});
+        m_waveCpu = std::max(m_waveCpu, m_cpu - before);
+    }
+
     void loseRack()
     {
+        const auto before = m_cpu;
         const auto racks = static_cast<std::uint32_t>(m_workers.size() / 8);
         const auto rack = below(racks);
         for (std::uint32_t id = rack * 8; id < rack * 8 + 8; ++id)
             send(worker_lost {worker_id {id}});
+        m_waveCpu = std::max(m_waveCpu, m_cpu - before);
         plan(m_now + seconds(10), [this, rack] { replaceRack(rack); });
         plan(m_now + seconds(60), [this] { loseRack(); });
     }
@@ -570,6 +594,8 @@
     std::uint64_t m_finished[4] = {};
     double m_lost = 0;
     double m_cpu = 0;
+    // The most that one wave of cancellations, or the loss of one rack, took in all its steps.
+    double m_waveCpu = 0;
     double m_span = 0;
     double m_tasks = 0;
     double m_use[3] = {};
@@ -577,9 +603,19 @@
     std::uint64_t m_strandedSamples = 0;
     time_point m_nextStranded {};
     std::vector<double> m_waits[std::size_t(kind_of_work::Count)];
-    std::vector<double> m_stepTimes;
+    std::vector<double> m_eventTimes;
+    std::vector<double> m_timerTimes;
 };
 
+void printTimes(const char *what, std::vector<double> &times)
+{
+    const double p50 = percentile(times, 0.5);
+    const double p99 = percentile(times, 0.99);
+    const double p999 = percentile(times, 0.999);
+    std::printf("  CPU of %-8s n %7zu  p50 %.2f us  p99 %.2f us  p99.9 %.2f us  longest %.0f us\n",
+                what, times.size(), p50, p99, p999, times.empty() ? 0 : times.back());
+}
+
 void simulation::print(const std::string &policy, std::FILE *csv)
 {
     std::printf("\n%s, fault %s, policy %s\n", m_scenario.name.c_str(), m_fault.name.c_str(),
@@ -609,14 +645,10 @@
                 m_lost / (m_use[0] * double(m_total.milliCores) / 1000), m_throttles);
     std::printf("  jobs: succeeded %lu failed %lu rejected %lu; quarantined %lu returned %lu\n",
                 m_finished[0], m_finished[1], m_rejected, m_quarantines, m_returns);
-    const double p50 = percentile(m_stepTimes, 0.5);
-    const double p99 = percentile(m_stepTimes, 0.99);
-    const double p999 = percentile(m_stepTimes, 0.999);
-    std::printf(
-        "  steps %zu: CPU p50 %.2f us p99 %.2f us p99.9 %.2f us longest %.0f us; %.0f steps "
-        "per CPU-s; %.3f %% of a core\n",
-        m_stepTimes.size(), p50, p99, p999, m_stepTimes.empty() ? 0 : m_stepTimes.back(),
-        double(m_stepTimes.size()) / m_cpu, 100 * m_cpu / m_span);
+    printTimes("events", m_eventTimes);
+    printTimes("timers", m_timerTimes);
+    std::printf("  %.0f starts per CPU-s, %.3f %% of a core; a whole wave took %.2f ms\n",
+                double(m_measuredStarts) / m_cpu, 100 * m_cpu / m_span, m_waveCpu * 1e3);
     std::fflush(stdout);
 }
 
--- a/src/decision/task_scheduler.cpp
+++ b/src/decision/task_scheduler.cpp
@@ -15,6 +15,9 @@
 // Timers that one call of expire() handles.
 constexpr int timersPerStep = 64;
 
+// Cancellations that are carried out at once.
+constexpr std::uint32_t cancelsPerStep = 16;
+
 // One copy in this many of a service is away at a time while it is moved off a leaving worker.
 constexpr std::size_t movedPart = 10;
 constexpr auto drainPause = std::chrono::milliseconds(500);
@@ -50,11 +53,12 @@
 void task_scheduler::expire(time_point now, std::vector<task_action> &actions)
 {
     static constexpr handler handlers[] = {
-        &task_scheduler::onSweep,     &task_scheduler::onContinue, &task_scheduler::onCheckpoint,
-        &task_scheduler::onStopAgain, &task_scheduler::onRetry,    &task_scheduler::onStartBy,
-        &task_scheduler::onProbe,     &task_scheduler::onDrain,
+        &task_scheduler::onSweep,      &task_scheduler::onContinue,  &task_scheduler::onCancel,
+        &task_scheduler::onCheckpoint, &task_scheduler::onStopAgain, &task_scheduler::onRetry,
+        &task_scheduler::onStartBy,    &task_scheduler::onProbe,     &task_scheduler::onDrain,
     };
     auto context = begin(now, actions);
+    m_cancelsNow = 0;
     for (int handled = 0; handled < timersPerStep; ++handled) {
         if (m_timers.empty() || m_timers.begin()->first > now || context.budget == 0)
             break;
@@ -269,12 +273,23 @@
     while (job.waiting.size() > job.claimedTasks && step.budget > 0 && preemptFor(step, job)) { }
 }
 
+// A wave of cancellations is only noted, so that it does not hold up what comes behind it.
 void task_scheduler::on(const job_cancelled &event, task_step &step)
 {
-    auto *job = m_ledger.findJob(event.job);
-    if (job == nullptr || job->cancelled)
-        return;
-    endJob(step, *job, job_outcome::Cancelled);
+    if (m_cancelsNow < cancelsPerStep) {
+        ++m_cancelsNow;
+        return cancel(step, event.job);
+    }
+    if (m_cancels.empty())
+        m_timers.emplace(step.now, timer {timer_kind::Cancel, {}, {}});
+    m_cancels.push_back(event.job);
+}
+
+void task_scheduler::cancel(task_step &step, job_id id)
+{
+    auto *job = m_ledger.findJob(id);
+    if (job != nullptr && !job->cancelled)
+        endJob(step, *job, job_outcome::Cancelled);
 }
 
 void task_scheduler::endJob(task_step &step, job_record &job, job_outcome outcome)
--- a/src/decision/task_scheduler.h
+++ b/src/decision/task_scheduler.h
@@ -59,6 +59,7 @@
 
     void onSweep(task_step &step, const timer &due);
     void onContinue(task_step &step, const timer &due);
+    void onCancel(task_step &step, const timer &due);
     void onCheckpoint(task_step &step, const timer &due);
     void onStopAgain(task_step &step, const timer &due);
     void onRetry(task_step &step, const timer &due);
@@ -74,6 +75,7 @@
     void endTask(task_step &step, job_record &job, std::uint32_t index, task_outcome outcome);
     void settleFailure(task_step &step, job_record &job, std::uint32_t index);
     void delayRetry(task_step &step, job_record &job, std::uint32_t index);
+    void cancel(task_step &step, job_id id);
     void endJob(task_step &step, job_record &job, job_outcome outcome);
     void settleJob(task_step &step, job_record &job);
     void offerFirst(task_step &step, job_record &job);
@@ -95,6 +97,9 @@
     // Failed tasks are tried again out of this budget, which starts fill.
     double m_retryTokens = 10;
     std::uint64_t m_startsSeen = 0;
+    // Cancellations carried out since the last timer, and those that wait for one.
+    std::uint32_t m_cancelsNow = 0;
+    std::deque<job_id> m_cancels;
     // All-or-nothing jobs that collect room.
     std::vector<job_id> m_reserving;
     // When teams may take quota back next.
--- a/src/decision/task_step.h
+++ b/src/decision/task_step.h
@@ -13,6 +13,8 @@
     Sweep,
     // Goes on with what a step's budget left over.
     Continue,
+    // Carries out cancellations that came in a wave.
+    Cancel,
     // The time for a checkpoint is over.
     Checkpoint,
     // The stop was not answered.
--- a/src/decision/task_sweep.cpp
+++ b/src/decision/task_sweep.cpp
@@ -167,6 +167,16 @@
     settleJob(step, *job);
 }
 
+void task_scheduler::onCancel(task_step &step, const timer &)
+{
+    for (; !m_cancels.empty() && step.budget > 0; m_cancels.pop_front()) {
+        --step.budget;
+        cancel(step, m_cancels.front());
+    }
+    if (!m_cancels.empty())
+        m_timers.emplace(step.now, timer {timer_kind::Cancel, {}, {}});
+}
+
 void task_scheduler::onCheckpoint(task_step &step, const timer &due)
 {
     if (auto *job = m_ledger.findTask(due.task))
--- a/tests/decision/task_policy_test.cpp
+++ b/tests/decision/task_policy_test.cpp
@@ -317,6 +317,26 @@
     CHECK(group.count<stop_task>() == started);
 }
 
+TEST_CASE("a wave of cancelled jobs is noted at once and carried out in bounded steps")
+{
+    task_fixture group;
+    group.addWorkers(1, Worker);
+    for (std::uint64_t id = 1; id <= 1'000; ++id)
+        group.send(someJob(id, job_kind::Batch, 1, Worker));
+    std::size_t atOnce = 0;
+    for (std::uint64_t id = 1; id <= 1'000; ++id)
+        atOnce += group.send(job_cancelled {job_id {id}}).size();
+    CHECK(atOnce <= 16);
+    while (group.scheduler.nextDeadline() && *group.scheduler.nextDeadline() <= group.now) {
+        std::vector<task_action> fresh;
+        group.scheduler.expire(group.now, fresh);
+        CHECK(fresh.size() <= 2 * group.limits.stepBudget);
+        group.actions.insert(group.actions.end(), fresh.begin(), fresh.end());
+    }
+    obeyStops(group);
+    CHECK(group.scheduler.jobs() == 0);
+}
+
 TEST_CASE("a new owner takes running tasks over and starts the others only when all have answered")
 {
     task_fixture group;
