--- a/src/decision/preemption.cpp
+++ b/src/decision/preemption.cpp
@@ -11,9 +11,10 @@
 namespace {
 
 // Workers with room to make that are compared for one preemption, and workers that are looked at;
-// claims may have taken the room of some.
+// claims may have taken the room of some. Quota that is taken back may wait for a later look.
 constexpr std::uint32_t mostCandidates = 16;
 constexpr std::uint32_t mostLooked = 256;
+constexpr std::uint32_t mostLookedForReturns = 48;
 
 // A checkpoint costs about this much work even when nothing else is lost.
 constexpr double checkpointCost = 1.0;
@@ -137,7 +138,7 @@
     std::optional<victims> best;
     std::uint32_t bestWorker = 0;
     auto candidates = mostCandidates;
-    auto looked = mostLooked;
+    auto looked = job.level <= work_level::Service ? mostLooked : mostLookedForReturns;
     step.ledger.yielding().visitFitting(job.need, [&](std::uint32_t worker) {
         if (accepts(step.ledger, job, worker)) {
             auto offer = chooseVictims(step, job, worker);
--- a/src/decision/task_sweep.cpp
+++ b/src/decision/task_sweep.cpp
@@ -17,9 +17,9 @@
 constexpr auto togetherPause = std::chrono::milliseconds(500);
 
 // Jobs for which others may be stopped in one sweep.
-constexpr std::uint32_t returnsPerSweep = 4;
-constexpr std::uint32_t returnsPerJob = 8;
-constexpr auto returnPause = std::chrono::milliseconds(500);
+constexpr std::uint32_t returnsPerSweep = 1;
+constexpr std::uint32_t returnsPerJob = 4;
+constexpr auto returnPause = std::chrono::milliseconds(100);
 
 // The first waiting jobs of a level by their teams' share, as ids, since starting them changes the
 // order.
