Use the records of gone workers again and forget their quarantine

A quarantined worker that died still counted towards the part of the group that may be quarantined at a time, and each replacement grew the tables.

--- a/src/decision/task_ledger.cpp
+++ b/src/decision/task_ledger.cpp
@@ -18,9 +18,16 @@
 
 std::uint32_t task_ledger::addWorker(const worker_joined &joined)
 {
-    const auto at = workerCount();
+    auto at = workerCount();
+    if (m_vacant.empty()) {
+        m_workers.emplace_back();
+    } else {
+        at = m_vacant.back();
+        m_vacant.pop_back();
+        m_workers[at] = {};
+    }
     m_workerIndex[joined.worker] = at;
-    auto &record = m_workers.emplace_back();
+    auto &record = m_workers[at];
     record.id = joined.worker;
     record.kind = joined.kind;
     record.rack = joined.rack;
@@ -78,6 +85,7 @@
     m_teams.setTotal(m_total);
     countClass(record, -1);
     refresh(worker);
+    m_vacant.push_back(worker);
 }
 
 job_record &task_ledger::addJob(const job_submitted &submitted, time_point now)
--- a/src/decision/task_ledger.h
+++ b/src/decision/task_ledger.h
@@ -18,7 +18,7 @@
     task_ledger(const task_ledger &) = delete;
     task_ledger &operator=(const task_ledger &) = delete;
 
-    // Workers are dense numbers here, in the order in which they joined.
+    // Workers are dense numbers here; the number of one that is gone is used again.
     std::uint32_t addWorker(const worker_joined &joined);
     worker_record *findWorker(worker_id worker);
     worker_record &worker(std::uint32_t at) { return m_workers[at]; }
@@ -111,6 +111,8 @@
     void countClass(const worker_record &record, int change);
 
     std::vector<worker_record> m_workers;
+    // Records of workers that are gone, to be used again.
+    std::vector<std::uint32_t> m_vacant;
     std::unordered_map<worker_id, std::uint32_t> m_workerIndex;
     std::unordered_map<job_id, std::unique_ptr<job_record>> m_jobs;
     team_ledger m_teams;
--- a/src/decision/task_scheduler.cpp
+++ b/src/decision/task_scheduler.cpp
@@ -225,6 +225,7 @@
     const auto tasks = record->tasks;
     for (const auto &ref : tasks)
         endTask(step, *ref.job, ref.index, task_outcome::Stopped);
+    m_health.forget(*record);
     m_ledger.removeWorker(worker);
 }
 
--- a/src/decision/worker_health.cpp
+++ b/src/decision/worker_health.cpp
@@ -76,6 +76,12 @@
     return verdict::WorkerQuarantined;
 }
 
+void worker_health::forget(worker_record &record)
+{
+    m_quarantined -= record.quarantined ? 1 : 0;
+    record.quarantined = false;
+}
+
 void worker_health::probe(task_step &step, std::uint32_t worker)
 {
     auto &record = step.ledger.worker(worker);
--- a/src/decision/worker_health.h
+++ b/src/decision/worker_health.h
@@ -17,6 +17,9 @@
 
     verdict noteFailure(task_step &step, job_record &job, std::uint32_t worker);
 
+    // The worker is gone and counts no longer among the quarantined.
+    void forget(worker_record &record);
+
     // Tries the first waiting batch task that fits on the quarantined worker.
     void probe(task_step &step, std::uint32_t worker);
 
--- a/tests/decision/task_policy_test.cpp
+++ b/tests/decision/task_policy_test.cpp
@@ -370,3 +370,28 @@
     // One accelerator is free: half of its even part, two cores of eight, stays free with it.
     CHECK(group.count<start_task>() == 5);
 }
+
+TEST_CASE("quarantined workers that die make room for others to be quarantined")
+{
+    task_fixture group;
+    group.addWorkers(4, Worker);
+    for (std::uint64_t id = 1; id <= 40; ++id)
+        group.send(someJob(id, job_kind::Batch, 40, Worker, 1));
+    std::size_t quarantined = 0;
+    for (int turn = 0; turn < 60; ++turn) {
+        group.pass(seconds(10));
+        // The worker that joined last fails everything.
+        const worker_id bad {static_cast<std::uint32_t>(3 + quarantined)};
+        for (const auto &start : group.runStarted()) {
+            const bool fails = start.worker == bad;
+            group.send(
+                task_ended {start.task, fails ? task_outcome::Failed : task_outcome::Succeeded});
+        }
+        for (const auto &found : group.all<quarantine_worker>()) {
+            ++quarantined;
+            group.send(worker_dead {found.worker});
+            group.addWorkers(1, Worker);
+        }
+    }
+    CHECK(quarantined >= 3);
+}
