--- a/include/plantaingap/task_scheduler.h
+++ b/include/plantaingap/task_scheduler.h
@@ -323,11 +323,11 @@
     // Use is trusted for reclaiming when it was seen for this long.
     duration usageSettles = std::chrono::seconds(60);
     // Reservations at a time.
-    std::uint32_t reservations = 4;
+    std::uint32_t reservations = 2;
     // Starts and stops in one step; the rest follows in the next.
     std::uint32_t stepBudget = 64;
     // Waiting jobs that are looked at in one step.
-    std::uint32_t lookAhead = 64;
+    std::uint32_t lookAhead = 256;
     // Distinct jobs in a row that fail on a worker before it is quarantined, and distinct workers
     // on which a job fails before the job is blamed.
     std::uint32_t blameAfter = 3;
--- a/src/decision/task_offers.cpp
+++ b/src/decision/task_offers.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // Jobs of one team that are looked at before the next team's turn.
-constexpr std::uint32_t jobsPerTeam = 4;
+constexpr std::uint32_t jobsPerTeam = 32;
 
 // Gives claimed room to tasks that were promised it. All-or-nothing jobs collect theirs instead.
 void serveClaims(task_step &step, std::uint32_t worker)
