--- a/src/decision/task_scheduler.cpp
+++ b/src/decision/task_scheduler.cpp
@@ -18,6 +18,9 @@
 // Cancellations that are carried out at once.
 constexpr std::uint32_t cancelsPerStep = 16;
 
+// Tasks of a job for which room is made in one step.
+constexpr std::uint32_t preemptedAtOnce = 4;
+
 // One copy in this many of a service is away at a time while it is moved off a leaving worker.
 constexpr std::size_t movedPart = 10;
 constexpr auto drainPause = std::chrono::milliseconds(500);
@@ -267,11 +270,21 @@
     if (job.spec.kind == job_kind::AllOrNothing)
         return placeTogether(step, job);
     offerJob(step, job);
-    if (step.budget == 0 && job.waiting.size() > job.claimedTasks)
+    bool more = step.budget == 0;
+    if (job.level <= work_level::Service && mayStart(step, job))
+        more = more || preemptSome(step, job);
+    if (more && job.waiting.size() > job.claimedTasks)
         m_timers.emplace(step.now, timer {timer_kind::Continue, {job.spec.job, 0, 0}, {}});
-    if (job.level > work_level::Service || !mayStart(step, job))
-        return;
-    while (job.waiting.size() > job.claimedTasks && step.budget > 0 && preemptFor(step, job)) { }
+}
+
+// True when there may be more room to make; each search for it takes time.
+bool task_scheduler::preemptSome(task_step &step, job_record &job)
+{
+    for (std::uint32_t tasks = 0; tasks < preemptedAtOnce; ++tasks) {
+        if (job.waiting.size() <= job.claimedTasks || !preemptFor(step, job))
+            return false;
+    }
+    return true;
 }
 
 // A wave of cancellations is only noted, so that it does not hold up what comes behind it.
--- a/src/decision/task_scheduler.h
+++ b/src/decision/task_scheduler.h
@@ -79,6 +79,7 @@
     void endJob(task_step &step, job_record &job, job_outcome outcome);
     void settleJob(task_step &step, job_record &job);
     void offerFirst(task_step &step, job_record &job);
+    bool preemptSome(task_step &step, job_record &job);
     void drain(task_step &step, std::uint32_t worker);
     void placeTogether(task_step &step, job_record &job);
     void reviewReservations(task_step &step);
--- a/src/decision/task_sweep.cpp
+++ b/src/decision/task_sweep.cpp
@@ -16,6 +16,9 @@
 constexpr std::uint32_t togetherPerSweep = 2;
 constexpr auto togetherPause = std::chrono::milliseconds(500);
 
+// Urgent jobs and services for which room is made in one sweep.
+constexpr std::size_t preemptingPerSweep = 16;
+
 // Jobs for which others may be stopped in one sweep.
 constexpr std::uint32_t returnsPerSweep = 1;
 constexpr std::uint32_t returnsPerJob = 4;
@@ -96,7 +99,7 @@
 
 void task_scheduler::sweepPreemption(task_step &step, work_level level)
 {
-    const auto jobs = firstJobs(m_ledger, level, m_limits.stepBudget, [](const job_record &job) {
+    const auto jobs = firstJobs(m_ledger, level, preemptingPerSweep, [](const job_record &job) {
         return job.spec.kind != job_kind::AllOrNothing && job.waiting.size() > job.claimedTasks;
     });
     for (auto *job : jobs)
