--- a/src/decision/task_sweep.cpp
+++ b/src/decision/task_sweep.cpp
@@ -12,6 +12,9 @@
 // Waiting jobs that are offered the group in one sweep.
 constexpr std::size_t jobsPerSweep = 16;
 
+// Tasks that one sweep starts; another sweep follows at once when there are more.
+constexpr std::uint32_t startsPerSweep = 16;
+
 // All-or-nothing jobs that are tried in one sweep, and how long one that did not fit waits.
 constexpr std::uint32_t togetherPerSweep = 2;
 constexpr auto togetherPause = std::chrono::milliseconds(500);
@@ -155,8 +158,13 @@
         m_sweepJob = next->first;
         found.push_back(next->second);
     }
+    step.budget = std::min(step.budget, startsPerSweep);
     for (auto *job : found)
         offerJob(step, *job);
+    if (step.budget > 0)
+        return;
+    m_sweepSet = true;
+    m_timers.emplace(step.now, timer {timer_kind::Sweep, {}, {}});
 }
 
 void task_scheduler::onContinue(task_step &step, const timer &due)
