--- a/src/decision/preemption.cpp
+++ b/src/decision/preemption.cpp
@@ -11,13 +11,18 @@
 namespace {
 
 // Workers with room to make that are compared for one preemption, and workers that are looked at;
-// claims may have taken the room of some.
+// claims may have taken the room of some. Quota that is taken back may wait for a later look.
 constexpr std::uint32_t mostCandidates = 16;
 constexpr std::uint32_t mostLooked = 256;
+constexpr std::uint32_t mostLookedForReturns = 48;
 
 // A checkpoint costs about this much work even when nothing else is lost.
 constexpr double checkpointCost = 1.0;
 
+// A team takes quota back where that loses less than this part of the time that it has waited, or
+// where the work has run on it for long enough.
+constexpr double worthLosing = 0.1;
+
 bool takesQuotaBack(const task_step &step, const job_record &job, const task_ref &victim)
 {
     const auto &task = victim.job->tasks[victim.index];
@@ -25,6 +30,10 @@
         return false;
     if (step.now - task.startedAt < step.limits.minimumRun)
         return false;
+    const std::chrono::duration<double> waited = step.now - job.servedAt;
+    const bool cheap = lostWork(step, victim) <= waited.count() * worthLosing;
+    if (!cheap && step.now - task.startedAt < step.limits.borrowedRun)
+        return false;
     const auto &teams = step.ledger.teams();
     if (mutated("tasks.preempt_within_quota"))
         return job.spec.team != victim.job->spec.team;
@@ -129,7 +138,7 @@
     std::optional<victims> best;
     std::uint32_t bestWorker = 0;
     auto candidates = mostCandidates;
-    auto looked = mostLooked;
+    auto looked = job.level <= work_level::Service ? mostLooked : mostLookedForReturns;
     step.ledger.yielding().visitFitting(job.need, [&](std::uint32_t worker) {
         if (accepts(step.ledger, job, worker)) {
             auto offer = chooseVictims(step, job, worker);
--- a/src/decision/task_blame.cpp
+++ b/src/decision/task_blame.cpp
@@ -76,6 +76,12 @@
     return verdict::WorkerQuarantined;
 }
 
+void task_blame::forget(worker_record &record)
+{
+    m_quarantined -= record.quarantined ? 1 : 0;
+    record.quarantined = false;
+}
+
 void task_blame::probe(task_step &step, std::uint32_t worker)
 {
     auto &record = step.ledger.worker(worker);
--- a/src/decision/task_scheduler.cpp
+++ b/src/decision/task_scheduler.cpp
@@ -15,6 +15,12 @@
 // Timers that one call of expire() handles.
 constexpr int timersPerStep = 64;
 
+// Cancellations that are carried out at once.
+constexpr std::uint32_t cancelsPerStep = 16;
+
+// Tasks of a job for which room is made in one step.
+constexpr std::uint32_t preemptedAtOnce = 4;
+
 // One copy in this many of a service is away at a time while it is moved off a leaving worker.
 constexpr std::size_t movedPart = 10;
 constexpr auto drainPause = std::chrono::milliseconds(500);
@@ -50,11 +56,12 @@
 void task_scheduler::expire(time_point now, std::vector<task_action> &actions)
 {
     static constexpr handler handlers[] = {
-        &task_scheduler::onSweep,     &task_scheduler::onContinue, &task_scheduler::onCheckpoint,
-        &task_scheduler::onStopAgain, &task_scheduler::onRetry,    &task_scheduler::onStartBy,
-        &task_scheduler::onProbe,     &task_scheduler::onDrain,
+        &task_scheduler::onSweep,      &task_scheduler::onContinue,  &task_scheduler::onCancel,
+        &task_scheduler::onCheckpoint, &task_scheduler::onStopAgain, &task_scheduler::onRetry,
+        &task_scheduler::onStartBy,    &task_scheduler::onProbe,     &task_scheduler::onDrain,
     };
     auto context = begin(now, actions);
+    m_cancelsNow = 0;
     for (int handled = 0; handled < timersPerStep; ++handled) {
         if (m_timers.empty() || m_timers.begin()->first > now || context.budget == 0)
             break;
@@ -221,6 +228,7 @@
     const auto tasks = record->tasks;
     for (const auto &ref : tasks)
         endTask(step, *ref.job, ref.index, task_outcome::Stopped);
+    m_health.forget(*record);
     m_ledger.removeWorker(worker);
 }
 
@@ -262,19 +270,40 @@
     if (job.spec.kind == job_kind::AllOrNothing)
         return placeTogether(step, job);
     offerJob(step, job);
-    if (step.budget == 0 && job.waiting.size() > job.claimedTasks)
+    bool more = step.budget == 0;
+    if (job.level <= work_level::Service && mayStart(step, job))
+        more = more || preemptSome(step, job);
+    if (more && job.waiting.size() > job.claimedTasks)
         m_timers.emplace(step.now, timer {timer_kind::Continue, {job.spec.job, 0, 0}, {}});
-    if (job.level > work_level::Service || !mayStart(step, job))
-        return;
-    while (job.waiting.size() > job.claimedTasks && step.budget > 0 && preemptFor(step, job)) { }
 }
 
+// True when there may be more room to make; each search for it takes time.
+bool task_scheduler::preemptSome(task_step &step, job_record &job)
+{
+    for (std::uint32_t tasks = 0; tasks < preemptedAtOnce; ++tasks) {
+        if (job.waiting.size() <= job.claimedTasks || !preemptFor(step, job))
+            return false;
+    }
+    return true;
+}
+
+// A wave of cancellations is only noted, so that it does not hold up what comes behind it.
 void task_scheduler::on(const job_cancelled &event, task_step &step)
 {
-    auto *job = m_ledger.findJob(event.job);
-    if (job == nullptr || job->cancelled)
-        return;
-    endJob(step, *job, job_outcome::Cancelled);
+    if (m_cancelsNow < cancelsPerStep) {
+        ++m_cancelsNow;
+        return cancel(step, event.job);
+    }
+    if (m_cancels.empty())
+        m_timers.emplace(step.now, timer {timer_kind::Cancel, {}, {}});
+    m_cancels.push_back(event.job);
+}
+
+void task_scheduler::cancel(task_step &step, job_id id)
+{
+    auto *job = m_ledger.findJob(id);
+    if (job != nullptr && !job->cancelled)
+        endJob(step, *job, job_outcome::Cancelled);
 }
 
 void task_scheduler::endJob(task_step &step, job_record &job, job_outcome outcome)
