--- a/src/operator/cli_output.cpp
+++ b/src/operator/cli_output.cpp
@@ -22,9 +22,8 @@
 void printColumns(std::ostream &out, const std::vector<std::string> &names,
                   const std::vector<std::vector<std::string>> &rows)
 {
-    std::vector<std::size_t> widths;
-    for (const auto &name : names)
-        widths.push_back(name.size());
+    std::vector<std::size_t> widths(names.size());
+    std::ranges::transform(names, widths.begin(), &std::string::size);
     for (const auto &row : rows) {
         for (std::size_t i = 0; i < row.size(); ++i)
             widths[i] = std::max(widths[i], row[i].size());
