--- a/src/runtime/instance.cpp
+++ b/src/runtime/instance.cpp
@@ -18,6 +18,8 @@
 
 namespace {
 
+using summary_list = std::vector<decision::group_summary>;
+
 // Requests that one instance holds open: its callers', and as many again from other instances.
 // Every ring holds as many messages as there can be open requests, and an open request has at most
 // one message in each ring, so that only an admission can meet a full ring.
@@ -89,8 +91,8 @@
     support::mailbox<own_beat> beats;
     support::mailbox<forwarded_request> forwarded;
     support::mailbox<peer::forward_ended> forwardEnds;
-    support::mailbox<std::vector<decision::group_summary>> heard;
-    support::mailbox<std::vector<decision::group_summary>> told;
+    support::mailbox<summary_list> heard;
+    support::mailbox<summary_list> told;
     support::mailbox<peer::forward_order> forwards;
     support::mailbox<service_answer_ptr> forwardAnswers;
     caller::caller_listener listener;
@@ -123,9 +125,9 @@
                 [this](forwarded_request &&one) { desk->admitForwarded(one.request, one.group); })
     , forwardEnds(schedulingDuty.context(), openRequests,
                   [this](peer::forward_ended &&ended) { desk->forwardEnded(std::move(ended)); })
-    , heard(schedulingDuty.context(), beatSlots, [this](auto &&list) { desk->learn(list); })
+    , heard(schedulingDuty.context(), beatSlots, [this](summary_list &&list) { desk->learn(list); })
     , told(peerDuty.context(), beatSlots,
-           [this](auto &&list) { peers->setSummaries(std::move(list)); })
+           [this](summary_list &&list) { peers->setSummaries(std::move(list)); })
     , forwards(peerDuty.context(), openRequests,
                [this](peer::forward_order &&order) { peers->forward(order); })
     , forwardAnswers(peerDuty.context(), peer_desk::openLimit,
@@ -154,7 +156,7 @@
                 pushBounded(box, std::move(answer));
             },
             [this](peer::forward_order &&order) { pushBounded(forwards, std::move(order)); },
-            [this](auto &&list) { told.push(std::move(list)); }});
+            [this](summary_list &&list) { told.push(std::move(list)); }});
     for (const auto &service : settings.services)
         desk->addService(service);
 }
@@ -191,7 +193,7 @@
                 if (control)
                     control->replyArrived(peer, std::move(reply), askedAt);
             },
-            [this](auto &&list) { heard.push(std::move(list)); }});
+            [this](summary_list &&list) { heard.push(std::move(list)); }});
     for (const auto &peer : settings.peers) {
         if (peer.name != settings.name)
             peers->addPeer(stableId<instance_id>(peer.name), peer.address);
@@ -325,7 +327,8 @@
 {
     auto &own = *m_parts;
     const auto deadline = clock::now() + own.settings.stopWithin;
-    support::log_event(support::log_level::Info, "instance.stopping");
+    support::log_event(support::log_level::Info, "instance.stopping")
+        .field("instance", own.settings.name);
     ask(own.callerDuty, [&] {
         own.listener.drain();
         return 0;
--- a/src/runtime/request_desk.cpp
+++ b/src/runtime/request_desk.cpp
@@ -523,16 +523,17 @@
 {
     m_armedFor.reset();
     tellLate(clock::now());
-    for (auto &[id, owned] : m_tenures) {
+    for (auto &entry : m_tenures) {
+        auto &owned = *entry.second;
         std::vector<request_action> actions;
         const auto now = clock::now();
-        const auto next = owned->scheduler.nextDeadline();
+        const auto next = owned.scheduler.nextDeadline();
         if (next && *next <= now)
-            owned->scheduler.expire(now, actions);
-        owned->changed = owned->changed || !actions.empty();
+            owned.scheduler.expire(now, actions);
+        owned.changed = owned.changed || !actions.empty();
         for (const auto &action : actions)
-            std::visit([&](const auto &typed) { carryOut(*owned, typed); }, action);
-        armTimer(*owned);
+            std::visit([&](const auto &typed) { carryOut(owned, typed); }, action);
+        armTimer(owned);
     }
 }
 
