--- a/tests/matrix/coordination_world.h
+++ b/tests/matrix/coordination_world.h
@@ -28,6 +28,11 @@
     cell_result runRandom(sim_time span);
 
 private:
+    static constexpr std::uint32_t instanceCount = 3;
+    static constexpr std::uint32_t workerCount = 3;
+    // The bound on the rate error of clocks, the same as in the limits of the machines.
+    static constexpr double driftAtBound = 0.1;
+
     struct instance
     {
         std::uint32_t index = 0;
@@ -39,7 +44,7 @@
         bool cutFromPeers = false;
         bool cutFromWorkers = false;
         bool cutFromStore = false;
-        bool failed = false;
+        bool stopping = false;
         std::uint64_t beats = 0;
         std::unique_ptr<peer::membership> members;
         std::unique_ptr<peer::group_ownership> ownership;
