Let the quota mutation meet work that can be saved

Since quota is taken back from work that cannot be saved only after five minutes, the old check of tasks.preempt_within_quota (120 s, such work) no longer saw the mutation.

--- a/tests/decision/task_mutation_test.cpp
+++ b/tests/decision/task_mutation_test.cpp
@@ -59,11 +59,14 @@
     group.addWorkers(1, Worker);
     for (const std::uint32_t team : {1U, 2U}) {
         group.send(quota_changed {team_id {team}, Worker});
-        group.send(someJob(team, job_kind::Batch, 1, Worker, team));
+        auto job = someJob(team, job_kind::Batch, 1, Worker, team);
+        job.checkpointable = true;
+        group.send(job);
     }
     group.runStarted();
     group.pass(seconds(120));
-    return group.count<stop_task>() == 0 ? "" : "quotas: a team within its quota was preempted";
+    return group.count<checkpoint_task>() == 0 ? ""
+                                               : "quotas: a team within its quota was preempted";
 }
 
 // A worker that fails one job after the other must get no more of them.
