Name the peers in the settings

Cause: instances go by numbers derived from their names; an address alone does not say whose it is, and the platform's list has no addresses. Change: peers are objects with name and address, checked as before. Conclusion: the daemon can take the checked settings.

--- a/src/operator/settings.cpp
+++ b/src/operator/settings.cpp
@@ -77,11 +77,12 @@
         std::map<boost::asio::ip::tcp::endpoint, std::size_t> seen;
         for (std::size_t i = 0; i < settings.peers.size(); ++i) {
             const auto path = "/peers/" + std::to_string(i);
-            const auto [first, fresh] = seen.emplace(settings.peers[i], i);
+            const auto [first, fresh] = seen.emplace(settings.peers[i].address, i);
             if (!fresh)
-                add(path, "the same address as /peers/" + std::to_string(first->second));
-            if (settings.peers[i].port() == 0)
-                add(path, "port 0 cannot be called");
+                add(path + "/address",
+                    "the same address as /peers/" + std::to_string(first->second) + "/address");
+            if (settings.peers[i].address.port() == 0)
+                add(path + "/address", "port 0 cannot be called");
         }
     }
 
--- a/src/operator/settings.h
+++ b/src/operator/settings.h
@@ -48,6 +48,15 @@
     bool operator==(const principal_settings &) const = default;
 };
 
+// Another instance: its name, as its own settings have it, and its peer_listen.
+struct peer_settings
+{
+    std::string name;
+    boost::asio::ip::tcp::endpoint address;
+
+    bool operator==(const peer_settings &) const = default;
+};
+
 struct instance_limits
 {
     std::uint32_t callerThreads = 1;
@@ -71,8 +80,8 @@
     boost::asio::ip::tcp::endpoint callerListen;
     boost::asio::ip::tcp::endpoint adminListen;
     boost::asio::ip::tcp::endpoint peerListen;
-    // Instances to ask first, before the platform's list is known.
-    std::vector<boost::asio::ip::tcp::endpoint> peers;
+    // The other instances of the cell.
+    std::vector<peer_settings> peers;
     boost::asio::ip::tcp::endpoint platform;
     link_security tls;
     std::vector<principal_settings> principals;
--- a/src/operator/settings_tables.h
+++ b/src/operator/settings_tables.h
@@ -77,6 +77,16 @@
                  "File that holds the bearer token alone, at least 16 characters."));
 };
 
+template<>
+struct document_table<peer_settings>
+{
+    static constexpr std::string_view title = "Peer";
+    static constexpr std::string_view doc = "Another instance of the cell.";
+    static constexpr auto fields = std::make_tuple(
+        required("name", &peer_settings::name, nameRule, "The key 'instance' of its settings."),
+        required("address", &peer_settings::address, anyValue, "Its peer_listen."));
+};
+
 template<>
 struct document_table<instance_limits>
 {
@@ -114,7 +124,7 @@
                  "For the administration API and metrics."),
         required("peer_listen", &instance_settings::peerListen, anyValue, "For other instances."),
         optional("peers", &instance_settings::peers, range(0, 10'000),
-                 "Other instances' peer_listen, asked until the platform's list is known."),
+                 "The other instances of the cell; this one may be among them."),
         required("platform", &instance_settings::platform, anyValue,
                  "The platform's table, object store and lists."),
         optional("tls", &instance_settings::tls, anyValue, "Which links are encrypted."),
