Take the checked settings in the daemon; serve administration and metrics

Cause: plantaingapd read its settings unchecked, served no administration and had no metrics; the operator package's half stood alone. Change: instance takes operators::instance_settings and loadSecurity(); admin_duty, support/metrics and the configuration's note to the other duties are wired; the process tests start a platform stand-in.

--- a/daemons/plantaingapd.cpp
+++ b/daemons/plantaingapd.cpp
@@ -3,9 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 // An entry instance: plantaingapd SETTINGS.json. When it is ready it says so in one line on
 // standard output, with the addresses that it bound. docs/STOPPING.md tells how it stops.
@@ -15,12 +13,12 @@
 // The planned stop reached its deadline with work left.
 constexpr int cutShortExit = 3;
 
-std::string readFile(const char *path)
+// One line for each finding: FILE:LINE PATH message.
+void tell(const plantaingap::findings &found)
 {
-    std::ifstream file(path);
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
+    for (const auto &one : found) {
+        std::cerr << one.file << ':' << one.line << ' ' << one.path << ' ' << one.message << '\n';
+    }
 }
 
 } // namespace
@@ -32,19 +30,25 @@
         std::cerr << "usage: plantaingapd SETTINGS.json\n";
         return usageExit;
     }
-    support::startLogging(support::log_level::Info);
-    auto settings = runtime::readInstanceSettings(readFile(argv[1]));
+    auto settings = operators::loadSettings(argv[1]);
     if (settings.has_error()) {
-        std::cerr << argv[1] << ": " << settings.error().message() << "\n";
+        tell(settings.error());
+        return usageExit;
+    }
+    support::startLogging(settings->logLevel);
+    auto security = runtime::loadSecurity(*settings);
+    if (security.has_error()) {
+        tell(security.error());
         return usageExit;
     }
-    runtime::instance instance(std::move(*settings));
+    runtime::instance instance(std::move(*settings), std::move(*security));
     if (const auto error = instance.start()) {
         std::cerr << "cannot listen: " << error.message() << "\n";
         return 1;
     }
     std::cout << "event=ready callers=" << instance.addresses().callers
-              << " peers=" << instance.addresses().peers << std::endl;
+              << " peers=" << instance.addresses().peers
+              << " administration=" << instance.addresses().administration << std::endl;
     boost::asio::io_context context(1);
     boost::asio::signal_set signals(context, SIGTERM, SIGINT);
     // After the first signal the default action is back: a second one ends the process at once.
--- a/src/runtime/control_duty.cpp
+++ b/src/runtime/control_duty.cpp
@@ -39,7 +39,7 @@
     : m_settings(std::move(settings))
     , m_self {stableId<instance_id>(m_settings.instance), m_settings.incarnation}
     , m_duty("control")
-    , m_platform(m_duty.context(), m_settings.platform)
+    , m_platform(m_duty.context(), m_settings.platform, m_settings.platformTls)
     , m_services {m_duty.context(), m_platform, std::move(tell)}
     , m_beat(std::move(beat))
     , m_membership(m_self, stableId<region_id>(m_settings.region), m_settings.membership)
--- a/src/runtime/control_duty.h
+++ b/src/runtime/control_duty.h
@@ -20,6 +20,7 @@
     std::string instance;
     std::string region;
     boost::asio::ip::tcp::endpoint platform;
+    std::shared_ptr<boost::asio::ssl::context> platformTls;
     // Grows with each start of the instance, for example the wall time of the start.
     std::uint64_t incarnation = 0;
     membership_limits membership;
--- a/src/runtime/instance.cpp
+++ b/src/runtime/instance.cpp
@@ -1,12 +1,14 @@
 #include "runtime/instance.h"
 
 #include "caller/caller_listener.h"
+#include "runtime/admin_duty.h"
 #include "runtime/control_duty.h"
 #include "runtime/peer_desk.h"
 #include "runtime/request_desk.h"
 #include "support/duty.h"
 #include "support/log.h"
 #include "support/mailbox.h"
+#include "support/tls.h"
 
 #include <future>
 #include <plantaingap/invariant.h>
@@ -62,19 +64,22 @@
 
 struct instance::parts
 {
-    explicit parts(instance_settings told);
+    parts(operators::instance_settings told, instance_security held);
 
-    control_settings controlSettings(const boost::asio::ip::tcp::endpoint &platform) const;
+    control_settings controlSettings() const;
     std::error_code listen();
-    void startControl(const boost::asio::ip::tcp::endpoint &platform);
-    void ownListedWorkers();
+    std::error_code listenToPeers();
+    void makeControl();
+    std::error_code makeAdministration();
+    void configurationInForce(std::uint64_t version, const operators::configuration_set &set);
     bool drain(time_point deadline);
     void handOver(time_point deadline);
     void endDuties();
 
     using worker_message = std::variant<backend::worker_address, backend::send_order>;
 
-    instance_settings settings;
+    operators::instance_settings settings;
+    instance_security security;
     instance_id self;
     std::uint64_t incarnation = newIncarnation();
     instance_addresses addresses;
@@ -95,17 +100,20 @@
     support::mailbox<summary_list> told;
     support::mailbox<peer::forward_order> forwards;
     support::mailbox<service_answer_ptr> forwardAnswers;
+    support::mailbox<std::vector<std::string>> services;
     caller::caller_listener listener;
     std::unique_ptr<request_desk> desk;
     backend::worker_transport transport;
     std::unique_ptr<peer_desk> peers;
     std::unique_ptr<control_duty> control;
+    std::unique_ptr<admin_duty> administration;
     bool running = false;
 };
 
-instance::parts::parts(instance_settings given)
+instance::parts::parts(operators::instance_settings given, instance_security held)
     : settings(std::move(given))
-    , self(stableId<instance_id>(settings.name))
+    , security(std::move(held))
+    , self(stableId<instance_id>(settings.instance))
     , admitted(schedulingDuty.context(), openRequests,
                [this](service_request_ptr &&request) { desk->admit(request); })
     , sends(workerDuty.context(), openTogether + noteSlots,
@@ -132,18 +140,22 @@
                [this](peer::forward_order &&order) { peers->forward(order); })
     , forwardAnswers(peerDuty.context(), peer_desk::openLimit,
                      [this](service_answer_ptr &&answer) { peers->deliver(answer); })
+    , services(schedulingDuty.context(), beatSlots,
+               [this](std::vector<std::string> &&names) {
+                   for (const auto &name : names)
+                       desk->addService(name);
+               })
     , listener(
           callerDuty.context(), {.http = {}, .openRequests = openRequests},
-          settings.name + "." + std::to_string(incarnation) + ".",
+          settings.instance + "." + std::to_string(incarnation) + ".",
           [this](service_request_ptr request) { return admitted.push(std::move(request)); },
-          nullptr)
+          security.callers)
     , transport(
           workerDuty.context(),
           [this](backend::send_ended &&ended) { pushBounded(ends, std::move(ended)); }, nullptr)
 {
-    const auto endpoint = support::parseEndpoint(settings.platform);
-    if (endpoint.has_value())
-        platform = std::make_unique<platform::platform_client>(schedulingDuty.context(), *endpoint);
+    platform = std::make_unique<platform::platform_client>(schedulingDuty.context(),
+                                                           settings.platform, security.platform);
     desk_limits limits;
     limits.router.region = stableId<region_id>(settings.region);
     desk = std::make_unique<request_desk>(
@@ -157,29 +169,31 @@
             },
             [this](peer::forward_order &&order) { pushBounded(forwards, std::move(order)); },
             [this](summary_list &&list) { told.push(std::move(list)); }});
-    for (const auto &service : settings.services)
-        desk->addService(service);
 }
 
-control_settings
-instance::parts::controlSettings(const boost::asio::ip::tcp::endpoint &endpoint) const
+control_settings instance::parts::controlSettings() const
 {
     control_settings made;
-    made.instance = settings.name;
+    made.instance = settings.instance;
     made.region = settings.region;
-    made.platform = endpoint;
+    made.platform = settings.platform;
+    made.platformTls = security.platform;
     made.incarnation = incarnation;
     return made;
 }
 
 std::error_code instance::parts::listen()
 {
-    const auto endpoint = support::parseEndpoint(settings.callerListen);
-    if (endpoint.has_error())
-        return endpoint.error();
-    if (const auto error = listener.listen(*endpoint))
+    if (const auto error = listener.listen(settings.callerListen))
         return error;
-    addresses.callers = support::formatEndpoint({endpoint->address(), listener.port()});
+    addresses.callers = support::formatEndpoint({settings.callerListen.address(), listener.port()});
+    if (const auto error = listenToPeers())
+        return error;
+    return makeAdministration();
+}
+
+std::error_code instance::parts::listenToPeers()
+{
     peers = std::make_unique<peer_desk>(
         peerDuty.context(),
         peer_outlets {
@@ -195,52 +209,57 @@
             },
             [this](summary_list &&list) { heard.push(std::move(list)); }});
     for (const auto &peer : settings.peers) {
-        if (peer.name != settings.name)
-            peers->addPeer(stableId<instance_id>(peer.name), peer.address);
+        if (peer.name != settings.instance)
+            peers->addPeer(stableId<instance_id>(peer.name), support::formatEndpoint(peer.address));
     }
-    if (settings.peerListen.empty())
-        return {};
-    const auto peerEndpoint = support::parseEndpoint(settings.peerListen);
-    if (peerEndpoint.has_error())
-        return peerEndpoint.error();
-    if (const auto error = peers->listen(settings.peerListen))
+    if (const auto error = peers->listen(support::formatEndpoint(settings.peerListen)))
         return error;
-    addresses.peers = support::formatEndpoint({peerEndpoint->address(), peers->port()});
+    addresses.peers = support::formatEndpoint({settings.peerListen.address(), peers->port()});
     return {};
 }
 
-void instance::parts::startControl(const boost::asio::ip::tcp::endpoint &endpoint)
+void instance::parts::makeControl()
 {
     control = std::make_unique<control_duty>(
-        controlSettings(endpoint),
-        [this](control_note note) { pushBounded(notes, std::move(note)); },
+        controlSettings(), [this](control_note note) { pushBounded(notes, std::move(note)); },
         [this](control_heartbeat beat) {
             beats.push({std::move(beat), clock::now()});
         });
-    control->start();
 }
 
-// Without a platform the instance is alone and owns the workers that its settings list.
-void instance::parts::ownListedWorkers()
+std::error_code instance::parts::makeAdministration()
 {
-    constexpr epoch only {1, 0};
-    std::set<std::string> owned;
-    service_groups groups;
-    for (const auto &listed : settings.workers) {
-        const auto group = listed.region + "/" + listed.dataCentre + "/" + listed.rack;
-        if (owned.insert(group).second)
-            pushBounded(notes, group_owned {group, only});
-        groups.groups[listed.service].insert(group);
-        named_worker worker;
-        worker.name = listed.name;
-        worker.address = listed.address;
-        worker.place = {listed.region, listed.dataCentre, listed.rack};
-        worker.service = listed.service;
-        worker.slots = listed.slots;
-        worker.connections = listed.connections;
-        pushBounded(notes, worker_usable {group, only, worker, 0});
-    }
-    pushBounded(notes, std::move(groups));
+    admin_settings made;
+    made.instance = settings.instance;
+    made.listen = settings.adminListen;
+    made.platform = settings.platform;
+    made.incarnation = incarnation;
+    made.tls = security.administration;
+    made.platformTls = security.platform;
+    administration = std::make_unique<admin_duty>(
+        std::move(made), security.principals,
+        [this](control_order order) { return control->order(std::move(order)); },
+        [this](std::uint64_t version, const operators::configuration_set &set) {
+            configurationInForce(version, set);
+        },
+        [this] { return ask(schedulingDuty, [this] { return desk->metricsText(); }); });
+    if (const auto error = administration->listen())
+        return error;
+    addresses.administration =
+        support::formatEndpoint({settings.adminListen.address(), administration->port()});
+    return {};
+}
+
+// On the administration's thread: hands what the other duties need to them.
+void instance::parts::configurationInForce(std::uint64_t version,
+                                           const operators::configuration_set &set)
+{
+    std::vector<std::string> names;
+    for (const auto &service : set.declared.services)
+        names.push_back(service.name);
+    services.push(std::move(names));
+    control->order(
+        declared_order {version, set.digest, std::make_shared<const configuration>(set.declared)});
 }
 
 // Waits until nothing is open and nothing has come in for a while.
@@ -275,6 +294,8 @@
     if (!running)
         return;
     running = false;
+    if (administration)
+        administration->stop();
     if (control)
         control->stop();
     callerDuty.stop();
@@ -288,8 +309,8 @@
     peerDuty.stop();
 }
 
-instance::instance(instance_settings settings)
-    : m_parts(std::make_unique<parts>(std::move(settings)))
+instance::instance(operators::instance_settings settings, instance_security security)
+    : m_parts(std::make_unique<parts>(std::move(settings), std::move(security)))
 { }
 
 instance::~instance()
@@ -300,21 +321,17 @@
 std::error_code instance::start()
 {
     auto &own = *m_parts;
+    own.makeControl();
     if (const auto error = own.listen())
         return error;
-    const auto platform = support::parseEndpoint(own.settings.platform);
-    if (!own.settings.platform.empty() && platform.has_error())
-        return platform.error();
     own.running = true;
-    if (platform.has_value())
-        own.startControl(*platform);
-    else
-        own.ownListedWorkers();
+    own.control->start();
     own.desk->start();
     own.peerDuty.start();
     own.workerDuty.start();
     own.schedulingDuty.start();
     own.callerDuty.start();
+    own.administration->start();
     return {};
 }
 
@@ -326,9 +343,9 @@
 bool instance::stop()
 {
     auto &own = *m_parts;
-    const auto deadline = clock::now() + own.settings.stopWithin;
+    const auto deadline = clock::now() + own.settings.stopDeadline;
     support::log_event(support::log_level::Info, "instance.stopping")
-        .field("instance", own.settings.name);
+        .field("instance", own.settings.instance);
     ask(own.callerDuty, [&] {
         own.listener.drain();
         return 0;
--- a/src/runtime/request_desk.cpp
+++ b/src/runtime/request_desk.cpp
@@ -2,6 +2,7 @@
 
 #include "support/log.h"
 
+#include <array>
 #include <plantaingap/invariant.h>
 
 namespace plantaingap::runtime {
@@ -11,6 +12,18 @@
 
 namespace {
 
+// From the admission here to the sending to a worker.
+const std::string waitName = "plantaingap_request_wait_seconds";
+const std::string endedName = "plantaingap_requests_ended_total";
+
+// Labels are made once: this runs for every request.
+const std::string &classLabel(const service_request &request)
+{
+    static const std::array<std::string, 3> labels = {"class=\"quick\"", "class=\"normal\"",
+                                                      "class=\"long\""};
+    return labels.at(static_cast<std::size_t>(request.declared));
+}
+
 // Kinds beyond this share one estimate of sizes.
 constexpr std::size_t kindLimit = 4096;
 constexpr std::chrono::seconds retryAfterRefusal {1};
@@ -188,6 +201,7 @@
 void request_desk::admit(open_request &&open)
 {
     const auto id = open.request->id;
+    open.admittedAt = clock::now();
     open.parkedUntil = std::min(open.request->deadline, clock::now() + m_limits.parkAtMost);
     const auto found = m_open.emplace(id, std::move(open)).first;
     auto &stored = found->second;
@@ -375,6 +389,8 @@
     if (keyed && answer->code == errc::Ok)
         owned->keys->answered(*open.request, answer->status);
     const bool told = open.told;
+    const auto outcome = make_error_code(answer->code).message();
+    ++m_metrics.counter(endedName, classLabel(*open.request) + ",outcome=\"" + outcome + "\"");
     m_open.erase(found);
     if (!told)
         m_outlets.answer(std::move(answer));
@@ -394,6 +410,13 @@
     answer(found, std::move(refusal));
 }
 
+std::string request_desk::metricsText()
+{
+    m_metrics.gauge("plantaingap_requests_open", "") = static_cast<std::int64_t>(m_open.size());
+    m_metrics.gauge("plantaingap_groups_owned", "") = static_cast<std::int64_t>(m_tenures.size());
+    return m_metrics.text();
+}
+
 void request_desk::refuseKey(const refuse_key &refused)
 {
     const auto found = m_open.find(refused.request);
@@ -423,6 +446,8 @@
     auto &open = m_open.at(action.request);
     PLANTAINGAP_INVARIANT(tenure(open.group) == &owned, "only the owner of a group sends");
     open.sent = true;
+    m_metrics.histogram(waitName, classLabel(*open.request))
+        .observe(clock::now() - open.admittedAt);
     m_sent.emplace(open.request->deadline, action.request);
     armTimerAt(open.request->deadline);
     m_outlets.sendToWorker({open.request, action.worker, owned.name(), owned.authority()});
--- a/src/runtime/request_desk.h
+++ b/src/runtime/request_desk.h
@@ -6,6 +6,7 @@
 #include "peer/peer_message.h"
 #include "runtime/control_note.h"
 #include "runtime/group_tenure.h"
+#include "support/metrics.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
@@ -63,6 +64,9 @@
     void forwardEnded(peer::forward_ended &&ended);
     void learn(const std::vector<decision::group_summary> &summaries);
 
+    // Counts of answers and refusals, and waiting times by class, as the collectors read them.
+    std::string metricsText();
+
     // Requests that were admitted and not yet answered.
     std::size_t open() const { return m_open.size(); }
 
@@ -79,6 +83,7 @@
     struct open_request
     {
         service_request_ptr request;
+        time_point admittedAt {};
         group_id group {};
         holder heldBy = holder::Parked;
         bool mayHaveRun = false;
@@ -127,6 +132,7 @@
     void expire();
 
     boost::asio::io_context &m_context;
+    support::metrics m_metrics;
     instance_id m_self;
     desk_limits m_limits;
     platform::platform_client *m_platform;
--- a/tests/process/control_test.cpp
+++ b/tests/process/control_test.cpp
@@ -96,7 +96,7 @@
 {
     test_instance(surroundings &around, const std::string &name, std::uint64_t incarnation)
         : control(
-            {name, "north", loopback(around.server.port()), incarnation, {}, {}},
+            {name, "north", loopback(around.server.port()), nullptr, incarnation, {}, {}},
             [this](const control_note &note) { told(note); },
             [this](const control_heartbeat &beat) { sent(beat); })
     { }
--- a/tests/process/test_cluster.cpp
+++ b/tests/process/test_cluster.cpp
@@ -101,6 +101,7 @@
         m_workers.emplace_back("worker-stand-in", options);
         listed.push_back(listedWorker(index, m_workers.back()));
     }
+    m_token = std::make_unique<temporary_file>(std::string(operatorToken));
     json::array instances;
     for (unsigned index = 0; index < entries; ++index) {
         instances.push_back({{"name", "entry-" + std::to_string(index)}, {"leaving", false}});
@@ -122,18 +123,19 @@
     json::array peers;
     for (unsigned peer = 0; peer < m_peerPorts.size(); ++peer) {
         peers.push_back({{"name", "entry-" + std::to_string(peer)},
-                         {"address", loopback + std::to_string(m_peerPorts[peer])},
-                         {"region", "tt-north"}});
+                         {"address", loopback + std::to_string(m_peerPorts[peer])}});
     }
     const json::object settings = {
-        {"name", "entry-" + std::to_string(index)},
+        {"instance", "entry-" + std::to_string(index)},
         {"region", "tt-north"},
         {"data_centre", "north-1"},
         {"caller_listen", loopback + std::to_string(m_callerPorts.at(index))},
+        {"admin_listen", loopback + std::to_string(0)},
         {"peer_listen", loopback + std::to_string(m_peerPorts.at(index))},
         {"peers", peers},
         {"platform", addressOf(*m_platform, "address")},
-        {"services", {{{"name", "register-search"}}}}};
+        {"principals",
+         {{{"name", "on-call"}, {"role", "operator"}, {"token_file", m_token->path()}}}}};
     return json::serialize(settings);
 }
 
@@ -159,6 +161,26 @@
     }
 }
 
+http_response test_cluster::askUntilRun(unsigned index, const http_request &request)
+{
+    const auto server = m_entries.at(index).address("callers");
+    const auto until = clock::now() + patience;
+    while (true) {
+        REQUIRE(clock::now() < until);
+        auto answer = fetch(server, request);
+        // Refused as not run while nobody owns the worker's group yet.
+        if (answer.result_int() != 503)
+            return answer;
+    }
+}
+
+void test_cluster::controlPlatform(const std::string &order) const
+{
+    const auto answer = fetch(m_platform->address("address"),
+                              support::makeRequest(http::verb::post, "/control", order));
+    REQUIRE(answer.result_int() == 200);
+}
+
 std::int64_t test_cluster::count(const std::string &name) const
 {
     std::int64_t sum = 0;
--- a/tests/process/test_cluster.h
+++ b/tests/process/test_cluster.h
@@ -14,6 +14,9 @@
 // Long enough for a loaded machine; no test expects it to pass.
 constexpr std::chrono::minutes patience {2};
 
+// The bearer token of an operator at every instance.
+constexpr std::string_view operatorToken = "a token for tests only";
+
 // One request over a connection of its own; an empty answer (status 0) when none came.
 support::http_response fetch(const boost::asio::ip::tcp::endpoint &server,
                              support::http_request request);
@@ -36,6 +39,14 @@
 
     // Asks until the instance answers this many requests in a row.
     void awaitService(unsigned index);
+    // Asks until some owner has given the request to a worker; the answer to that.
+    support::http_response askUntilRun(unsigned index, const support::http_request &request);
+
+    // The file that holds the operators' token.
+    const std::string &tokenFile() const { return m_token->path(); }
+    // Gives the platform's stand-in an order, for example to be away.
+    void controlPlatform(const std::string &order) const;
+    const child_process &platform() const { return *m_platform; }
 
     // The sum over all workers of one of their counts.
     std::int64_t count(const std::string &name) const;
@@ -47,6 +58,7 @@
     std::string entrySettings(unsigned index) const;
 
     std::unique_ptr<child_process> m_platform;
+    std::unique_ptr<temporary_file> m_token;
     std::vector<child_process> m_workers;
     std::vector<std::uint16_t> m_peerPorts;
     std::vector<std::uint16_t> m_callerPorts;
--- a/tests/process/whole_path_test.cpp
+++ b/tests/process/whole_path_test.cpp
@@ -10,27 +10,6 @@
 
 namespace {
 
-// Settings of one instance that serves register-search on these workers.
-std::string settingsFor(const std::vector<const child_process *> &workers)
-{
-    json::array list;
-    for (const auto *worker : workers) {
-        list.push_back({{"name", "worker-" + std::to_string(list.size())},
-                        {"address", addressOf(*worker, "workers")},
-                        {"service", "register-search"},
-                        {"slots", 8},
-                        {"connections", 64},
-                        {"rack", "rack-1"},
-                        {"data_centre", "north-1"},
-                        {"region", "tt-north"}});
-    }
-    const json::object settings = {
-        {"name", "entry-1"},        {"region", "tt-north"},
-        {"data_centre", "north-1"}, {"caller_listen", "127.0.0.1:0"},
-        {"workers", list},          {"services", {{{"name", "register-search"}}}}};
-    return "// One instance\n" + json::serialize(settings);
-}
-
 struct call_row
 {
     std::string name;
@@ -54,9 +33,9 @@
 
 TEST_CASE("a caller's request is answered whole, or refused with a reason")
 {
-    const child_process worker("worker-stand-in", {});
-    const temporary_file settings(settingsFor({&worker}));
-    const child_process entry("plantaingapd", {settings.path()});
+    test_cluster cluster(1, 1, {});
+    cluster.awaitService(0);
+    const auto &entry = cluster.entry(0);
     const headers idempotent = {{"Plantaingap-Idempotent", "true"}};
     const std::vector<call_row> rows = {
         {"an idempotent request", "/services/register-search/setts?clan=x", idempotent, 200, "",
@@ -103,12 +82,9 @@
     };
     for (const auto &row : rows) {
         CAPTURE(row.name);
-        const child_process worker("worker-stand-in", {row.option});
-        const temporary_file settings(settingsFor({&worker}));
-        const child_process entry("plantaingapd", {settings.path()});
-        const auto answer =
-            fetch(entry.address("callers"),
-                  call("/services/register-search/", "body", {{"Plantaingap-Idempotent", "true"}}));
+        test_cluster cluster(1, 1, {row.option});
+        const auto answer = cluster.askUntilRun(
+            0, call("/services/register-search/", "body", {{"Plantaingap-Idempotent", "true"}}));
         CHECK(answer.result_int() == row.status);
         CHECK(answer["Plantaingap-Run"] == row.run);
     }
