--- a/src/runtime/admin_duty.cpp
+++ b/src/runtime/admin_duty.cpp
@@ -21,7 +21,7 @@
     , m_metrics(std::move(metrics))
     , m_server(
           m_duty.context(), {},
-          [this](support::http_request request, support::http_peer) {
+          [this](support::http_request request, const support::http_peer &) {
               return handle(std::move(request));
           },
           m_settings.tls)
--- a/src/runtime/cell_administration.cpp
+++ b/src/runtime/cell_administration.cpp
@@ -7,9 +7,6 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/asio/async_result.hpp>
-#include <boost/asio/post.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <ctime>
 #include <iomanip>
 #include <sstream>
@@ -78,22 +75,16 @@
     , m_control(std::move(control))
 { }
 
-// Gives an order to the control duty and goes on, on our own thread, with its reply.
-template<class Reply, class Make>
-asio::awaitable<Reply> cell_administration::ask(Make make, Reply full)
+// Gives an order to the control duty and waits for its reply. The slot and the order are named
+// objects: GCC 12 destroys lambdas that are passed within an awaited call twice.
+template<class Reply>
+asio::awaitable<Reply> cell_administration::ask(std::shared_ptr<reply_slot<Reply>> slot,
+                                                control_order order, Reply full)
 {
-    auto initiate = [this, make, full](auto handler) {
-        auto kept = std::make_shared<decltype(handler)>(std::move(handler));
-        auto &context = m_context;
-        auto reply = [kept, &context](Reply value) {
-            asio::post(context,
-                       [kept, value = std::move(value)]() mutable { (*kept)(std::move(value)); });
-        };
-        if (!m_control(make(reply)))
-            reply(full);
-    };
-    co_return co_await asio::async_initiate<const asio::use_awaitable_t<> &, void(Reply)>(
-        initiate, asio::use_awaitable);
+    if (!m_control(std::move(order)))
+        co_return full;
+    co_await slot->wait();
+    co_return slot->take();
 }
 
 wall_time cell_administration::now() const
@@ -148,8 +139,11 @@
 
 cell_administration::answer<operators::cell_status> cell_administration::status()
 {
-    co_return co_await ask<operators::cell_status>(
-        [](auto reply) { return control_order(status_order {reply}); }, operators::cell_status {});
+    const auto slot = std::make_shared<reply_slot<operators::cell_status>>(m_context);
+    control_order order = status_order {slot->receiver()};
+    operators::cell_status full;
+    auto known = co_await ask(slot, std::move(order), std::move(full));
+    co_return known;
 }
 
 cell_administration::answer<operators::job_explanation> cell_administration::why(std::string job)
@@ -162,11 +156,10 @@
     explanation.state = jobStatus(*row).state;
     if (row->state != job_state::Accepted)
         co_return explanation;
-    const auto reason = co_await ask<std::optional<std::string>>(
-        [job](auto reply) {
-            return control_order(why_order {job, reply});
-        },
-        std::optional<std::string> {});
+    const auto slot = std::make_shared<reply_slot<std::optional<std::string>>>(m_context);
+    control_order order = why_order {job, slot->receiver()};
+    std::optional<std::string> full;
+    const auto reason = co_await ask(slot, std::move(order), std::move(full));
     explanation.reasons.push_back(reason ? sentenceFor(*reason)
                                          : "another instance owns its group; ask that one");
     co_return explanation;
@@ -208,11 +201,9 @@
 {
     const auto spec = specOf(job);
     const auto deadline = clock::now() + patience;
-    const auto outcome = co_await ask<errc>(
-        [spec, deadline](auto reply) {
-            return control_order(submit_order {spec, deadline, reply});
-        },
-        errc::Overloaded);
+    const auto slot = std::make_shared<reply_slot<errc>>(m_context);
+    control_order order = submit_order {spec, deadline, slot->receiver()};
+    const auto outcome = co_await ask(slot, std::move(order), errc::Overloaded);
     if (outcome != errc::Ok) {
         audit.outcome = audit_outcome::Refused;
         audit.reason = make_error_code(outcome).message();
@@ -232,11 +223,9 @@
                                                                                audit_entry audit)
 {
     const auto deadline = clock::now() + patience;
-    auto outcome = co_await ask<errc>(
-        [job, deadline](auto reply) {
-            return control_order(cancel_order {job, deadline, reply});
-        },
-        errc::Overloaded);
+    const auto slot = std::make_shared<reply_slot<errc>>(m_context);
+    control_order order = cancel_order {job, deadline, slot->receiver()};
+    auto outcome = co_await ask(slot, std::move(order), errc::Overloaded);
     if (outcome == errc::NotFound)
         outcome = co_await leaveCancellation(job);
     if (outcome != errc::Ok) {
--- a/src/runtime/cell_administration.h
+++ b/src/runtime/cell_administration.h
@@ -5,6 +5,7 @@
 #include "platform/platform_client.h"
 #include "runtime/config_keeper.h"
 #include "runtime/control_duty.h"
+#include "runtime/reply_slot.h"
 
 #include <functional>
 
@@ -36,8 +37,9 @@
     wall_time now() const override;
 
 private:
-    template<class Reply, class Make>
-    boost::asio::awaitable<Reply> ask(Make make, Reply full);
+    template<class Reply>
+    boost::asio::awaitable<Reply> ask(std::shared_ptr<reply_slot<Reply>> slot, control_order order,
+                                      Reply full);
     answer<job_row> readJob(std::string name);
     boost::asio::awaitable<errc> leaveCancellation(std::string job);
     std::string newAuditKey(wall_time when);
--- a/src/runtime/control_duty.cpp
+++ b/src/runtime/control_duty.cpp
@@ -537,7 +537,11 @@
         one.group = group.name();
         one.owner = owner == m_instanceNames.end() ? "" : owner->second;
         const bool ready = group.control().ready(stableId<worker_id>(worker.listed.name));
-        one.state = worker.listed.leaving ? "leaving" : ready ? "ready" : "unconfirmed";
+        const bool ours = group.control().authority().has_value();
+        one.state = worker.listed.leaving ? "leaving"
+                    : ready               ? "ready"
+                    : ours                ? "unconfirmed"
+                                          : "elsewhere";
         one.slots = worker.listed.slots;
         one.busy = worker.busySlots;
         one.holds = worker.listed.capacity;
--- a/src/runtime/group_shell.cpp
+++ b/src/runtime/group_shell.cpp
@@ -102,42 +102,42 @@
     std::erase_if(m_workers, [&](const auto &entry) { return !listed.contains(entry.first); });
     std::vector<control_action> actions;
     m_control.setWorkers(joining, clock::now(), actions);
-    carryOut(std::move(actions));
+    carryOut(actions);
 }
 
 void group_shell::step(const ownership_event &event)
 {
     std::vector<control_action> actions;
     m_control.step(event, clock::now(), actions);
-    carryOut(std::move(actions));
+    carryOut(actions);
 }
 
 void group_shell::workerLeaving(worker_id worker)
 {
     std::vector<control_action> actions;
     m_control.workerLeaving(worker, clock::now(), actions);
-    carryOut(std::move(actions));
+    carryOut(actions);
 }
 
 void group_shell::setQuotas(const std::vector<decision::quota_changed> &quotas)
 {
     std::vector<control_action> actions;
     m_control.setQuotas(quotas, clock::now(), actions);
-    carryOut(std::move(actions));
+    carryOut(actions);
 }
 
 void group_shell::formerStopped(const instance_ref &former)
 {
     std::vector<control_action> actions;
     m_control.formerStopped(former, clock::now(), actions);
-    carryOut(std::move(actions));
+    carryOut(actions);
 }
 
 void group_shell::tick()
 {
     std::vector<control_action> actions;
     m_control.tick(clock::now(), actions);
-    carryOut(std::move(actions));
+    carryOut(actions);
     if (m_desk.dirty() && !m_flushing && m_control.authority())
         spawn(flushJobs());
 }
@@ -160,7 +160,7 @@
     asio::co_spawn(m_services.context, std::move(work), asio::detached);
 }
 
-void group_shell::carryOut(std::vector<control_action> actions)
+void group_shell::carryOut(const std::vector<control_action> &actions)
 {
     for (const auto &action : actions)
         std::visit([this](const auto &typed) { on(typed); }, action);
@@ -309,7 +309,7 @@
                 m_control.step(decision::job_cancelled {jobIdOf(row.spec.name)}, clock::now(),
                                actions);
         }
-        carryOut(std::move(actions));
+        carryOut(actions);
         co_return;
     }
 }
@@ -344,7 +344,7 @@
         m_services.tell(worker_slots_held {m_name, still->second.listed.name, answer->busySlots});
     std::vector<control_action> actions;
     m_control.step(*answer, clock::now(), actions);
-    carryOut(std::move(actions));
+    carryOut(actions);
 }
 
 asio::awaitable<void> group_shell::flushJobs()
@@ -370,7 +370,7 @@
     std::vector<control_action> actions;
     const job_row row {spec, job_state::Accepted, false, {}};
     m_control.step(jobSubmitted(row, clock::now(), wallNow()), clock::now(), actions);
-    carryOut(std::move(actions));
+    carryOut(actions);
     co_return outcome;
 }
 
@@ -381,7 +381,7 @@
         co_return outcome;
     std::vector<control_action> actions;
     m_control.step(decision::job_cancelled {jobIdOf(name)}, clock::now(), actions);
-    carryOut(std::move(actions));
+    carryOut(actions);
     co_return outcome;
 }
 
--- a/src/runtime/group_shell.h
+++ b/src/runtime/group_shell.h
@@ -66,7 +66,7 @@
         std::vector<task_id> acknowledged;
     };
 
-    void carryOut(std::vector<control_action> actions);
+    void carryOut(const std::vector<control_action> &actions);
     void on(const read_row &action);
     void on(const write_row &action);
     void on(const group_gained &action);
