--- a/tests/process/test_cluster.cpp
+++ b/tests/process/test_cluster.cpp
@@ -108,8 +108,8 @@
         m_peerPorts.push_back(freePort());
         m_callerPorts.push_back(freePort());
     }
-    const json::object list = {{"revision", 1}, {"instances", instances}, {"workers", listed}};
-    m_files.push_back(std::make_unique<temporary_file>(json::serialize(list)));
+    m_list = {{"revision", 1}, {"instances", instances}, {"workers", listed}};
+    m_files.push_back(std::make_unique<temporary_file>(json::serialize(m_list)));
     m_platform = std::make_unique<child_process>(
         "platform-stand-in", std::vector<std::string> {"--list=" + m_files.back()->path()});
     for (unsigned index = 0; index < entries; ++index) {
@@ -181,6 +181,26 @@
     REQUIRE(answer.result_int() == 200);
 }
 
+void test_cluster::listOnly(unsigned workers) const
+{
+    auto list = m_list;
+    auto &listed = list.at("workers").as_array();
+    listed.erase(listed.begin() + workers, listed.end());
+    controlPlatform(json::serialize(json::object {{"list", list}}));
+    auto ask = support::makeRequest(http::verb::get, "/v1/status", "");
+    ask.set(http::field::authorization, "Bearer " + std::string(operatorToken));
+    const auto until = clock::now() + patience;
+    for (const auto &entry : m_entries) {
+        std::size_t seen = 0;
+        while (seen != workers) {
+            REQUIRE(clock::now() < until);
+            const auto status = json::parse(fetch(entry.address("administration"), ask).body());
+            const auto *told = status.as_object().if_contains("workers");
+            seen = told ? told->as_array().size() : 0;
+        }
+    }
+}
+
 std::int64_t test_cluster::count(const std::string &name) const
 {
     std::int64_t sum = 0;
--- a/tests/process/test_cluster.h
+++ b/tests/process/test_cluster.h
@@ -4,6 +4,7 @@
 #include "process/child_process.h"
 #include "support/http_client.h"
 
+#include <boost/json/object.hpp>
 #include <map>
 #include <memory>
 
@@ -46,7 +47,9 @@
     const std::string &tokenFile() const { return m_token->path(); }
     // Gives the platform's stand-in an order, for example to be away.
     void controlPlatform(const std::string &order) const;
-    const child_process &platform() const { return *m_platform; }
+    // Takes all but the first workers off the platform's list, and waits until every instance has
+    // seen it. The others go on running.
+    void listOnly(unsigned workers) const;
 
     // The sum over all workers of one of their counts.
     std::int64_t count(const std::string &name) const;
@@ -60,6 +63,7 @@
     std::unique_ptr<child_process> m_platform;
     std::unique_ptr<temporary_file> m_token;
     std::vector<child_process> m_workers;
+    boost::json::object m_list;
     std::vector<std::uint16_t> m_peerPorts;
     std::vector<std::uint16_t> m_callerPorts;
     std::vector<std::unique_ptr<temporary_file>> m_files;
