--- a/benchmarks/capacity.cpp
+++ b/benchmarks/capacity.cpp
@@ -447,6 +447,14 @@
              "B/s");
     limitRow(out, "bytes a second, per worker", groups.bytesByWorker.slope, bytesLimit, 0, "B/s");
 
+    // Today's sizes: eight instances, six racks in three regions, one rack for each owner.
+    const auto today = measureHeartbeat(8, 2, 1);
+    const double todayBeats = 1000.0 / 300 * 7 * 2 * today.bytes;
+    limitRow(out, "today: bytes a second, heartbeats of 8 instances", todayBeats, bytesLimit, 0,
+             "B/s");
+    limitRow(out, "today: bytes a second, orders of one rack", groups.bytesByWorker.at(8),
+             bytesLimit, 0, "B/s");
+
     // One range read of group rows, one of the list, one of cancellations and one of the
     // configuration's head a second for each instance.
     const double reads = 4 * targetInstances;
