--- a/src/runtime/config_keeper.cpp
+++ b/src/runtime/config_keeper.cpp
@@ -9,6 +9,12 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+// GCC 12 inlines only half of the pair by which Asio recycles the memory of coroutine frames, and
+// then takes the pair for mismatched.
+#if defined(__GNUC__) && !defined(__clang__)
+#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
+#endif
+
 namespace plantaingap::runtime {
 
 namespace asio = boost::asio;
--- a/src/support/metrics.cpp
+++ b/src/support/metrics.cpp
@@ -1,6 +1,5 @@
 #include "support/metrics.h"
 
-#include <boost/histogram/indexed.hpp>
 #include <boost/histogram/make_histogram.hpp>
 #include <sstream>
 
@@ -52,13 +51,12 @@
     const std::string prefix = labels.empty() ? "" : std::string(labels) + ",";
     std::uint64_t below = 0;
     std::ostringstream lines;
-    for (auto &&bin : boost::histogram::indexed(m_bins, boost::histogram::coverage::all)) {
-        below += *bin;
-        // The last bin has no upper edge; its count is in the line for +Inf.
-        if (bin.index() >= static_cast<int>(bins))
-            break;
-        lines << name << "_bucket{" << prefix << "le=\"" << bin.bin().upper() << "\"} " << below
-              << "\n";
+    // Bin -1 holds what is below the axis; what is above it is in the line for +Inf alone.
+    below += m_bins.at(-1);
+    for (int index = 0; index < static_cast<int>(bins); ++index) {
+        below += m_bins.at(index);
+        lines << name << "_bucket{" << prefix << "le=\"" << m_bins.axis().bin(index).upper()
+              << "\"} " << below << "\n";
     }
     lines << name << "_bucket{" << prefix << "le=\"+Inf\"} " << m_count << "\n";
     lines << name << "_sum" << braced(labels) << " " << m_sum << "\n";
