Remove a placeholder that the platform package outgrew

Cause: an empty source file of the skeleton was left in src/platform. Change: removed; the build finds its files by itself. Measured: test_platform builds and passes; no other test was run again. Conclusion: no behaviour changed.

--- a/src/platform/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace plantaingap { }
