--- /dev/null
+++ b/src/cell/leader.cpp
@@ -0,0 +1,708 @@
+#include "cell/leader.h"
+
+#include "support/boot_time.h"
+#include "support/log.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace plantaingap::cell {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+using support::bootNow;
+using support::log_event;
+using support::log_level;
+
+namespace {
+
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+
+constexpr std::string_view jobsTable = "jobs";
+constexpr std::string_view progressTable = "progress";
+constexpr std::string_view endedTable = "ended";
+
+// Jobs in one write; each takes at most four of the 100 entries that the store allows.
+constexpr std::size_t batchJobs = 24;
+// Changes that come within this span share a write.
+constexpr milliseconds groupWait {10};
+constexpr milliseconds commitPatience {1500};
+constexpr milliseconds readPatience {1500};
+// Between attempts to write, first and longest.
+constexpr milliseconds firstBackoff {30};
+constexpr milliseconds longestBackoff {400};
+
+// Placement follows events by this much, so that events that come together share a pass.
+constexpr milliseconds planDelay {3};
+// Placement runs at least this often: dates pass and leases end without any event.
+constexpr milliseconds planEvery {50};
+
+constexpr milliseconds orderPatience {800};
+// How long a worker may hold a look when nothing ends.
+constexpr milliseconds lookWait {1000};
+constexpr milliseconds lookPatience {700};
+constexpr milliseconds lookRetry {150};
+// Ends that wait for the store longer than this do not hold up the next look.
+constexpr milliseconds storedPatience {400};
+
+constexpr milliseconds configurationWait {1500};
+constexpr milliseconds listEvery {800};
+// After an outage of the store entries of living workers are back within this.
+constexpr milliseconds listGrace {2300};
+// A read of the list that is older than this means that the store was away.
+constexpr milliseconds listGap {2500};
+
+// A follower that has not sent a heartbeat for this long gets no calls for advice.
+constexpr milliseconds followerValidity {1000};
+constexpr std::uint32_t shortCallsEach = 6;
+constexpr std::uint32_t longCallsEach = 1;
+// Added to what the advisor will take: the queue of other callers and the way there and back.
+constexpr milliseconds adviceGrace {700};
+
+// Writes that fail for this long make new jobs be refused at once.
+constexpr milliseconds awayAfter {600};
+
+std::string afterKey(const std::string &key)
+{
+    return key + '\x01';
+}
+
+} // namespace
+
+leader::leader(asio::io_context &context, cell_ports ports, leader_options options, leader_row row,
+               std::uint64_t revision)
+    : m_context(context)
+    , m_ports(ports)
+    , m_options(std::move(options))
+    , m_row(std::move(row))
+    , m_revision(revision)
+    , m_scheduler(m_options.scheduler)
+    , m_committedAt(bootNow())
+    , m_changed(context)
+{
+    m_wall.told(m_options.instance, support::wallNow(), bootNow());
+    m_scheduler.lead(m_row.term, bootNow());
+}
+
+awaitable<void> leader::pause(milliseconds span)
+{
+    asio::steady_timer timer(m_context, span);
+    co_await timer.async_wait(asTuple);
+}
+
+bool leader::valid(time_point now) const
+{
+    return now - m_committedAt < m_options.validity;
+}
+
+bool leader::storeAway(time_point now) const
+{
+    return m_storeFailing && now - m_committedAt > awayAfter;
+}
+
+awaitable<void> leader::run()
+{
+    const auto self = shared_from_this();
+    log_event(log_level::Info, "leader.taking_over").field("term", m_row.term);
+    if (!co_await load()) {
+        m_ended = true;
+        co_return;
+    }
+    m_ready = true;
+    log_event(log_level::Info, "leader.ready")
+        .field("term", m_row.term)
+        .field("jobs", static_cast<std::uint64_t>(m_scheduler.load().jobs))
+        .field("configuration", m_scheduler.configuration().version);
+    const auto duty = [&](awaitable<void> each) {
+        asio::co_spawn(m_context, std::move(each), asio::detached);
+    };
+    duty(watchConfiguration());
+    duty(watchWorkers());
+    duty(planRegularly());
+    co_await storeChanges();
+    m_ended = true;
+    for (auto &[id, timer] : m_waiters)
+        timer->cancel();
+    for (auto &[id, timer] : m_looks)
+        timer->cancel();
+    log_event(log_level::Info, "leader.ended").field("term", m_row.term);
+}
+
+// Taking over.
+
+awaitable<bool> leader::loadTable(const std::string &table, std::vector<stored_row> &rows)
+{
+    std::string from;
+    while (true) {
+        auto read = co_await m_ports.store.read(table, from, {}, clock::now() + readPatience);
+        auto *page = std::get_if<row_page>(&read);
+        if (!page) {
+            if (!valid(bootNow()))
+                co_return false;
+            co_await pause(firstBackoff);
+            continue;
+        }
+        m_operatorRevision = page->revision;
+        std::ranges::move(page->rows, std::back_inserter(rows));
+        if (!page->more || rows.empty())
+            co_return true;
+        from = afterKey(rows.back().at.key);
+    }
+}
+
+awaitable<bool> leader::load()
+{
+    std::vector<stored_row> definitions;
+    std::vector<stored_row> progress;
+    std::vector<stored_row> operators;
+    if (!co_await loadTable(std::string(jobsTable), definitions)
+        || !co_await loadTable(std::string(progressTable), progress)
+        || !co_await loadTable(m_ports.tables.configuration.table, operators)) {
+        co_return false;
+    }
+    for (const auto &row : operators)
+        takeConfiguration(row);
+    restoreJobs(definitions, progress);
+    co_return co_await readWorkers();
+}
+
+void leader::restoreJobs(const std::vector<stored_row> &definitions,
+                         const std::vector<stored_row> &progress)
+{
+    std::map<std::string_view, std::string_view> byId;
+    for (const auto &row : progress)
+        byId[row.at.key] = row.value;
+    const auto now = bootNow();
+    for (const auto &row : definitions) {
+        const auto job = jobs::decodeJob(row.value);
+        if (!job) {
+            log_event(log_level::Error, "job.unreadable").field("job", row.at.key);
+            continue;
+        }
+        std::optional<jobs::recorded_progress> recorded;
+        if (const auto found = byId.find(row.at.key); found != byId.end()) {
+            const auto decoded = jobs::decodeProgress(found->second);
+            if (!decoded) {
+                log_event(log_level::Error, "progress.unreadable").field("job", row.at.key);
+                continue;
+            }
+            recorded = *decoded;
+        }
+        m_scheduler.restore(*job, recorded, now, m_wall.at(now));
+    }
+}
+
+// The store.
+
+transaction leader::makeTransaction(const std::vector<jobs::job_change> &batch) const
+{
+    transaction changes;
+    const row_key own {"cell", "leader"};
+    changes.expected.push_back({own, m_revision});
+    changes.puts.emplace_back(own, encodeLeaderRow(m_row));
+    for (const auto &change : batch) {
+        const row_key definition {std::string(jobsTable), change.id};
+        const row_key progress {std::string(progressTable), change.id};
+        const row_key ended {std::string(endedTable), change.id};
+        if (change.finished) {
+            changes.removals.push_back(definition);
+            changes.removals.push_back(progress);
+            changes.puts.emplace_back(ended, std::string(jobs::stateName(*change.finished)));
+            continue;
+        }
+        if (change.definition) {
+            changes.expected.push_back({ended, 0});
+            changes.puts.emplace_back(definition, *change.definition);
+        }
+        if (change.progress)
+            changes.puts.emplace_back(progress, *change.progress);
+    }
+    return changes;
+}
+
+bool leader::settleConflicts(const std::vector<stored_row> &conflicts,
+                             std::vector<jobs::job_change> &batch, bool &applied)
+{
+    for (const auto &row : conflicts) {
+        if (row.at.table == endedTable) {
+            if (row.revision == 0 || row.value.empty())
+                continue;
+            const auto state =
+                jobs::parseState(row.value).value_or(jobs::job_state::Completed);
+            std::erase_if(batch, [&row](const auto &change) { return change.id == row.at.key; });
+            m_scheduler.endedBefore(row.at.key, state, bootNow());
+            wake(row.at.key);
+            continue;
+        }
+        if (row.revision == m_revision)
+            continue;
+        const auto found = decodeLeaderRow(row.value);
+        if (!found || found->holder != m_row.holder || found->term != m_row.term)
+            return false;
+        if (found->sequence != m_row.sequence)
+            return false;
+        // The write was done; only its answer was lost.
+        applied = true;
+        m_revision = row.revision;
+    }
+    return true;
+}
+
+void leader::batchStored(const std::vector<jobs::job_change> &batch)
+{
+    for (auto &order : m_scheduler.stored(batch, bootNow()))
+        asio::co_spawn(m_context, sendStart(std::move(order)), asio::detached);
+    for (const auto &change : batch) {
+        wake(change.id);
+        if (change.finished) {
+            log_event(log_level::Info, "job.ended")
+                .field("job", change.id)
+                .field("state", jobs::stateName(*change.finished));
+        }
+        for (const auto &effect : change.effects) {
+            const auto look = m_looks.find(effect.worker);
+            if (look != m_looks.end() && m_scheduler.workers().find(effect.worker))
+                look->second->cancel();
+        }
+    }
+    if (!batch.empty())
+        planSoon();
+}
+
+// Stores one batch, however often that has to be tried; false when another leads.
+awaitable<bool> leader::storeBatch(std::vector<jobs::job_change> batch)
+{
+    ++m_row.sequence;
+    auto backoff = firstBackoff;
+    while (true) {
+        const auto sentAt = bootNow();
+        auto done =
+            co_await m_ports.store.commit(makeTransaction(batch), clock::now() + commitPatience);
+        ++m_counters["store_writes"];
+        bool applied = false;
+        if (auto *result = std::get_if<transaction_result>(&done)) {
+            applied = result->applied;
+            if (applied)
+                m_revision = result->revision;
+            else if (!settleConflicts(result->conflicts, batch, applied))
+                co_return false;
+            if (!applied)
+                continue;
+            if (m_storeFailing)
+                log_event(log_level::Info, "store.regained").field("term", m_row.term);
+            m_storeFailing = false;
+            m_committedAt = sentAt;
+            batchStored(batch);
+            co_return true;
+        }
+        if (!m_storeFailing) {
+            log_event(log_level::Warning, "store.lost")
+                .field("refused", std::get<call_failure>(done) == call_failure::Refused ? 1 : 0);
+        }
+        m_storeFailing = true;
+        ++m_counters["store_failures"];
+        co_await pause(backoff);
+        backoff = std::min(backoff * 2, longestBackoff);
+    }
+}
+
+awaitable<void> leader::storeChanges()
+{
+    const auto self = shared_from_this();
+    while (true) {
+        if (!m_scheduler.hasChanges()) {
+            if (m_resigning) {
+                m_row.resigned = true;
+                std::vector<jobs::job_change> nothing;
+                co_await storeBatch(std::move(nothing));
+                co_return;
+            }
+            m_changed.expires_after(m_options.leadership.writeEvery);
+            co_await m_changed.async_wait(asTuple);
+        }
+        if (m_scheduler.hasChanges())
+            co_await pause(groupWait);
+        if (!co_await storeBatch(m_scheduler.takeChanges(batchJobs)))
+            co_return;
+        planSoon();
+    }
+}
+
+// The operator's rows and the list of workers.
+
+void leader::takeConfiguration(const stored_row &row)
+{
+    if (row.at.key != m_ports.tables.configuration.key || row.removed)
+        return;
+    auto configuration = m_ports.codec.configuration(row.value);
+    if (!configuration) {
+        log_event(log_level::Error, "configuration.unreadable").field("revision", row.revision);
+        return;
+    }
+    if (configuration->version < m_scheduler.configuration().version)
+        return;
+    log_event(log_level::Info, "configuration.in_force")
+        .field("version", configuration->version)
+        .field("queues", static_cast<std::uint64_t>(configuration->queues.size()));
+    m_scheduler.configure(std::move(*configuration));
+}
+
+awaitable<void> leader::watchConfiguration()
+{
+    const auto self = shared_from_this();
+    const auto table = m_ports.tables.configuration.table;
+    while (!m_ended) {
+        auto read = co_await m_ports.store.changes(table, m_operatorRevision, configurationWait);
+        if (m_ended)
+            co_return;
+        if (auto *page = std::get_if<row_page>(&read)) {
+            m_operatorRevision = std::max(m_operatorRevision, page->revision);
+            for (const auto &row : page->rows)
+                takeConfiguration(row);
+            continue;
+        }
+        if (std::get<call_failure>(read) == call_failure::HistoryLost) {
+            std::vector<stored_row> rows;
+            if (co_await loadTable(table, rows)) {
+                for (const auto &row : rows)
+                    takeConfiguration(row);
+            }
+            continue;
+        }
+        co_await pause(longestBackoff);
+    }
+}
+
+awaitable<bool> leader::readWorkers()
+{
+    std::vector<stored_row> rows;
+    std::string from;
+    bool more = true;
+    while (more) {
+        auto read = co_await m_ports.store.read(m_ports.tables.workers, from, {},
+                                                clock::now() + readPatience);
+        auto *page = std::get_if<row_page>(&read);
+        if (!page)
+            co_return valid(bootNow());
+        std::ranges::move(page->rows, std::back_inserter(rows));
+        more = page->more && !rows.empty();
+        if (more)
+            from = afterKey(rows.back().at.key);
+    }
+    std::vector<jobs::worker_entry> entries;
+    for (const auto &row : rows) {
+        if (auto entry = m_ports.codec.workerEntry(row.at.key, row.value))
+            entries.push_back(std::move(*entry));
+        else
+            ++m_counters["worker_entries_unreadable"];
+    }
+    startLooks(m_scheduler.listWorkers(entries));
+    co_return true;
+}
+
+void leader::startLooks(const std::vector<std::string> &)
+{
+    for (const auto &[id, at] : m_scheduler.workers().all()) {
+        if (!at->listed || m_looks.contains(id))
+            continue;
+        m_looks[id] = std::make_shared<asio::steady_timer>(m_context);
+        asio::co_spawn(m_context, lookAfter(id), asio::detached);
+    }
+}
+
+awaitable<void> leader::watchWorkers()
+{
+    const auto self = shared_from_this();
+    while (!m_ended) {
+        co_await pause(listEvery);
+        if (m_ended)
+            co_return;
+        co_await readWorkers();
+        for (const auto &gone : m_scheduler.workers().sweep(bootNow())) {
+            log_event(log_level::Info, "worker.gone").field("worker", gone);
+            m_ports.workers.forget(gone);
+        }
+        planSoon();
+    }
+}
+
+// Looks at one worker as long as it is known: renews its lease, takes in what ended.
+awaitable<void> leader::lookAfter(std::string id)
+{
+    const auto self = shared_from_this();
+    const auto timer = m_looks.at(id);
+    while (!m_ended) {
+        auto *at = m_scheduler.workers().find(id);
+        if (!at)
+            break;
+        const auto now = bootNow();
+        if (!valid(now)) {
+            co_await pause(lookRetry);
+            continue;
+        }
+        auto order = m_scheduler.look(*at, now);
+        order.wait = at->reports == 0 || !at->unstoredEnds.empty() ? milliseconds(0) : lookWait;
+        ++m_counters["looks"];
+        auto told =
+            co_await m_ports.workers.look(order, clock::now() + order.wait + lookPatience);
+        if (m_ended)
+            break;
+        if (auto *report = std::get_if<jobs::worker_report>(&told)) {
+            if (report->staleTerm) {
+                log_event(log_level::Warning, "worker.follows_other_leader").field("worker", id);
+                m_scheduler.lookFailed(id, bootNow());
+                co_await pause(lookRetry);
+                continue;
+            }
+            const bool wasAway = !at->answering;
+            m_scheduler.reported(id, *report, now, bootNow());
+            if (wasAway)
+                log_event(log_level::Info, "worker.answers").field("worker", id);
+            if (m_scheduler.hasChanges())
+                m_changed.cancel();
+            planSoon();
+            if (report->otherLife) {
+                co_await pause(listEvery);
+                continue;
+            }
+            at = m_scheduler.workers().find(id);
+            if (at && !at->unstoredEnds.empty()) {
+                timer->expires_after(storedPatience);
+                co_await timer->async_wait(asTuple);
+            }
+            continue;
+        }
+        at = m_scheduler.workers().find(id);
+        if (at && at->answering)
+            log_event(log_level::Warning, "worker.silent").field("worker", id);
+        m_scheduler.lookFailed(id, bootNow());
+        co_await pause(lookRetry);
+    }
+    m_looks.erase(id);
+}
+
+// Placement and orders.
+
+void leader::planSoon()
+{
+    if (m_planPosted || m_ended)
+        return;
+    m_planPosted = true;
+    asio::co_spawn(
+        m_context,
+        [self = shared_from_this()]() -> awaitable<void> {
+            co_await self->pause(planDelay);
+            self->m_planPosted = false;
+            if (!self->m_ended)
+                self->plan();
+        },
+        asio::detached);
+}
+
+awaitable<void> leader::planRegularly()
+{
+    const auto self = shared_from_this();
+    while (!m_ended) {
+        co_await pause(planEvery);
+        planSoon();
+    }
+}
+
+void leader::plan()
+{
+    const auto now = bootNow();
+    m_wall.told(m_options.instance, support::wallNow(), now);
+    auto orders = m_scheduler.plan(now, m_wall.at(now), lanes(now));
+    for (auto &stop : orders.stops)
+        asio::co_spawn(m_context, sendStop(std::move(stop)), asio::detached);
+    for (auto &throttle : orders.throttles)
+        asio::co_spawn(m_context, sendThrottle(std::move(throttle)), asio::detached);
+    for (auto &request : orders.advice) {
+        const bool shortCall = request.decide <= jobs::shortAdvice;
+        auto instance = laneFor(shortCall, now);
+        auto &lane = m_followers[instance];
+        ++(shortCall ? lane.shortCalls : lane.longCalls);
+        asio::co_spawn(m_context, sendAdvice(std::move(request), std::move(instance)),
+                       asio::detached);
+    }
+    if (m_scheduler.hasChanges())
+        m_changed.cancel();
+}
+
+// Own calls count under the empty name. Every fourth instance, this one first, takes short calls
+// only; the others take one long call at a time each.
+std::string leader::laneFor(bool shortCall, time_point now) const
+{
+    std::string best;
+    std::uint32_t fewest = UINT32_MAX;
+    const auto consider = [&](const std::string &name, const follower &one, bool takesShort) {
+        const auto count = shortCall ? one.shortCalls : one.longCalls;
+        const auto bound = shortCall ? shortCallsEach : longCallsEach;
+        if (takesShort == shortCall && count < bound && count < fewest) {
+            best = name;
+            fewest = count;
+        }
+    };
+    std::size_t index = 1;
+    bool others = false;
+    for (const auto &[name, one] : m_followers) {
+        if (name.empty() || now - one.heard > followerValidity)
+            continue;
+        others = true;
+        consider(name, one, index++ % 4 == 0);
+    }
+    const auto own = m_followers.find({});
+    const follower none;
+    consider({}, own == m_followers.end() ? none : own->second, true);
+    if (!others)
+        consider({}, own == m_followers.end() ? none : own->second, false);
+    return best;
+}
+
+jobs::advice_lanes leader::lanes(time_point now) const
+{
+    jobs::advice_lanes lanes;
+    std::size_t index = 1;
+    bool others = false;
+    const auto left = [](std::uint32_t bound, std::uint32_t used) {
+        return bound > used ? bound - used : 0;
+    };
+    for (const auto &[name, one] : m_followers) {
+        if (name.empty() || now - one.heard > followerValidity)
+            continue;
+        others = true;
+        if (index++ % 4 == 0)
+            lanes.shortCalls += left(shortCallsEach, one.shortCalls);
+        else
+            lanes.longCalls += left(longCallsEach, one.longCalls);
+    }
+    const auto own = m_followers.find({});
+    const follower mine = own == m_followers.end() ? follower {} : own->second;
+    lanes.shortCalls += left(shortCallsEach, mine.shortCalls);
+    if (!others)
+        lanes.longCalls += left(longCallsEach, mine.longCalls);
+    return lanes;
+}
+
+awaitable<void> leader::sendAdvice(jobs::advice_request request, std::string instance)
+{
+    const auto self = shared_from_this();
+    const bool shortCall = request.decide <= jobs::shortAdvice;
+    const auto deadline =
+        clock::now() + request.cost + std::chrono::duration_cast<duration>(adviceGrace);
+    ++m_counters["advice_calls"];
+    outcome<advice> told = call_failure::Unknown;
+    if (instance.empty()) {
+        told = co_await m_ports.advisor.ask(request.step, request.workers, deadline);
+    } else {
+        const auto address = m_followers[instance].address;
+        advice_call call {request.step, request.workers, deadline};
+        told = co_await m_ports.peers.advise(address, std::move(call));
+    }
+    auto &lane = m_followers[instance];
+    --(shortCall ? lane.shortCalls : lane.longCalls);
+    if (m_ended)
+        co_return;
+    if (const auto *given = std::get_if<advice>(&told)) {
+        std::map<std::string, std::string> tickets;
+        for (const auto &ticket : given->good)
+            tickets[ticket.worker] = ticket.text;
+        m_scheduler.advised(request, tickets, given->validity, bootNow());
+    } else {
+        ++m_counters["advice_failures"];
+        m_scheduler.adviceFailed(request, bootNow());
+    }
+    planSoon();
+}
+
+awaitable<void> leader::sendStart(jobs::start_order order)
+{
+    using jobs::start_result;
+    const auto self = shared_from_this();
+    ++m_counters["starts"];
+    const auto reply = co_await m_ports.workers.start(order, clock::now() + orderPatience);
+    if (m_ended)
+        co_return;
+    auto result = start_result::Unknown;
+    switch (reply.answer) {
+    case order_answer::Accepted:
+        result = start_result::Accepted;
+        break;
+    case order_answer::BadTicket:
+        result = start_result::NoTicket;
+        break;
+    case order_answer::OldAttempt:
+        result = start_result::Ended;
+        break;
+    case order_answer::OtherLife:
+        result = start_result::OtherLife;
+        break;
+    case order_answer::StaleTerm:
+    case order_answer::Expired:
+    case order_answer::NoRoom:
+    case order_answer::Unwell:
+    case order_answer::Refused:
+        result = start_result::Refused;
+        break;
+    case order_answer::Unknown:
+        break;
+    }
+    if (result != start_result::Accepted) {
+        ++m_counters["starts_not_accepted"];
+        log_event(log_level::Warning, "start.not_accepted")
+            .field("task", order.task)
+            .field("attempt", order.attempt)
+            .field("worker", order.worker.id)
+            .field("answer", static_cast<int>(reply.answer));
+    }
+    m_scheduler.startAnswered(order, result, reply.workerClockMs, bootNow());
+    planSoon();
+}
+
+awaitable<void> leader::sendStop(jobs::stop_order order)
+{
+    const auto self = shared_from_this();
+    ++m_counters["stops"];
+    const auto reply = co_await m_ports.workers.stop(order, clock::now() + orderPatience);
+    if (m_ended)
+        co_return;
+    // A worker that refuses the order for good does not run the task either.
+    const bool settled = reply.answer == order_answer::Accepted
+                         || reply.answer == order_answer::OldAttempt
+                         || reply.answer == order_answer::OtherLife;
+    m_scheduler.stopAnswered(order, settled, bootNow());
+}
+
+awaitable<void> leader::sendThrottle(jobs::throttle_order order)
+{
+    const auto self = shared_from_this();
+    co_await m_ports.workers.throttle(order, clock::now() + orderPatience);
+}
+
+leader_beat leader::beat(const follower_beat &told)
+{
+    const auto now = bootNow();
+    auto &one = m_followers[told.instance];
+    one.address = told.address;
+    one.heard = now;
+    m_wall.told(told.instance, told.wall, now);
+    const auto age = std::chrono::duration_cast<milliseconds>(now - m_committedAt);
+    return {!m_ended && !m_row.resigned, m_row.term, age};
+}
+
+std::string leader::metrics() const
+{
+    std::string out;
+    for (const auto &[name, value] : m_counters)
+        out += "plantaingap_" + name + "_total " + std::to_string(value) + "\n";
+    const auto load = m_scheduler.load();
+    out += "plantaingap_jobs " + std::to_string(load.jobs) + "\n";
+    out += "plantaingap_waiting_tasks " + std::to_string(load.waitingTasks) + "\n";
+    out += "plantaingap_occupying_tasks " + std::to_string(load.occupyingTasks) + "\n";
+    return out;
+}
+
+} // namespace plantaingap::cell
--- /dev/null
+++ b/src/cell/leadership.cpp
@@ -0,0 +1,94 @@
+#include "cell/leadership.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace plantaingap::cell {
+
+namespace json = boost::json;
+
+namespace {
+
+// Heartbeats without an answer for this long leave a follower without a leader.
+constexpr std::chrono::milliseconds answerValidity {1500};
+// Two looks at the row further apart than this do not show that it stood still in between.
+constexpr std::chrono::milliseconds lookGap {500};
+
+} // namespace
+
+std::string encodeLeaderRow(const leader_row &row)
+{
+    return json::serialize(json::object {{"holder", row.holder},
+                                         {"address", row.address},
+                                         {"term", row.term},
+                                         {"sequence", row.sequence},
+                                         {"resigned", row.resigned}});
+}
+
+std::optional<leader_row> decodeLeaderRow(std::string_view text)
+{
+    try {
+        const auto value = json::parse(text);
+        const auto &object = value.as_object();
+        leader_row row;
+        row.holder = object.at("holder").as_string().c_str();
+        row.address = object.at("address").as_string().c_str();
+        row.term = object.at("term").to_number<std::uint64_t>();
+        row.sequence = object.at("sequence").to_number<std::uint64_t>();
+        row.resigned = object.at("resigned").as_bool();
+        return row;
+    } catch (const std::exception &) {
+        return std::nullopt;
+    }
+}
+
+leadership_watch::leadership_watch(leadership_options options)
+    : m_options(options)
+{ }
+
+void leadership_watch::rowSeen(std::optional<leader_row> row, std::uint64_t revision,
+                               time_point now)
+{
+    if (!m_seen || revision != m_revision || now - m_lastSeen > lookGap) {
+        m_stillSince = now;
+        m_seen = true;
+    }
+    m_lastSeen = now;
+    m_row = std::move(row);
+    m_revision = revision;
+}
+
+void leadership_watch::leaderAnswered(std::uint64_t term, std::chrono::milliseconds commitAge,
+                                      time_point now)
+{
+    if (m_row && term < m_row->term)
+        return;
+    m_answeredAt = now;
+    m_suspicious = commitAge > m_options.suspectAge;
+}
+
+void leadership_watch::leaderSilent(time_point)
+{
+    m_suspicious = true;
+}
+
+bool leadership_watch::suspicious(time_point now) const
+{
+    return m_suspicious || now - m_answeredAt > answerValidity;
+}
+
+bool leadership_watch::mayTakeOver(time_point now) const
+{
+    if (!m_seen || !suspicious(now))
+        return false;
+    if (!m_row || m_row->resigned)
+        return true;
+    return m_lastSeen - m_stillSince >= m_options.stillFor;
+}
+
+bool leadership_watch::hasLeader(time_point now) const
+{
+    return m_row && !m_row->resigned && now - m_answeredAt <= answerValidity;
+}
+
+} // namespace plantaingap::cell
--- /dev/null
+++ b/src/jobs/admission.cpp
@@ -0,0 +1,104 @@
+#include "jobs/admission.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace plantaingap::jobs {
+
+namespace {
+
+// A job that would end later than this many objectives after its arrival is refused: the span in
+// which a late answer still has a use is three, less a reserve for what the estimate misses.
+constexpr double hopeFactor = 2.4;
+// Callers of refused jobs come back after at least and at most this long.
+constexpr double shortestReturn = 1;
+constexpr double longestReturn = 8;
+// No worker can ever hold a task of the job; only a change of the fleet helps.
+constexpr std::uint32_t misfitReturn = 10;
+
+using core_milliseconds = double;
+
+core_milliseconds remainingWork(const step_run &step)
+{
+    const auto &definition = *step.definition;
+    if (definition.filler || definition.lasting)
+        return 0;
+    const double each =
+        static_cast<double>(definition.need.milliCores) / 1000.0
+        * static_cast<double>(definition.estimate.count());
+    const auto left = static_cast<double>(step.tasks.size() - step.done);
+    const auto occupying = left - static_cast<double>(step.waiting);
+    return each * (static_cast<double>(step.waiting) + occupying / 2);
+}
+
+core_milliseconds remainingWork(const job_run &job)
+{
+    core_milliseconds sum = 0;
+    for (const auto &[number, occurrence] : job.occurrences) {
+        for (const auto &step : occurrence.steps)
+            sum += remainingWork(step);
+    }
+    return sum;
+}
+
+bool fitsSomewhere(const step_definition &step, const fleet &workers)
+{
+    return std::ranges::any_of(workers.all(), [&](const auto &entry) {
+        const auto &at = *entry.second;
+        return at.listed && at.hasLabel(step.label) && step.need.fitsIn(at.entry.capacity);
+    });
+}
+
+// The longest chain of steps by declared estimates.
+milliseconds longestChain(const job_definition &job)
+{
+    std::vector<milliseconds> until(job.steps.size(), milliseconds(0));
+    milliseconds longest {0};
+    for (std::size_t i = 0; i < job.steps.size(); ++i) {
+        for (const auto earlier : job.steps[i].after) {
+            if (earlier < i)
+                until[i] = std::max(until[i], until[earlier]);
+        }
+        until[i] += job.steps[i].estimate;
+        longest = std::max(longest, until[i]);
+    }
+    return longest;
+}
+
+} // namespace
+
+std::optional<std::uint32_t> refuseFor(const job_definition &job, const queue_definition &queue,
+                                       const job_map &jobs, const fleet &workers, time_point now)
+{
+    const auto capacity = workers.capacity();
+    if (capacity.milliCores == 0)
+        return std::nullopt;
+    for (const auto &step : job.steps) {
+        if (!fitsSomewhere(step, workers))
+            return misfitReturn;
+    }
+    if (job.occurrences > 0)
+        return std::nullopt;
+    const auto chain = static_cast<double>(longestChain(job).count());
+    const auto objective = chain * queue.stretch + static_cast<double>(queue.slack.count());
+    const auto mine = now + std::chrono::duration_cast<duration>(
+                          std::chrono::duration<double, std::milli>(objective));
+    core_milliseconds ahead = 0;
+    for (const auto &[id, other] : jobs) {
+        if (other->state > job_state::Running || other->occurrences.empty())
+            continue;
+        const auto &first = other->occurrences.begin()->second;
+        if (first.steps.empty() || first.steps.front().onTime > mine)
+            continue;
+        ahead += remainingWork(*other);
+    }
+    const auto cores = static_cast<double>(capacity.milliCores) / 1000.0;
+    const auto wait = ahead / cores;
+    const auto hope = objective * hopeFactor;
+    if (wait + chain <= hope)
+        return std::nullopt;
+    const auto seconds = std::ceil((wait + chain - hope) / 1000.0);
+    return static_cast<std::uint32_t>(std::clamp(seconds, shortestReturn, longestReturn));
+}
+
+} // namespace plantaingap::jobs
--- /dev/null
+++ b/src/jobs/dispatcher.h
@@ -0,0 +1,53 @@
+#ifndef PLANTAINGAP_JOBS_DISPATCHER_H
+#define PLANTAINGAP_JOBS_DISPATCHER_H
+
+#include "jobs/job_scheduler.h"
+
+#include <vector>
+
+namespace plantaingap::jobs {
+
+// One pass of placement: the order in which waiting steps get room, the workers that they get, and
+// the advice that is asked for them. Load pattern that it answers: more work than room, in which
+// short urgent steps must not wait behind wide ones, and wide gangs must still find their room.
+class dispatcher
+{
+public:
+    dispatcher(job_scheduler &owner, time_point now, scheduler_orders &orders);
+
+    void run();
+
+private:
+    struct candidate
+    {
+        step_run *step = nullptr;
+        const queue_definition *queue = nullptr;
+        int band = 0;
+    };
+
+    std::vector<candidate> readySteps();
+    void serve(const candidate &one);
+    bool placeGang(const candidate &one);
+    void placeSingly(const candidate &one);
+    void askAdvice(const candidate &one);
+    void reserve(const candidate &one);
+
+    bool eligible(const candidate &one, const worker &at) const;
+    const ticket *validTicket(const step_run &step, const worker &at) const;
+    // How many tasks of the step the worker has room for now.
+    std::uint32_t room(const candidate &one, const worker &at) const;
+    std::uint32_t tasksOn(const step_run &step, const worker &at) const;
+    bool keptForOther(const candidate &one, const worker &at) const;
+    worker *choose(const candidate &one, bool intoReserved) const;
+    void assign(task_run &task, worker &at, std::uint32_t attempt);
+
+    job_scheduler &m_owner;
+    time_point m_now;
+    scheduler_orders &m_orders;
+    advice_lanes m_lanes;
+    std::uint32_t m_reservations = 0;
+};
+
+} // namespace plantaingap::jobs
+
+#endif
--- /dev/null
+++ b/src/jobs/fleet.h
@@ -0,0 +1,92 @@
+#ifndef PLANTAINGAP_JOBS_FLEET_H
+#define PLANTAINGAP_JOBS_FLEET_H
+
+#include "jobs/job_progress.h"
+#include "jobs/worker.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace plantaingap::jobs {
+
+// A worker's clock may be this much slower than ours, in thousandths (from the platform's pages).
+inline constexpr std::int64_t clockSlowness = 20;
+
+// A worker as the leader knows it: what it has, what may run there, and until when.
+struct worker
+{
+    worker_entry entry;
+    std::string rack;
+    // It is in the platform's list.
+    bool listed = false;
+    // It answered the last look.
+    bool answering = false;
+    // Reports in this leader's term.
+    std::uint64_t reports = 0;
+    // Room taken by runs that may exist there.
+    resources used;
+    std::vector<task_run *> runs;
+
+    // The life that the last report came from.
+    std::int64_t bornMs = 0;
+    // Ends of this life that were taken in, and those of them that are stored without a gap.
+    std::uint64_t seenEnds = 0;
+    std::uint64_t storedEnds = 0;
+    std::set<std::uint64_t> unstoredEnds;
+
+    // A reading of the worker's clock, and when it arrived here.
+    std::int64_t clockMs = 0;
+    time_point clockAt {};
+    bool clockKnown = false;
+    // The furthest lease end that any order carried, on the worker's clock.
+    std::int64_t leaseEndMs = 0;
+    // While the worker has not answered in this term: when leases of earlier leaders have ended.
+    time_point foreignLeaseEnd {};
+
+    // Evidence against the worker: failures that other workers do not share, decaying.
+    double blame = 0;
+    time_point blameAt {};
+    time_point quarantinedUntil {};
+    // A gang that waits for room here; others keep away from that room if they can.
+    const step_run *reservedFor = nullptr;
+    time_point reservedUntil {};
+
+    resources free() const { return entry.capacity - used; }
+    // The worker's clock now, not later than this.
+    std::int64_t clockAtMost(time_point now) const;
+    // All that ran there under leases has ended, for certain.
+    bool leasesEnded(time_point now) const;
+    bool usable(time_point now) const;
+    bool hasLabel(std::string_view label) const;
+};
+
+const std::string &workerName(const worker &known);
+
+// The workers of a cell.
+class fleet
+{
+public:
+    // Takes in the platform's list. Workers that left it stay known while something may run there.
+    // Returns the ids of workers that are new.
+    std::vector<std::string> list(const std::vector<worker_entry> &entries, time_point foreignEnd);
+    worker *find(std::string_view id);
+    // The worker of that id, made up without an address when it is not known.
+    worker &require(const std::string &id, time_point foreignEnd);
+    // Forgets unlisted workers on which nothing can run; returns their ids.
+    std::vector<std::string> sweep(time_point now);
+
+    auto &all() { return m_workers; }
+    const auto &all() const { return m_workers; }
+
+    resources capacity() const;
+
+private:
+    std::map<std::string, std::unique_ptr<worker>, std::less<>> m_workers;
+};
+
+} // namespace plantaingap::jobs
+
+#endif
--- /dev/null
+++ b/src/jobs/job_progress.h
@@ -0,0 +1,139 @@
+#ifndef PLANTAINGAP_JOBS_JOB_PROGRESS_H
+#define PLANTAINGAP_JOBS_JOB_PROGRESS_H
+
+#include "jobs/job.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+// How far an accepted job has come, as the leader holds it in memory.
+namespace plantaingap::jobs {
+
+struct worker;
+struct job_run;
+struct step_run;
+
+enum class task_phase : std::uint8_t {
+    Waiting,
+    // A worker was chosen; the choice is being stored and no order was sent.
+    Recording,
+    // The order to start was sent.
+    Ordered,
+    Running,
+    // It may run: the order to start had no answer, or an earlier leader gave it.
+    Doubtful,
+    Stopping,
+    Done,
+};
+
+struct task_run
+{
+    step_run *step = nullptr;
+    std::uint32_t index = 0;
+    task_phase phase = task_phase::Waiting;
+    // The highest attempt that was ever recorded; 0 before the first.
+    std::uint32_t attempt = 0;
+    std::uint32_t failures = 0;
+    // Set in all phases but Waiting and Done.
+    worker *at = nullptr;
+    // When the worker last acknowledged an order for this attempt; a report asked for after that
+    // and without the run shows that it is gone. None: the worker acknowledged nothing yet.
+    std::optional<time_point> settled;
+    time_point orderedAt {};
+    // When the next order to stop may be sent.
+    time_point nextStop {};
+    // Progress that another run can resume from; empty for none.
+    std::string checkpoint;
+    std::string ticket;
+    // Share of its speed as the worker reports it.
+    std::uint32_t percent = 0;
+    // What a lasting task's users see, in milliseconds; else thousandths of a core.
+    double measure = 0;
+    // The speed that was last ordered.
+    std::uint32_t paced = 100;
+    // When a filler beside a served task may be sped up again.
+    time_point pacedUntil {};
+};
+
+// A ticket of the placement advisor for one worker.
+struct ticket
+{
+    std::string text;
+    time_point expires {};
+};
+
+// What the advisor has said about one step.
+struct step_advice
+{
+    // Workers on which the step may run; the set does not change, tickets expire.
+    std::map<std::string, ticket> good;
+    std::vector<std::string> bad;
+    bool asking = false;
+    // Not before this, after a failed call.
+    time_point askAgain {};
+    std::uint32_t calls = 0;
+};
+
+struct occurrence_run
+{
+    job_run *job = nullptr;
+    std::uint32_t number = 0;
+    // When the work was due; for jobs that run once, when they were accepted.
+    time_point due {};
+    std::deque<step_run> steps;
+    std::uint32_t stepsDone = 0;
+};
+
+struct step_run
+{
+    occurrence_run *occurrence = nullptr;
+    const step_definition *definition = nullptr;
+    std::uint32_t number = 0;
+    std::vector<task_run> tasks;
+    std::uint32_t waiting = 0;
+    std::uint32_t done = 0;
+    // Failed runs of the gang as a whole.
+    std::uint32_t gangFailures = 0;
+    // The last attempt that was counted in gangFailures.
+    std::uint32_t gangFailedAttempt = 0;
+    bool ready = false;
+    step_advice advice;
+    // The objective of the whole occurrence, and the date after which it is worth nothing.
+    time_point onTime {};
+    time_point lateUntil {};
+    // Work on the longest chain from this step to the end, this step included.
+    milliseconds chainLeft {0};
+    // Tasks of this step that were tried and found no room; the room they wait for is kept.
+    bool reserving = false;
+
+    bool finished() const { return done == tasks.size(); }
+};
+
+struct job_run
+{
+    job_definition definition;
+    wall_time acceptedAt {};
+    std::map<std::uint32_t, occurrence_run> occurrences;
+    std::uint32_t occurrencesDone = 0;
+    std::uint32_t occurrencesMade = 0;
+    job_state state = job_state::Queued;
+    // The state that the store holds, and so the one that callers are told.
+    job_state shown = job_state::Queued;
+    bool everStarted = false;
+    // The definition is in the store.
+    bool stored = false;
+    // Its row of results is in the store: the caller may be told the end.
+    bool closed = false;
+    bool dirty = false;
+    // Runs that may occupy a worker.
+    std::uint32_t occupying = 0;
+};
+
+} // namespace plantaingap::jobs
+
+#endif
--- /dev/null
+++ b/src/jobs/job_record.cpp
@@ -0,0 +1,210 @@
+#include "jobs/job_record.h"
+
+#include "jobs/fleet.h"
+
+#include <array>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace plantaingap::jobs {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::array<std::pair<job_state, std::string_view>, 5> stateNames {
+    {{job_state::Queued, "queued"},
+     {job_state::Running, "running"},
+     {job_state::Completed, "completed"},
+     {job_state::Failed, "failed"},
+     {job_state::Cancelled, "cancelled"}}};
+
+// Flags of a step, each written as one character when it is set.
+constexpr std::array<std::pair<char, bool step_definition::*>, 6> stepFlags {
+    {{'g', &step_definition::gang},
+     {'r', &step_definition::oneRack},
+     {'c', &step_definition::checkpoints},
+     {'m', &step_definition::mayRace},
+     {'l', &step_definition::lasting},
+     {'f', &step_definition::filler}}};
+
+json::array encodeStep(const step_definition &step)
+{
+    std::string flags;
+    for (const auto &[letter, member] : stepFlags) {
+        if (step.*member)
+            flags.push_back(letter);
+    }
+    json::array after(step.after.begin(), step.after.end());
+    return {step.tasks,
+            step.need.milliCores,
+            step.need.memoryMib,
+            step.need.accelerators,
+            step.estimate.count(),
+            std::move(after),
+            flags,
+            step.label,
+            step.dataRack,
+            step.image,
+            step.mostPerWorker,
+            step.latencyTarget.count(),
+            step.mayBeDown ? static_cast<std::int64_t>(*step.mayBeDown) : -1};
+}
+
+step_definition decodeStep(const json::array &row)
+{
+    step_definition step;
+    step.tasks = row.at(0).to_number<std::uint32_t>();
+    step.need = {row.at(1).to_number<std::int64_t>(), row.at(2).to_number<std::int64_t>(),
+                 row.at(3).to_number<std::int64_t>()};
+    step.estimate = milliseconds(row.at(4).to_number<std::int64_t>());
+    for (const auto &earlier : row.at(5).as_array())
+        step.after.push_back(earlier.to_number<std::uint32_t>());
+    const std::string_view flags = row.at(6).as_string();
+    for (const auto &[letter, member] : stepFlags)
+        step.*member = flags.find(letter) != std::string_view::npos;
+    step.label = row.at(7).as_string().c_str();
+    step.dataRack = row.at(8).as_string().c_str();
+    step.image = row.at(9).as_string().c_str();
+    step.mostPerWorker = row.at(10).to_number<std::uint32_t>();
+    step.latencyTarget = milliseconds(row.at(11).to_number<std::int64_t>());
+    if (const auto down = row.at(12).to_number<std::int64_t>(); down >= 0)
+        step.mayBeDown = static_cast<std::uint32_t>(down);
+    return step;
+}
+
+json::array encodeTask(const task_run &task)
+{
+    std::string worker;
+    if (task.at)
+        worker = workerName(*task.at);
+    return {task.phase == task_phase::Done ? 1 : 0, task.attempt, task.failures, worker,
+            task.checkpoint};
+}
+
+recorded_task decodeTask(const json::array &row)
+{
+    recorded_task task;
+    task.done = row.at(0).to_number<int>() == 1;
+    task.attempt = row.at(1).to_number<std::uint32_t>();
+    task.failures = row.at(2).to_number<std::uint32_t>();
+    task.worker = row.at(3).as_string().c_str();
+    task.checkpoint = row.at(4).as_string().c_str();
+    return task;
+}
+
+recorded_step decodeStepProgress(const json::object &row)
+{
+    recorded_step step;
+    step.gangFailures = row.at("g").to_number<std::uint32_t>();
+    for (const auto &task : row.at("t").as_array())
+        step.tasks.push_back(decodeTask(task.as_array()));
+    return step;
+}
+
+// Runs a decoder over parsed JSON; a missing or wrongly typed field makes the row malformed.
+template<class Decode>
+auto decodeText(std::string_view text, Decode decode) -> result<decltype(decode(json::value()))>
+{
+    try {
+        return decode(json::parse(text));
+    } catch (const std::exception &) {
+        return make_error_code(errc::Malformed);
+    }
+}
+
+} // namespace
+
+std::string encodeJob(const job_definition &definition, wall_time acceptedAt)
+{
+    json::array steps;
+    for (const auto &step : definition.steps)
+        steps.push_back(encodeStep(step));
+    return json::serialize(json::object {
+        {"id", definition.id},
+        {"queue", definition.queue},
+        {"payload", definition.payload},
+        {"steps", std::move(steps)},
+        {"occurrences", definition.occurrences},
+        {"first_due_ms", definition.firstDue.time_since_epoch().count()},
+        {"interval_ms", definition.interval.count()},
+        {"accepted_ms", acceptedAt.time_since_epoch().count()},
+    });
+}
+
+result<recorded_job> decodeJob(std::string_view text)
+{
+    return decodeText(text, [](const json::value &value) {
+        const auto &row = value.as_object();
+        const auto number = [&row](std::string_view key) {
+            return row.at(key).to_number<std::int64_t>();
+        };
+        recorded_job job;
+        job.definition.id = row.at("id").as_string().c_str();
+        job.definition.queue = row.at("queue").as_string().c_str();
+        job.definition.payload = std::string(row.at("payload").as_string());
+        for (const auto &step : row.at("steps").as_array())
+            job.definition.steps.push_back(decodeStep(step.as_array()));
+        job.definition.occurrences = row.at("occurrences").to_number<std::uint32_t>();
+        job.definition.firstDue = wall_time(milliseconds(number("first_due_ms")));
+        job.definition.interval = milliseconds(number("interval_ms"));
+        job.acceptedAt = wall_time(milliseconds(number("accepted_ms")));
+        return job;
+    });
+}
+
+std::string encodeProgress(const job_run &job)
+{
+    json::object live;
+    for (const auto &[number, occurrence] : job.occurrences) {
+        json::array steps;
+        for (const auto &step : occurrence.steps) {
+            json::array tasks;
+            for (const auto &task : step.tasks)
+                tasks.push_back(encodeTask(task));
+            steps.push_back(json::object {{"g", step.gangFailures}, {"t", std::move(tasks)}});
+        }
+        live.emplace(std::to_string(number), std::move(steps));
+    }
+    return json::serialize(json::object {{"made", job.occurrencesMade},
+                                         {"done", job.occurrencesDone},
+                                         {"started", job.everStarted},
+                                         {"live", std::move(live)}});
+}
+
+result<recorded_progress> decodeProgress(std::string_view text)
+{
+    return decodeText(text, [](const json::value &value) {
+        const auto &row = value.as_object();
+        recorded_progress progress;
+        progress.occurrencesMade = row.at("made").to_number<std::uint32_t>();
+        progress.occurrencesDone = row.at("done").to_number<std::uint32_t>();
+        progress.everStarted = row.at("started").as_bool();
+        for (const auto &[number, steps] : row.at("live").as_object()) {
+            auto &into = progress.live[static_cast<std::uint32_t>(std::stoul(number))];
+            for (const auto &step : steps.as_array())
+                into.push_back(decodeStepProgress(step.as_object()));
+        }
+        return progress;
+    });
+}
+
+std::string_view stateName(job_state state)
+{
+    for (const auto &[value, name] : stateNames) {
+        if (value == state)
+            return name;
+    }
+    return "unknown";
+}
+
+std::optional<job_state> parseState(std::string_view text)
+{
+    for (const auto &[value, name] : stateNames) {
+        if (name == text)
+            return value;
+    }
+    return std::nullopt;
+}
+
+} // namespace plantaingap::jobs
--- /dev/null
+++ b/src/jobs/job_record.h
@@ -0,0 +1,65 @@
+#ifndef PLANTAINGAP_JOBS_JOB_RECORD_H
+#define PLANTAINGAP_JOBS_JOB_RECORD_H
+
+#include "jobs/job_progress.h"
+
+#include <plantaingap/result.h>
+#include <string>
+#include <string_view>
+
+// The rows in which jobs outlive every instance, as JSON texts.
+namespace plantaingap::jobs {
+
+// A task as a row holds it.
+struct recorded_task
+{
+    bool done = false;
+    std::uint32_t attempt = 0;
+    std::uint32_t failures = 0;
+    // The worker that may run it; empty when none does.
+    std::string worker;
+    std::string checkpoint;
+
+    bool operator==(const recorded_task &) const = default;
+};
+
+struct recorded_step
+{
+    std::uint32_t gangFailures = 0;
+    std::vector<recorded_task> tasks;
+
+    bool operator==(const recorded_step &) const = default;
+};
+
+struct recorded_progress
+{
+    std::uint32_t occurrencesMade = 0;
+    std::uint32_t occurrencesDone = 0;
+    bool everStarted = false;
+    // By occurrence; those that are finished are left out.
+    std::map<std::uint32_t, std::vector<recorded_step>> live;
+
+    bool operator==(const recorded_progress &) const = default;
+};
+
+struct recorded_job
+{
+    job_definition definition;
+    wall_time acceptedAt {};
+
+    bool operator==(const recorded_job &) const = default;
+};
+
+std::string encodeJob(const job_definition &definition, wall_time acceptedAt);
+result<recorded_job> decodeJob(std::string_view text);
+
+std::string encodeProgress(const job_run &job);
+result<recorded_progress> decodeProgress(std::string_view text);
+
+// The word for a state in rows and to operators.
+std::string_view stateName(job_state state);
+std::optional<job_state> parseState(std::string_view text);
+
+} // namespace plantaingap::jobs
+
+#endif
--- /dev/null
+++ b/src/jobs/job_scheduler.h
@@ -0,0 +1,239 @@
+#ifndef PLANTAINGAP_JOBS_JOB_SCHEDULER_H
+#define PLANTAINGAP_JOBS_JOB_SCHEDULER_H
+
+#include "jobs/fleet.h"
+#include "jobs/job_record.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+// The decisions of the cell's leader about jobs of steps: which jobs are accepted, which task runs
+// where and when, and what must be stored before it may be acted on. No I/O, no clock, no thread:
+// events come in with the time, orders and changes are taken out.
+namespace plantaingap::jobs {
+
+struct scheduler_options
+{
+    // How far beyond now a worker's lease is renewed. Longer: a lost worker's tasks wait longer.
+    // Shorter: a change of leader must be over sooner, or running work is lost.
+    milliseconds lease {5000};
+    // From the moment a leader took over until every lease that earlier leaders gave has ended:
+    // how long an earlier leader believes in itself, plus its leases, plus slow clocks.
+    milliseconds foreignLease {8000};
+    // An order to stop that had no answer is sent again after this.
+    milliseconds stopRetry {300};
+    // A call to the advisor that failed is made again after this.
+    milliseconds adviceRetry {150};
+    // Taken off a ticket's validity: the answer's way back and the order's way to the worker.
+    milliseconds ticketMargin {200};
+    // How long finished jobs are remembered for callers who ask.
+    std::chrono::seconds remember {240};
+    // Data far away or a gang on several racks: work takes this many times as long.
+    double farFactor = 2.0;
+};
+
+// What a caller who hands a job in is told.
+enum class submit_answer : std::uint8_t {
+    // It will be accepted once the store has it.
+    Recording,
+    // It is accepted already, now or long ago.
+    Known,
+    // Not accepted, and never run.
+    Refused,
+};
+
+struct submit_verdict
+{
+    submit_answer answer = submit_answer::Refused;
+    // Seconds after which a refused caller should return.
+    std::uint32_t retryAfterSeconds = 0;
+};
+
+// Something that becomes true when a change is stored.
+struct stored_effect
+{
+    // Set for an order to start that may be sent now.
+    task_run *start = nullptr;
+    std::uint32_t attempt = 0;
+    // Set for an end that the worker may forget.
+    std::string worker;
+    std::int64_t bornMs = 0;
+    std::uint64_t endNumber = 0;
+};
+
+// What must be stored about one job, whole or not at all.
+struct job_change
+{
+    std::string id;
+    // Written when the job is new.
+    std::optional<std::string> definition;
+    std::optional<std::string> progress;
+    // Set when the job has ended; its other rows go.
+    std::optional<job_state> finished;
+    std::vector<stored_effect> effects;
+};
+
+// Calls for advice up to this long go over the lanes for short calls.
+inline constexpr std::chrono::microseconds shortAdvice {40'000};
+
+// How many calls for advice may be made now. Short and long calls have lanes of their own, so that
+// a long call never delays a short one.
+struct advice_lanes
+{
+    std::uint32_t shortCalls = 0;
+    std::uint32_t longCalls = 0;
+};
+
+struct advice_request
+{
+    std::string step;
+    std::string queue;
+    std::vector<std::string> workers;
+    // The fixed part of the call, and how long it will take as a whole.
+    std::chrono::microseconds decide {0};
+    std::chrono::microseconds cost {0};
+};
+
+// Orders that are to be sent now.
+struct scheduler_orders
+{
+    std::vector<start_order> starts;
+    std::vector<stop_order> stops;
+    std::vector<throttle_order> throttles;
+    std::vector<advice_request> advice;
+};
+
+enum class start_result : std::uint8_t { Accepted, Refused, NoTicket, Ended, Unknown, OtherLife };
+
+// Figures for metrics and admission.
+struct scheduler_load
+{
+    std::size_t jobs = 0;
+    std::size_t waitingTasks = 0;
+    std::size_t occupyingTasks = 0;
+    resources used;
+    resources capacity;
+};
+
+class job_scheduler
+{
+public:
+    explicit job_scheduler(scheduler_options options);
+
+    // Begins a term. Jobs are restored after this and before any worker reports.
+    void lead(std::uint64_t term, time_point now);
+    void configure(cell_configuration configuration);
+    const cell_configuration &configuration() const { return m_configuration; }
+    void restore(const recorded_job &job, const std::optional<recorded_progress> &progress,
+                 time_point now, wall_time wallNow);
+
+    // Callers.
+    submit_verdict submit(job_definition definition, time_point now, wall_time wallNow);
+    // The store says that the job has ended before; it was not accepted anew.
+    void endedBefore(const std::string &id, job_state state, time_point now);
+    // False when no such job lives.
+    bool cancel(const std::string &id, time_point now);
+    // The stored state; none when the job is not known here.
+    std::optional<job_state> state(const std::string &id) const;
+    // The job is known and waits for the store.
+    bool recording(const std::string &id) const;
+    std::size_t waitingJobs(std::string_view queue) const;
+
+    // Workers.
+    std::vector<std::string> listWorkers(const std::vector<worker_entry> &entries);
+    fleet &workers() { return m_fleet; }
+    // The next look at a worker; the lease that it carries counts as given from now on.
+    look_order look(worker &at, time_point now);
+    void reported(const std::string &id, const worker_report &report, time_point askedAt,
+                  time_point now);
+    void lookFailed(const std::string &id, time_point now);
+    void startAnswered(const start_order &order, start_result result,
+                       std::optional<std::int64_t> workerClockMs, time_point now);
+    void stopAnswered(const stop_order &order, bool accepted, time_point now);
+    void advised(const advice_request &request, const std::map<std::string, std::string> &tickets,
+                 milliseconds validity, time_point now);
+    void adviceFailed(const advice_request &request, time_point now);
+
+    // Time passes: due occurrences, leases that ended, orders to send again, and placement.
+    scheduler_orders plan(time_point now, wall_time wallNow, advice_lanes lanes);
+
+    // Changes that wait to be stored, at most so many jobs; the next batch only after this one.
+    std::vector<job_change> takeChanges(std::size_t most);
+    // The batch is stored. Returns the orders to start that it allows.
+    std::vector<start_order> stored(const std::vector<job_change> &batch, time_point now);
+    bool hasChanges() const { return !m_dirty.empty(); }
+
+    scheduler_load load() const;
+    const job_run *job(const std::string &id) const;
+
+private:
+    friend class dispatcher;
+
+    // Jobs.
+    occurrence_run &makeOccurrence(job_run &job, std::uint32_t number, time_point due);
+    void setDates(job_run &job, occurrence_run &occurrence);
+    void makeDueOccurrences(time_point now, wall_time wallNow);
+    void releaseSteps(occurrence_run &occurrence);
+    void restoreProgress(job_run &job, const recorded_progress &progress, time_point now,
+                         wall_time wallNow);
+    void restoreTask(task_run &task, const recorded_task &from);
+    void touch(job_run &job);
+    void finish(job_run &job, job_state state);
+    void closeJob(const std::string &id, job_state state, time_point now);
+    void dropClosed();
+    job_run *liveJob(const std::string &id);
+    task_run *find(const task_name &name);
+
+    // Tasks.
+    void occupy(task_run &task, worker &at);
+    void release(task_run &task);
+    void backToWaiting(task_run &task);
+    void taskDone(task_run &task);
+    void countFailure(task_run &task, std::uint32_t attempt);
+    void taskFailed(task_run &task, time_point now);
+    void gangDone(step_run &step);
+    void stopRun(task_run &task, time_point now);
+    void stopGang(step_run &step, time_point now);
+    void completeStep(step_run &step);
+    void takeEnd(worker &at, const ended_run &end, time_point now);
+    void applyEnd(task_run &task, const ended_run &end, time_point now);
+    void takeActive(worker &at, const active_run &run, time_point now);
+    void newLife(worker &at, std::int64_t bornMs);
+    void loseMissing(worker &at, const worker_report &report, time_point askedAt, time_point now);
+    void loseAll(worker &at);
+    void expireLeases(time_point now);
+    void retryStops(time_point now, scheduler_orders &orders);
+    void blame(worker &at, double weight, time_point now);
+    start_order orderFor(const task_run &task, time_point now) const;
+    const queue_definition &queueOf(const job_run &job) const;
+
+    scheduler_options m_options;
+    std::uint64_t m_term = 0;
+    time_point m_foreignLeaseEnd {};
+    cell_configuration m_configuration;
+    fleet m_fleet;
+    advice_lanes m_lanes;
+    std::map<std::string, std::unique_ptr<job_run>, std::less<>> m_jobs;
+    // Finished jobs and when to forget them.
+    struct ended_job
+    {
+        job_state state = job_state::Completed;
+        time_point forgetAt {};
+    };
+    std::unordered_map<std::string, ended_job> m_ended;
+    // Jobs with changes that are not stored, in order.
+    std::vector<std::string> m_dirty;
+    std::map<std::string, std::vector<stored_effect>> m_effects;
+    // Runs that workers report and nobody wants: an order to stop is due.
+    std::vector<stop_order> m_strays;
+    // Queues that left the configuration while jobs of theirs live on.
+    mutable std::map<std::string, queue_definition> m_formerQueues;
+};
+
+} // namespace plantaingap::jobs
+
+#endif
--- a/src/support/http_client.cpp
+++ b/src/support/http_client.cpp
@@ -118,6 +118,16 @@
     co_return outcome;
 }
 
+bool http_client::hasIdle() const
+{
+    return !m_state->idle.empty();
+}
+
+void http_client::closeIdle()
+{
+    m_state->idle.clear();
+}
+
 result<tcp::endpoint> parseEndpoint(std::string_view text)
 {
     const auto colon = text.rfind(':');
--- a/src/support/http_client.h
+++ b/src/support/http_client.h
@@ -41,6 +41,11 @@
     // One request and its whole answer, or why there is none by the deadline.
     boost::asio::awaitable<http_outcome> fetch(http_request request, time_point deadline);
 
+    // A kept connection is there, so that the next request goes to the process that answered last.
+    bool hasIdle() const;
+    // Closes the kept connections, as after a timeout: others of the same age may be silent too.
+    void closeIdle();
+
     // An answer's body larger than this is an error.
     static constexpr std::size_t bodyLimit = std::size_t {64} << 20;
 
--- a/src/support/log.cpp
+++ b/src/support/log.cpp
@@ -41,10 +41,11 @@
 
 } // namespace
 
-void startLogging(log_level lowest)
+void startLogging(log_level lowest, log_stream to)
 {
     log4cplus::initialize();
-    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+    log4cplus::SharedAppenderPtr appender(
+        new log4cplus::ConsoleAppender(to == log_stream::Error, true));
     appender->setLayout(
         std::make_unique<log4cplus::PatternLayout>("time=%d{%Y-%m-%dT%H:%M:%S.%q}Z level=%p %m%n"));
     auto root = log4cplus::Logger::getRoot();
--- a/src/support/log.h
+++ b/src/support/log.h
@@ -9,8 +9,11 @@
 
 enum class log_level : std::uint8_t { Debug, Info, Warning, Error };
 
-// Sends log lines to standard error, each with its UTC time and level. Called once by a main.
-void startLogging(log_level lowest);
+enum class log_stream : std::uint8_t { Error, Output };
+
+// Sends log lines to standard error or output, each with its UTC time and level. Called once by a
+// main.
+void startLogging(log_level lowest, log_stream to = log_stream::Error);
 
 // One line of key=value pairs for one event, written when the object goes out of scope:
 //     log_event(log_level::Info, "request.refused").field("request", id).field("code", text);
