Give connections between instances time to open across regions

Cause: gRPC takes its least reconnect back-off as the patience of a connection attempt; 100 ms is less than a handshake over 30 ms one way, so far instances never had a leader and were not ready.

--- a/src/cell/peer_link.cpp
+++ b/src/cell/peer_link.cpp
@@ -24,6 +24,8 @@
 // A silent connection is found by pings within about two seconds, without any call.
 constexpr int pingEveryMs = 1000;
 constexpr int pingPatienceMs = 1000;
+// The library takes its least back-off as the time that one attempt to connect may last.
+constexpr int connectPatienceMs = 1000;
 constexpr int firstReconnectMs = 100;
 constexpr int longestReconnectMs = 400;
 // A caller's body and the rest of its message.
@@ -180,7 +182,7 @@
         grpc::ChannelArguments arguments;
         arguments.SetMaxReceiveMessageSize(messageLimit);
         arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, firstReconnectMs);
-        arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, firstReconnectMs);
+        arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, connectPatienceMs);
         arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, longestReconnectMs);
         arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, pingEveryMs);
         arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, pingPatienceMs);
