Take over from a leader whose row stands still between looks that lie far apart

Equal revisions prove that nothing was written, whatever the gap. Ruled out: the store refusing the claim (no claim was made). Test: cell/leadership_test, two rows failed before.

--- a/src/cell/cell_instance.cpp
+++ b/src/cell/cell_instance.cpp
@@ -26,6 +26,8 @@
 
 constexpr milliseconds beatEvery {300};
 constexpr milliseconds beatPatience {600};
+// A leader that is silent already holds up the look at its row no longer than this.
+constexpr milliseconds suspiciousPatience {250};
 // Between looks at the leader's row while the leader is silent.
 constexpr milliseconds rowEvery {150};
 constexpr milliseconds rowPatience {800};
@@ -224,7 +226,8 @@
             const auto term = row->term;
             // Named: GCC 12 destroys aggregate temporaries of an awaited call twice.
             follower_beat own {m_options.instance, m_options.peerListen, support::wallNow()};
-            auto told = co_await m_peers.beat(address, std::move(own), clock::now() + beatPatience);
+            const auto patience = m_watch.suspicious(now) ? suspiciousPatience : beatPatience;
+            auto told = co_await m_peers.beat(address, std::move(own), clock::now() + patience);
             const auto *answered = std::get_if<leader_beat>(&told);
             if (answered && answered->leads && answered->term >= term) {
                 if (!m_watch.hasLeader(bootNow()))
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -11,8 +11,6 @@
 
 // Heartbeats without an answer for this long leave a follower without a leader.
 constexpr std::chrono::milliseconds answerValidity {1500};
-// Two looks at the row further apart than this do not show that it stood still in between.
-constexpr std::chrono::milliseconds lookGap {500};
 
 } // namespace
 
@@ -49,7 +47,7 @@
 void leadership_watch::rowSeen(std::optional<leader_row> row, std::uint64_t revision,
                                time_point now)
 {
-    if (!m_seen || revision != m_revision || now - m_lastSeen > lookGap) {
+    if (!m_seen || revision != m_revision) {
         m_stillSince = now;
         m_seen = true;
     }
--- /dev/null
+++ b/tests/cell/leadership_test.cpp
@@ -0,0 +1,100 @@
+#include "cell/leadership.h"
+
+#include <doctest/doctest.h>
+#include <vector>
+
+using namespace plantaingap;
+using namespace plantaingap::cell;
+using std::chrono::milliseconds;
+
+namespace {
+
+time_point at(int ms)
+{
+    return time_point(std::chrono::seconds(100) + milliseconds(ms));
+}
+
+leader_row rowOf(std::uint64_t sequence, bool resigned = false)
+{
+    return {"one", "10.0.0.1:7000", 1, sequence, resigned};
+}
+
+// What a follower sees, in order.
+struct sight
+{
+    enum kind_of { Row, Beat, Silence } kind;
+    int ms;
+    std::uint64_t revision = 0;
+    bool resigned = false;
+    int commitAgeMs = 0;
+};
+
+struct watch_row
+{
+    const char *name;
+    std::vector<sight> seen;
+    int askedMs;
+    bool mayTakeOver;
+};
+
+const watch_row rows[] = {
+    {"a leader that answers is left alone",
+     {{sight::Row, 0, 5}, {sight::Beat, 10}, {sight::Beat, 310}},
+     320,
+     false},
+    {"a row that stands still under a silent leader is taken over",
+     {{sight::Row, 0, 5}, {sight::Silence, 100}, {sight::Row, 400, 5}, {sight::Row, 800, 5}},
+     810,
+     true},
+    {"looks that lie far apart show the same",
+     {{sight::Row, 0, 5}, {sight::Silence, 600}, {sight::Row, 750, 5}, {sight::Row, 1500, 5}},
+     1510,
+     true},
+    {"a row that moves has a leader, though it is silent here",
+     {{sight::Row, 0, 5}, {sight::Silence, 600}, {sight::Row, 750, 6}, {sight::Row, 1400, 7}},
+     1410,
+     false},
+    {"a leader that answers and cannot write is suspected",
+     {{sight::Row, 0, 5}, {sight::Beat, 10, 0, false, 1500}, {sight::Row, 900, 5}},
+     910,
+     true},
+    {"a leader that gives way is replaced at once",
+     {{sight::Row, 0, 5}, {sight::Silence, 5}, {sight::Row, 10, 6, true}},
+     11,
+     true},
+    {"without any look at the row nothing is taken over", {{sight::Silence, 5}}, 5000, false},
+};
+
+} // namespace
+
+TEST_CASE("When a follower may take the cell over")
+{
+    for (const auto &row : rows) {
+        CAPTURE(row.name);
+        leadership_watch watch({});
+        for (const auto &one : row.seen) {
+            if (one.kind == sight::Row)
+                watch.rowSeen(rowOf(one.revision, one.resigned), one.revision, at(one.ms));
+            else if (one.kind == sight::Beat)
+                watch.leaderAnswered(1, milliseconds(one.commitAgeMs), at(one.ms));
+            else
+                watch.leaderSilent(at(one.ms));
+        }
+        CHECK(watch.mayTakeOver(at(row.askedMs)) == row.mayTakeOver);
+    }
+}
+
+TEST_CASE("A cell without a leader's row is taken at once")
+{
+    leadership_watch watch({});
+    watch.rowSeen(std::nullopt, 0, at(0));
+    CHECK(watch.mayTakeOver(at(1)));
+}
+
+TEST_CASE("The leader's row survives its encoding, and what is not one is refused")
+{
+    const auto row = rowOf(7, true);
+    CHECK(decodeLeaderRow(encodeLeaderRow(row)) == row);
+    for (const char *text : {"", "{}", "[]", R"({"holder":1})", "\xff"})
+        CHECK_FALSE(decodeLeaderRow(text).has_value());
+}
