Answer submissions early while the store is away; give way with the last write

Cause: submissions hung to their deadline when a write had no answer; a leader told to stop waited for a moment without changes, a second under load. Change: a job not yet given to the store is withdrawn and refused with 503, one that was is answered 504 within 1.2 s; the resigning leader's next write gives way; the load is logged each second.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -29,7 +29,10 @@
 constexpr std::size_t batchJobs = 24;
 // Changes that come within this span share a write.
 constexpr milliseconds groupWait {10};
-constexpr milliseconds commitPatience {1500};
+// One attempt to write; an answer that comes later is not lost: the next attempt finds the write
+// done. Grows with each attempt.
+constexpr milliseconds commitPatience {500};
+constexpr milliseconds longestCommitPatience {2000};
 constexpr milliseconds readPatience {1500};
 // Between attempts to write, first and longest.
 constexpr milliseconds firstBackoff {30};
@@ -62,8 +65,12 @@
 // Added to what the advisor will take: the queue of other callers and the way there and back.
 constexpr milliseconds adviceGrace {700};
 
-// Writes that fail for this long make new jobs be refused at once.
-constexpr milliseconds awayAfter {600};
+// A write without an answer for this long, or for three times what the last one took, makes new
+// jobs be refused at once.
+constexpr milliseconds awayAfter {400};
+
+// How often the load is logged.
+constexpr milliseconds loadEvery {1000};
 
 std::string afterKey(const std::string &key)
 {
@@ -100,7 +107,7 @@
 
 bool leader::storeAway(time_point now) const
 {
-    return m_storeFailing && now - m_committedAt > awayAfter;
+    return m_writingSince && now - *m_writingSince > std::max<duration>(awayAfter, m_writeTime * 3);
 }
 
 awaitable<void> leader::run()
@@ -114,7 +121,7 @@
     m_ready = true;
     log_event(log_level::Info, "leader.ready")
         .field("term", m_row.term)
-        .field("jobs", static_cast<std::uint64_t>(m_scheduler.load().jobs))
+        .field("jobs", static_cast<std::uint64_t>(m_scheduler.load(bootNow()).jobs))
         .field("configuration", m_scheduler.configuration().version);
     const auto duty = [&](awaitable<void> each) {
         asio::co_spawn(m_context, std::move(each), asio::detached);
@@ -122,6 +129,7 @@
     duty(watchConfiguration());
     duty(watchWorkers());
     duty(planRegularly());
+    duty(tellLoad());
     co_await storeChanges();
     m_ended = true;
     for (auto &[id, timer] : m_waiters)
@@ -253,8 +261,12 @@
 
 void leader::batchStored(const std::vector<jobs::job_change> &batch)
 {
-    for (auto &order : m_scheduler.stored(batch, bootNow()))
+    for (auto &order : m_scheduler.stored(batch, bootNow())) {
+        // The next leader places the task anew; an order of this one would be in its way.
+        if (m_row.resigned)
+            break;
         asio::co_spawn(m_context, sendStart(std::move(order)), asio::detached);
+    }
     for (const auto &change : batch) {
         wake(change.id);
         if (change.finished) {
@@ -277,10 +289,12 @@
 {
     ++m_row.sequence;
     auto backoff = firstBackoff;
+    auto patience = commitPatience;
+    m_writingSince = bootNow();
     while (true) {
         const auto sentAt = bootNow();
-        auto done =
-            co_await m_ports.store.commit(makeTransaction(batch), clock::now() + commitPatience);
+        auto done = co_await m_ports.store.commit(makeTransaction(batch), clock::now() + patience);
+        patience = std::min(patience * 3 / 2, longestCommitPatience);
         ++m_counters["store_writes"];
         bool applied = false;
         if (auto *result = std::get_if<transaction_result>(&done)) {
@@ -295,6 +309,8 @@
                 log_event(log_level::Info, "store.regained").field("term", m_row.term);
             m_storeFailing = false;
             m_committedAt = sentAt;
+            m_writeTime = bootNow() - *m_writingSince;
+            m_writingSince.reset();
             batchStored(batch);
             co_return true;
         }
@@ -313,19 +329,15 @@
 {
     const auto self = shared_from_this();
     while (true) {
-        if (!m_scheduler.hasChanges()) {
-            if (m_resigning) {
-                m_row.resigned = true;
-                std::vector<jobs::job_change> nothing;
-                co_await storeBatch(std::move(nothing));
-                co_return;
-            }
+        if (!m_scheduler.hasChanges() && !m_resigning) {
             m_changed.expires_after(m_options.leadership.writeEvery);
             co_await m_changed.async_wait(asTuple);
         }
         if (m_scheduler.hasChanges())
             co_await pause(groupWait);
-        if (!co_await storeBatch(m_scheduler.takeChanges(batchJobs)))
+        // The last write gives way; what is not in it, the next leader learns from the workers.
+        m_row.resigned = m_resigning;
+        if (!co_await storeBatch(m_scheduler.takeChanges(batchJobs)) || m_row.resigned)
             co_return;
         planSoon();
     }
@@ -511,6 +523,33 @@
     }
 }
 
+awaitable<void> leader::tellLoad()
+{
+    const auto self = shared_from_this();
+    while (!m_ended) {
+        co_await pause(loadEvery);
+        if (m_ended)
+            co_return;
+        const auto now = bootNow();
+        const auto load = m_scheduler.load(now);
+        std::uint32_t advising = 0;
+        for (const auto &[name, one] : m_followers)
+            advising += one.shortCalls + one.longCalls;
+        log_event(log_level::Info, "leader.load")
+            .field("term", m_row.term)
+            .field("jobs", static_cast<std::uint64_t>(load.jobs))
+            .field("cores_used", load.used.milliCores / 1000)
+            .field("cores", load.capacity.milliCores / 1000)
+            .field("running_tasks", static_cast<std::uint64_t>(load.occupyingTasks))
+            .field("waiting_tasks", static_cast<std::uint64_t>(load.waitingTasks))
+            .field("steps_unasked", static_cast<std::uint64_t>(load.stepsUnasked))
+            .field("steps_asking", static_cast<std::uint64_t>(load.stepsAsking))
+            .field("steps_without_room", static_cast<std::uint64_t>(load.stepsWithoutRoom))
+            .field("advice_calls", advising)
+            .field("write_ms", std::chrono::duration_cast<milliseconds>(m_writeTime).count());
+    }
+}
+
 void leader::plan()
 {
     const auto now = bootNow();
@@ -698,7 +737,7 @@
     std::string out;
     for (const auto &[name, value] : m_counters)
         out += "plantaingap_" + name + "_total " + std::to_string(value) + "\n";
-    const auto load = m_scheduler.load();
+    const auto load = m_scheduler.load(bootNow());
     out += "plantaingap_jobs " + std::to_string(load.jobs) + "\n";
     out += "plantaingap_waiting_tasks " + std::to_string(load.waitingTasks) + "\n";
     out += "plantaingap_occupying_tasks " + std::to_string(load.occupyingTasks) + "\n";
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -55,6 +55,8 @@
     awaitable<caller_answer> handle(caller_call call);
     leader_beat beat(const follower_beat &told);
     std::string metrics() const;
+    // The leader's row as this leader last wrote it.
+    const leader_row &row() const { return m_row; }
 
 private:
     struct follower
@@ -77,6 +79,7 @@
     awaitable<void> watchWorkers();
     awaitable<void> lookAfter(std::string worker);
     awaitable<void> planRegularly();
+    awaitable<void> tellLoad();
 
     awaitable<bool> storeBatch(std::vector<jobs::job_change> batch);
     transaction makeTransaction(const std::vector<jobs::job_change> &batch) const;
@@ -105,6 +108,7 @@
     awaitable<void> waitStored(std::string id, time_point deadline);
     void wake(const std::string &id);
     bool storeAway(time_point now) const;
+    std::uint32_t returnSeconds(time_point now) const;
     bool valid(time_point now) const;
     awaitable<void> pause(std::chrono::milliseconds span);
 
@@ -122,6 +126,9 @@
     time_point m_committedAt;
     // The last attempt to write failed.
     bool m_storeFailing = false;
+    // When the write that has no answer yet was first sent, and how long the last one took.
+    std::optional<time_point> m_writingSince;
+    duration m_writeTime {};
     bool m_planPosted = false;
     boost::asio::steady_timer m_changed;
     std::uint64_t m_operatorRevision = 0;
--- a/src/cell/leader_callers.cpp
+++ b/src/cell/leader_callers.cpp
@@ -3,6 +3,7 @@
 #include "support/http_message.h"
 #include "support/log.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -30,8 +31,11 @@
 
 constexpr std::size_t identifierLength = 16;
 constexpr milliseconds endedPatience {1000};
-// When callers may come again while the store is away.
-constexpr std::uint32_t storeReturnSeconds = 2;
+// How long a caller's job waits for the store before its caller is answered.
+constexpr milliseconds storedPatience {1200};
+// Callers come back after as long as the store has been away already, within these bounds.
+constexpr std::int64_t shortestReturn = 1;
+constexpr std::int64_t longestReturn = 4;
 
 bool isIdentifier(std::string_view text)
 {
@@ -92,6 +96,12 @@
     co_return co_await submit(std::move(call), std::move(*definition));
 }
 
+std::uint32_t leader::returnSeconds(time_point now) const
+{
+    const auto away = std::chrono::duration_cast<std::chrono::seconds>(now - m_committedAt);
+    return static_cast<std::uint32_t>(std::clamp(away.count(), shortestReturn, longestReturn));
+}
+
 awaitable<caller_answer> leader::submit(caller_call call, jobs::job_definition definition)
 {
     const auto id = definition.id;
@@ -101,7 +111,7 @@
         if (m_resigning)
             co_return caller_answer {};
         ++m_counters["submissions_store_away"];
-        co_return answer(statusUnavailable, {}, storeReturnSeconds);
+        co_return answer(statusUnavailable, {}, returnSeconds(now));
     }
     const auto queue = definition.queue;
     const auto verdict = m_scheduler.submit(std::move(definition), now, m_wall.at(now));
@@ -117,7 +127,11 @@
         co_return answer(statusOk);
     m_changed.cancel();
     planSoon();
-    co_await waitStored(id, call.deadline);
+    co_await waitStored(id, std::min(call.deadline, clock::now() + storedPatience));
+    if (!m_ended && m_scheduler.withdraw(id)) {
+        ++m_counters["submissions_store_away"];
+        co_return answer(statusUnavailable, {}, returnSeconds(bootNow()));
+    }
     if (m_scheduler.state(id)) {
         ++m_counters["submissions_accepted"];
         log_event(log_level::Info, "job.accepted").field("job", id).field("queue", queue);
--- a/src/jobs/job_progress.h
+++ b/src/jobs/job_progress.h
@@ -125,6 +125,8 @@
     // The state that the store holds, and so the one that callers are told.
     job_state shown = job_state::Queued;
     bool everStarted = false;
+    // The definition was given to the store, which may have it.
+    bool sent = false;
     // The definition is in the store.
     bool stored = false;
     // Its row of results is in the store: the caller may be told the end.
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -240,13 +240,20 @@
     return {submit_answer::Recording, 0};
 }
 
-void job_scheduler::endedBefore(const std::string &id, job_state state, time_point now)
+bool job_scheduler::withdraw(const std::string &id)
 {
     auto *job = liveJob(id);
-    if (!job)
-        return;
-    job->state = state;
-    for (auto &[number, occurrence] : job->occurrences) {
+    if (!job || job->sent || job->stored)
+        return false;
+    discard(*job);
+    m_jobs.erase(id);
+    return true;
+}
+
+// Forgets what waits to be stored about a job, and the room that was chosen for its tasks.
+void job_scheduler::discard(job_run &job)
+{
+    for (auto &[number, occurrence] : job.occurrences) {
         for (auto &step : occurrence.steps) {
             for (auto &task : step.tasks) {
                 if (task.at)
@@ -254,9 +261,18 @@
             }
         }
     }
-    m_effects.erase(id);
-    std::erase(m_dirty, id);
-    job->dirty = false;
+    m_effects.erase(job.definition.id);
+    std::erase(m_dirty, job.definition.id);
+    job.dirty = false;
+}
+
+void job_scheduler::endedBefore(const std::string &id, job_state state, time_point now)
+{
+    auto *job = liveJob(id);
+    if (!job)
+        return;
+    job->state = state;
+    discard(*job);
     closeJob(id, state, now);
 }
 
@@ -824,6 +840,7 @@
         } else {
             if (!job.stored)
                 change.definition = encodeJob(job.definition, job.acceptedAt);
+            job.sent = true;
             if (job.stored || job.occupying > 0)
                 change.progress = encodeProgress(job);
         }
@@ -871,7 +888,7 @@
     return starts;
 }
 
-scheduler_load job_scheduler::load() const
+scheduler_load job_scheduler::load(time_point now) const
 {
     scheduler_load load;
     load.jobs = m_jobs.size();
@@ -881,12 +898,29 @@
         load.occupyingTasks += at->runs.size();
     }
     for (const auto &[id, job] : m_jobs) {
+        if (job->state > job_state::Running)
+            continue;
         for (const auto &[number, occurrence] : job->occurrences) {
-            for (const auto &step : occurrence.steps)
-                load.waitingTasks += step.ready ? step.waiting : 0;
+            for (const auto &step : occurrence.steps) {
+                if (step.ready && step.waiting > 0)
+                    countWaiting(step, now, load);
+            }
         }
     }
     return load;
 }
 
+void job_scheduler::countWaiting(const step_run &step, time_point now, scheduler_load &load)
+{
+    load.waitingTasks += step.waiting;
+    const bool ticket = std::ranges::any_of(
+        step.advice.good, [now](const auto &entry) { return entry.second.expires > now; });
+    if (step.advice.asking)
+        ++load.stepsAsking;
+    else if (ticket)
+        ++load.stepsWithoutRoom;
+    else
+        ++load.stepsUnasked;
+}
+
 } // namespace plantaingap::jobs
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -115,6 +115,10 @@
     std::size_t jobs = 0;
     std::size_t waitingTasks = 0;
     std::size_t occupyingTasks = 0;
+    // Ready steps that wait: for an answer of the advisor, to be asked about, and for room.
+    std::size_t stepsAsking = 0;
+    std::size_t stepsUnasked = 0;
+    std::size_t stepsWithoutRoom = 0;
     resources used;
     resources capacity;
 };
@@ -133,6 +137,8 @@
 
     // Callers.
     submit_verdict submit(job_definition definition, time_point now, wall_time wallNow);
+    // Takes back a job that was not given to the store yet; false when it may be stored.
+    bool withdraw(const std::string &id);
     // The store says that the job has ended before; it was not accepted anew.
     void endedBefore(const std::string &id, job_state state, time_point now);
     // False when no such job lives.
@@ -167,7 +173,7 @@
     std::vector<start_order> stored(const std::vector<job_change> &batch, time_point now);
     bool hasChanges() const { return !m_dirty.empty(); }
 
-    scheduler_load load() const;
+    scheduler_load load(time_point now) const;
     const job_run *job(const std::string &id) const;
 
 private:
@@ -185,6 +191,8 @@
     void finish(job_run &job, job_state state);
     void closeJob(const std::string &id, job_state state, time_point now);
     void dropClosed();
+    void discard(job_run &job);
+    static void countWaiting(const step_run &step, time_point now, scheduler_load &load);
     job_run *liveJob(const std::string &id);
     task_run *find(const task_name &name);
 
