Ask for advice only where there is room; trust the leader's word for its row

Change: single tasks ask about workers with room, gangs first learn where they may run, keep room there and ask again when it suffices; slow calls leave two lanes; a heartbeat tells the row's revision, so that a takeover does not wait for a second look.

--- a/src/cell/cell_instance.cpp
+++ b/src/cell/cell_instance.cpp
@@ -25,7 +25,7 @@
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 
 constexpr milliseconds beatEvery {300};
-constexpr milliseconds beatPatience {600};
+constexpr milliseconds beatPatience {400};
 // A leader that is silent already holds up the look at its row no longer than this.
 constexpr milliseconds suspiciousPatience {250};
 // Between looks at the leader's row while the leader is silent.
@@ -47,6 +47,12 @@
 constexpr milliseconds relayRetry {60};
 // Without any leader a request that was passed to nobody is refused after this.
 constexpr milliseconds leaderPatience {1200};
+// A request that may have been taken by a leader that did not answer is answered so after this; the
+// caller then asks again, and another attempt of this instance would be no better.
+constexpr milliseconds ambiguousPatience {1500};
+// Refused callers come back after as long as there has been no leader already, within these bounds.
+constexpr std::int64_t shortestReturn = 1;
+constexpr std::int64_t longestReturn = 4;
 
 constexpr unsigned statusUnavailable = 503;
 constexpr unsigned statusUnknown = 504;
@@ -232,7 +238,8 @@
             if (answered && answered->leads && answered->term >= term) {
                 if (!m_watch.hasLeader(bootNow()))
                     log_event(log_level::Info, "leader.regained").field("term", answered->term);
-                m_watch.leaderAnswered(answered->term, answered->commitAge, bootNow());
+                m_watch.leaderAnswered(answered->term, answered->commitAge, answered->rowRevision, now,
+                                       bootNow());
             } else {
                 if (m_watch.hasLeader(bootNow()))
                     log_event(log_level::Warning, "leader.silent").field("term", term);
@@ -255,7 +262,7 @@
     bool ambiguous = false;
     while (true) {
         const auto now = clock::now();
-        if (now >= giveUp || (!ambiguous && now - start >= leaderPatience))
+        if (now >= giveUp || now - start >= (ambiguous ? ambiguousPatience : leaderPatience))
             break;
         auto attempt = call;
         if (const auto leading = m_leader) {
@@ -285,7 +292,10 @@
         .field("ambiguous", ambiguous ? 1 : 0);
     if (ambiguous && call.method != "GET")
         co_return caller_answer {true, statusUnknown, {}, 0};
-    co_return caller_answer {true, statusUnavailable, {}, 1};
+    const auto away =
+        std::chrono::duration_cast<std::chrono::seconds>(bootNow() - m_watch.answeredAt());
+    const auto seconds = std::clamp(away.count(), shortestReturn, longestReturn);
+    co_return caller_answer {true, statusUnavailable, {}, static_cast<std::uint32_t>(seconds)};
 }
 
 awaitable<support::http_response> cell_instance::serveCaller(support::http_request request)
--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -613,10 +613,12 @@
         if (name.empty() || now - one.heard > followerValidity)
             continue;
         others = true;
-        if (index++ % 4 == 0)
+        if (index++ % 4 == 0) {
             lanes.shortCalls += left(shortCallsEach, one.shortCalls);
-        else
+        } else {
             lanes.longCalls += left(longCallsEach, one.longCalls);
+            lanes.longCallsInAll += longCallsEach;
+        }
     }
     const auto own = m_followers.find({});
     const follower mine = own == m_followers.end() ? follower {} : own->second;
@@ -729,7 +731,7 @@
     one.heard = now;
     m_wall.told(told.instance, told.wall, now);
     const auto age = std::chrono::duration_cast<milliseconds>(now - m_committedAt);
-    return {!m_ended && !m_row.resigned, m_row.term, age};
+    return {!m_ended && !m_row.resigned, m_row.term, age, m_revision};
 }
 
 std::string leader::metrics() const
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -48,7 +48,8 @@
                                time_point now)
 {
     if (!m_seen || revision != m_revision) {
-        m_stillSince = now;
+        // The leader told of this revision itself: the row has stood still since.
+        m_stillSince = revision == m_toldRevision && m_toldRevision != 0 ? m_toldAt : now;
         m_seen = true;
     }
     m_lastSeen = now;
@@ -57,10 +58,12 @@
 }
 
 void leadership_watch::leaderAnswered(std::uint64_t term, std::chrono::milliseconds commitAge,
-                                      time_point now)
+                                      std::uint64_t revision, time_point sentAt, time_point now)
 {
     if (m_row && term < m_row->term)
         return;
+    m_toldRevision = revision;
+    m_toldAt = sentAt;
     m_answeredAt = now;
     m_suspicious = commitAge > m_options.suspectAge;
 }
--- a/src/cell/leadership.h
+++ b/src/cell/leadership.h
@@ -48,8 +48,9 @@
 
     // The row as the store just gave it; none when there is no row.
     void rowSeen(std::optional<leader_row> row, std::uint64_t revision, time_point now);
-    // The leader of that term answered a heartbeat.
-    void leaderAnswered(std::uint64_t term, std::chrono::milliseconds commitAge, time_point now);
+    // The leader of that term answered a heartbeat that was sent then, and told its row's revision.
+    void leaderAnswered(std::uint64_t term, std::chrono::milliseconds commitAge,
+                        std::uint64_t revision, time_point sentAt, time_point now);
     void leaderSilent(time_point now);
 
     // The row is to be read again.
@@ -61,12 +62,17 @@
 
     const std::optional<leader_row> &row() const { return m_row; }
     std::uint64_t revision() const { return m_revision; }
+    // When a leader answered last.
+    time_point answeredAt() const { return m_answeredAt; }
 
 private:
     leadership_options m_options;
     std::optional<leader_row> m_row;
     std::uint64_t m_revision = 0;
     bool m_seen = false;
+    // The revision that the leader told last, and when it had it at the earliest.
+    std::uint64_t m_toldRevision = 0;
+    time_point m_toldAt {};
     // When the row was first and last seen at this revision.
     time_point m_stillSince {};
     time_point m_lastSeen {};
--- a/src/cell/peer_link.cpp
+++ b/src/cell/peer_link.cpp
@@ -93,6 +93,7 @@
             answer->set_leads(own.leads);
             answer->set_term(own.term);
             answer->set_commit_age_ms(static_cast<std::uint64_t>(own.commitAge.count()));
+            answer->set_row_revision(own.rowRevision);
             reactor->Finish(grpc::Status::OK);
         });
         return reactor;
@@ -255,7 +256,7 @@
     if (!good)
         co_return call_failure::Unknown;
     co_return leader_beat {call->reply.leads(), call->reply.term(),
-                           milliseconds(call->reply.commit_age_ms())};
+                           milliseconds(call->reply.commit_age_ms()), call->reply.row_revision()};
 }
 
 awaitable<outcome<caller_answer>> peer_link::relay(std::string address, caller_call told)
--- a/src/cell/peer_link.h
+++ b/src/cell/peer_link.h
@@ -26,6 +26,8 @@
     std::uint64_t term = 0;
     // Since the leader sent the last write that the store took.
     std::chrono::milliseconds commitAge {0};
+    // Of the leader's row, after that write.
+    std::uint64_t rowRevision = 0;
 };
 
 // A caller's request as any instance reads it.
--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -9,13 +9,19 @@
 
 // Gangs that keep room for themselves at one time; more would leave too little for the rest.
 constexpr std::uint32_t mostReservations = 3;
-// Part of the workers asked about that an advisor is taken to allow.
-constexpr double expectedGoodShare = 0.4;
+constexpr std::chrono::milliseconds reservation {1000};
 // Room named in a call for advice, as a multiple of what the step needs.
-constexpr double namedRoom = 1.6;
-constexpr std::size_t fewestNamed = 4;
+constexpr double namedRoom = 1.4;
+// An empty worker's room counts this much towards a gang that may wait for it.
+constexpr double laterRoom = 0.5;
+// A gang looks for more workers until those allowed could hold it this many times over when empty.
+constexpr double gangReach = 1.5;
+constexpr std::size_t fewestNamed = 3;
 // The platform's bound on one call.
 constexpr std::size_t mostNamed = 100;
+// Calls longer than this leave some lanes to shorter ones.
+constexpr std::chrono::microseconds slowAdvice {200'000};
+constexpr std::uint32_t lanesLeft = 2;
 
 // The worth of a step now: 0 on time, 1 late but of use, 2 of no use to its caller any more.
 int bandOf(const step_run &step, time_point now)
@@ -58,13 +64,17 @@
     , m_now(now)
     , m_orders(orders)
     , m_lanes(owner.m_lanes)
-{ }
+{
+    m_lanes.longCallsKept = m_lanes.longCallsInAll > 2 * lanesLeft ? lanesLeft : 0;
+}
 
 void dispatcher::run()
 {
     for (auto &[id, at] : m_owner.m_fleet.all()) {
         if (at->reservedFor && at->reservedUntil <= m_now)
             at->reservedFor = nullptr;
+        if (at->usable(m_now))
+            m_usable.push_back(at.get());
     }
     for (const auto &one : readySteps())
         serve(one);
@@ -99,27 +109,22 @@
 
 void dispatcher::serve(const candidate &one)
 {
-    auto &step = *one.step;
-    if (one.queue->advisor) {
-        const bool any = std::ranges::any_of(step.advice.good, [&](const auto &entry) {
-            return entry.second.expires > m_now;
-        });
-        if (!any) {
-            askAdvice(one);
-            return;
-        }
-    }
-    if (!step.definition->gang) {
-        placeSingly(one);
-        if (step.waiting > 0 && one.queue->advisor)
-            askAdvice(one);
+    if (one.step->definition->gang) {
+        serveGang(one);
         return;
     }
+    placeSingly(one);
+    if (one.step->waiting > 0 && mayAsk(one))
+        askForRoom(one);
+}
+
+void dispatcher::serveGang(const candidate &one)
+{
     if (placeGang(one))
         return;
     reserve(one);
-    if (one.queue->advisor)
-        askAdvice(one);
+    if (mayAsk(one))
+        askForGang(one);
 }
 
 const ticket *dispatcher::validTicket(const step_run &step, const worker &at) const
@@ -133,20 +138,35 @@
 bool dispatcher::eligible(const candidate &one, const worker &at) const
 {
     const auto &definition = *one.step->definition;
-    if (!at.usable(m_now) || at.entry.service != one.queue->service
-        || !at.hasLabel(definition.label)) {
+    if (at.entry.service != one.queue->service || !at.hasLabel(definition.label))
         return false;
-    }
+    if (!definition.filler && !servesUsers(definition))
+        return true;
     // Served tasks and fillers disturb each other; they are kept apart.
-    const bool clash = std::ranges::any_of(at.runs, [&](const task_run *run) {
+    return std::ranges::none_of(at.runs, [&](const task_run *run) {
         const auto &other = *run->step->definition;
         return (definition.filler && servesUsers(other))
                || (servesUsers(definition) && other.filler);
     });
-    return !clash;
 }
 
-std::uint32_t dispatcher::tasksOn(const step_run &step, const worker &at) const
+std::vector<worker *> dispatcher::allowed(const candidate &one) const
+{
+    std::vector<worker *> found;
+    if (!one.queue->advisor) {
+        std::ranges::copy_if(m_usable, std::back_inserter(found),
+                             [&](const worker *at) { return eligible(one, *at); });
+        return found;
+    }
+    for (const auto &[id, held] : one.step->advice.good) {
+        auto *at = held.expires > m_now ? m_owner.m_fleet.find(id) : nullptr;
+        if (at && at->usable(m_now) && eligible(one, *at))
+            found.push_back(at);
+    }
+    return found;
+}
+
+std::uint32_t dispatcher::tasksOn(const step_run &step, const worker &at)
 {
     return static_cast<std::uint32_t>(std::ranges::count_if(
         at.runs, [&step](const task_run *run) { return run->step == &step; }));
@@ -165,30 +185,34 @@
     return count;
 }
 
-bool dispatcher::keptForOther(const candidate &one, const worker &at) const
+std::uint32_t dispatcher::emptyRoom(const candidate &one, const worker &at)
+{
+    const auto &definition = *one.step->definition;
+    const auto count = fits(effectiveNeed(definition), at.entry.capacity);
+    return definition.mostPerWorker > 0 ? std::min(count, definition.mostPerWorker) : count;
+}
+
+bool dispatcher::keptForOther(const candidate &one, const worker &at)
 {
     return at.reservedFor && at.reservedFor != one.step;
 }
 
 // The tightest worker that has room, so that wide holes stay for wide tasks; data's rack first.
-worker *dispatcher::choose(const candidate &one, bool intoReserved) const
+worker *dispatcher::choose(const candidate &one, const std::vector<worker *> &among,
+                           bool intoReserved) const
 {
     const auto &definition = *one.step->definition;
     worker *best = nullptr;
     auto bestRank = std::make_tuple(true, std::int64_t {0}, std::int64_t {0});
-    for (auto &[id, at] : m_owner.m_fleet.all()) {
-        if (!eligible(one, *at) || room(one, *at) == 0)
-            continue;
-        if (one.queue->advisor && !validTicket(*one.step, *at))
-            continue;
-        if (!intoReserved && keptForOther(one, *at))
+    for (auto *at : among) {
+        if (room(one, *at) == 0 || (!intoReserved && keptForOther(one, *at)))
             continue;
         const bool far = !definition.dataRack.empty() && at->rack != definition.dataRack;
         const auto left = at->free() - effectiveNeed(definition);
         const auto spread = definition.lasting ? -left.milliCores : left.milliCores;
         const auto rank = std::make_tuple(far, spread, left.memoryMib);
         if (!best || rank < bestRank) {
-            best = at.get();
+            best = at;
             bestRank = rank;
         }
     }
@@ -212,13 +236,16 @@
 void dispatcher::placeSingly(const candidate &one)
 {
     auto &step = *one.step;
+    const auto among = allowed(one);
+    if (among.empty())
+        return;
     const bool urgent = one.queue->priority == 0 && one.band == 0;
     for (auto &task : step.tasks) {
         if (task.phase != task_phase::Waiting)
             continue;
-        auto *at = choose(one, false);
+        auto *at = choose(one, among, false);
         if (!at && urgent)
-            at = choose(one, true);
+            at = choose(one, among, true);
         if (!at)
             return;
         assign(task, *at, task.attempt + 1);
@@ -231,24 +258,19 @@
     auto &step = *one.step;
     std::vector<std::pair<std::uint32_t, worker *>> places;
     std::uint32_t total = 0;
-    for (auto &[id, at] : m_owner.m_fleet.all()) {
-        if (!eligible(one, *at) || keptForOther(one, *at))
-            continue;
-        if (one.queue->advisor && !validTicket(step, *at))
-            continue;
-        if (const auto count = room(one, *at); count > 0) {
-            places.emplace_back(count, at.get());
-            total += count;
-        }
+    for (auto *at : allowed(one)) {
+        const auto count = keptForOther(one, *at) ? 0 : room(one, *at);
+        if (count > 0)
+            places.emplace_back(count, at);
+        total += count;
     }
     if (total < step.tasks.size())
         return false;
     std::ranges::stable_sort(places, [](const auto &a, const auto &b) { return a.first > b.first; });
     std::uint32_t attempt = 0;
-    for (const auto &task : step.tasks)
-        attempt = std::max(attempt, task.attempt);
     std::string checkpoint;
     for (const auto &task : step.tasks) {
+        attempt = std::max(attempt, task.attempt);
         if (!task.checkpoint.empty())
             checkpoint = task.checkpoint;
     }
@@ -260,89 +282,148 @@
             assign(task, *at, attempt + 1);
         }
     }
-    for (auto &[id, at] : m_owner.m_fleet.all()) {
+    for (auto *at : m_usable) {
         if (at->reservedFor == &step)
             at->reservedFor = nullptr;
     }
     return true;
 }
 
-// Keeps others off the workers on which the gang could run, until it fits.
+// Keeps others off workers on which the gang may run, those nearest to being free first, until it
+// fits.
 void dispatcher::reserve(const candidate &one)
 {
-    constexpr std::chrono::milliseconds reservation {1000};
     if (one.band > 0 || m_reservations >= mostReservations)
         return;
+    std::vector<worker *> options;
+    for (auto *at : m_usable) {
+        const bool good = !one.queue->advisor || one.step->advice.good.contains(at->entry.id);
+        if (good && eligible(one, *at) && !keptForOther(one, *at))
+            options.push_back(at);
+    }
+    if (options.empty())
+        return;
     ++m_reservations;
-    std::uint32_t total = 0;
-    const auto wanted = static_cast<std::uint32_t>(one.step->tasks.size());
-    for (auto &[id, at] : m_owner.m_fleet.all()) {
-        if (total >= wanted)
+    std::ranges::stable_sort(options, [](const worker *a, const worker *b) {
+        return a->free().milliCores > b->free().milliCores;
+    });
+    const auto wanted = static_cast<double>(one.step->tasks.size());
+    double expected = 0;
+    for (auto *at : options) {
+        if (expected >= wanted)
             break;
-        if (!eligible(one, *at) || keptForOther(one, *at))
-            continue;
-        if (one.queue->advisor && !one.step->advice.good.contains(id))
-            continue;
+        const double now = room(one, *at);
+        expected += now + laterRoom * (emptyRoom(one, *at) - now);
         at->reservedFor = one.step;
         at->reservedUntil = m_now + reservation;
-        total += fits(effectiveNeed(*one.step->definition), at->entry.capacity);
     }
 }
 
-void dispatcher::askAdvice(const candidate &one)
+// Advice.
+
+bool dispatcher::mayAsk(const candidate &one) const
 {
-    auto &step = *one.step;
-    auto &advice = step.advice;
+    if (!one.queue->advisor)
+        return false;
+    const auto &advice = one.step->advice;
     if (advice.asking || advice.askAgain > m_now)
-        return;
-    const bool shortCall = one.queue->advisor->decide <= shortAdvice;
-    auto &lanes = shortCall ? m_lanes.shortCalls : m_lanes.longCalls;
-    if (lanes == 0)
-        return;
-    std::vector<std::pair<double, const worker *>> options;
-    for (const auto &[id, at] : m_owner.m_fleet.all()) {
-        if (!eligible(one, *at))
+        return false;
+    const auto decide = one.queue->advisor->decide;
+    if (decide <= shortAdvice)
+        return m_lanes.shortCalls > 0;
+    return m_lanes.longCalls > (decide > slowAdvice ? m_lanes.longCallsKept : 0);
+}
+
+// Workers that may be asked about: those known to be allowed, or those not asked about before.
+std::vector<dispatcher::prospect> dispatcher::prospects(const candidate &one, bool known,
+                                                        bool withRoom) const
+{
+    const auto &advice = one.step->advice;
+    const auto salt = std::hash<std::string> {}(one.step->occurrence->job->definition.id);
+    const double share = known ? 1.0 : m_owner.goodShare(one.queue->name);
+    std::vector<prospect> found;
+    for (auto *at : m_usable) {
+        if (!eligible(one, *at) || keptForOther(one, *at))
+            continue;
+        if (advice.good.contains(at->entry.id) != known)
             continue;
-        if (std::ranges::find(advice.bad, id) != advice.bad.end())
+        if (!known && std::ranges::find(advice.bad, at->entry.id) != advice.bad.end())
             continue;
-        const bool known = advice.good.contains(id);
-        // A worker that is busy now may have room when the answer is there.
-        const auto now = static_cast<double>(room(one, *at));
-        const auto later = fits(effectiveNeed(*step.definition), at->entry.capacity);
-        const auto weight = now + 0.2 * static_cast<double>(later);
-        options.emplace_back(weight * (known ? 1.0 / expectedGoodShare : 1.0), at.get());
+        const double now = room(one, *at);
+        const double later = emptyRoom(one, *at);
+        const double tasks = withRoom ? now : now + laterRoom * (later - now);
+        if (tasks <= 0)
+            continue;
+        const auto mix = (std::hash<std::string> {}(at->entry.id) ^ salt) * 0x9E3779B97F4A7C15U;
+        found.push_back({at, tasks * share, mix});
     }
-    // Equal workers in an order of the step's own, so that steps do not crowd the same ones.
-    const auto salt = std::hash<std::string> {}(step.occurrence->job->definition.id);
-    std::ranges::sort(options, [salt](const auto &left, const auto &right) {
-        const auto mix = [salt](const worker *at) {
-            return std::hash<std::string> {}(at->entry.id) ^ salt;
-        };
-        if (left.first != right.first)
-            return left.first > right.first;
-        return mix(left.second) * 0x9E3779B97F4A7C15U < mix(right.second) * 0x9E3779B97F4A7C15U;
+    std::ranges::sort(found, [](const prospect &a, const prospect &b) {
+        return std::make_pair(-a.tasks, a.mix) < std::make_pair(-b.tasks, b.mix);
     });
+    return found;
+}
+
+// Tasks that can start one by one: asked about only where there is room for one at least.
+void dispatcher::askForRoom(const candidate &one)
+{
+    auto found = prospects(one, true, true);
+    std::erase_if(found, [&](const prospect &each) { return validTicket(*one.step, *each.at); });
+    const double wanted = namedRoom * one.step->waiting;
+    double expected = 0;
+    for (const auto &each : found)
+        expected += each.tasks;
+    if (expected < wanted) {
+        auto unknown = prospects(one, false, true);
+        std::ranges::move(unknown, std::back_inserter(found));
+    }
+    ask(one, std::move(found), wanted);
+}
+
+// A gang first learns where it may run, and asks for tickets when there is room for all of it.
+void dispatcher::askForGang(const candidate &one)
+{
+    const auto tasks = static_cast<double>(one.step->tasks.size());
+    double room = 0;
+    double reach = 0;
+    auto known = prospects(one, true, true);
+    for (const auto &each : known)
+        room += each.tasks;
+    if (room >= tasks) {
+        ask(one, std::move(known), tasks);
+        return;
+    }
+    for (const auto &[id, held] : one.step->advice.good) {
+        const auto *at = m_owner.m_fleet.find(id);
+        reach += at && at->usable(m_now) ? emptyRoom(one, *at) : 0;
+    }
+    if (reach < gangReach * tasks)
+        ask(one, prospects(one, false, false), (gangReach * tasks - reach) * namedRoom);
+}
+
+void dispatcher::ask(const candidate &one, std::vector<prospect> found, double wanted)
+{
+    auto &step = *one.step;
     advice_request request;
     double expected = 0;
-    for (const auto &[weight, at] : options) {
-        const bool enough = expected >= namedRoom * static_cast<double>(step.waiting);
-        if (request.workers.size() >= mostNamed || (enough && request.workers.size() >= fewestNamed))
+    for (const auto &each : found) {
+        const bool enough = expected >= wanted && request.workers.size() >= fewestNamed;
+        if (enough || request.workers.size() >= mostNamed)
             break;
-        request.workers.push_back(at->entry.id);
-        expected += weight * expectedGoodShare;
+        request.workers.push_back(each.at->entry.id);
+        expected += each.tasks;
     }
     if (request.workers.empty())
         return;
-    --lanes;
+    const auto &cost = *one.queue->advisor;
+    --(cost.decide <= shortAdvice ? m_lanes.shortCalls : m_lanes.longCalls);
     const task_name name {step.occurrence->job->definition.id, step.occurrence->number, step.number,
                           0};
     const auto text = name.text();
     request.step = text.substr(0, text.rfind('.'));
     request.queue = one.queue->name;
-    request.decide = one.queue->advisor->decide;
-    request.cost = one.queue->advisor->decide
-                   + one.queue->advisor->perWorker * static_cast<int>(request.workers.size());
-    advice.asking = true;
+    request.decide = cost.decide;
+    request.cost = cost.decide + cost.perWorker * static_cast<int>(request.workers.size());
+    step.advice.asking = true;
     m_orders.advice.push_back(std::move(request));
 }
 
--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -25,26 +25,47 @@
         int band = 0;
     };
 
+    // A worker and how many tasks of a step can be hoped for there.
+    struct prospect
+    {
+        worker *at = nullptr;
+        double tasks = 0;
+        // A free choice among equals that differs from step to step.
+        std::size_t mix = 0;
+    };
+
     std::vector<candidate> readySteps();
     void serve(const candidate &one);
+    void serveGang(const candidate &one);
     bool placeGang(const candidate &one);
     void placeSingly(const candidate &one);
-    void askAdvice(const candidate &one);
     void reserve(const candidate &one);
 
+    // Advice.
+    bool mayAsk(const candidate &one) const;
+    void askForRoom(const candidate &one);
+    void askForGang(const candidate &one);
+    void ask(const candidate &one, std::vector<prospect> prospects, double wanted);
+    std::vector<prospect> prospects(const candidate &one, bool known, bool withRoom) const;
+
     bool eligible(const candidate &one, const worker &at) const;
     const ticket *validTicket(const step_run &step, const worker &at) const;
-    // How many tasks of the step the worker has room for now.
+    // How many tasks of the step the worker has room for now, and when it is empty.
     std::uint32_t room(const candidate &one, const worker &at) const;
-    std::uint32_t tasksOn(const step_run &step, const worker &at) const;
-    bool keptForOther(const candidate &one, const worker &at) const;
-    worker *choose(const candidate &one, bool intoReserved) const;
+    static std::uint32_t emptyRoom(const candidate &one, const worker &at);
+    static std::uint32_t tasksOn(const step_run &step, const worker &at);
+    static bool keptForOther(const candidate &one, const worker &at);
+    // The workers that the step may be placed on now, as far as rules and tickets go.
+    std::vector<worker *> allowed(const candidate &one) const;
+    worker *choose(const candidate &one, const std::vector<worker *> &among,
+                   bool intoReserved) const;
     void assign(task_run &task, worker &at, std::uint32_t attempt);
 
     job_scheduler &m_owner;
     time_point m_now;
     scheduler_orders &m_orders;
     advice_lanes m_lanes;
+    std::vector<worker *> m_usable;
     std::uint32_t m_reservations = 0;
 };
 
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -15,6 +15,11 @@
 // A chain of steps counts one call for advice on this many workers a step.
 constexpr int advisedWorkers = 30;
 
+// Taken for the part of workers that an advisor allows until its answers tell.
+constexpr double usualGoodShare = 0.4;
+// Weight of the newest answer; some twenty answers count.
+constexpr double shareWeight = 0.05;
+
 milliseconds adviceTime(const queue_definition &queue)
 {
     if (!queue.advisor)
@@ -751,6 +756,12 @@
     advice.asking = false;
     ++advice.calls;
     const auto expires = now + validity - m_options.ticketMargin;
+    if (!request.workers.empty()) {
+        const auto share =
+            static_cast<double>(tickets.size()) / static_cast<double>(request.workers.size());
+        auto &learned = m_goodShares.try_emplace(request.queue, usualGoodShare).first->second;
+        learned += (share - learned) * shareWeight;
+    }
     for (const auto &id : request.workers) {
         const auto good = tickets.find(id);
         if (good != tickets.end())
@@ -760,6 +771,12 @@
     }
 }
 
+double job_scheduler::goodShare(const std::string &queue) const
+{
+    const auto found = m_goodShares.find(queue);
+    return std::max(found == m_goodShares.end() ? usualGoodShare : found->second, shareWeight);
+}
+
 void job_scheduler::adviceFailed(const advice_request &request, time_point now)
 {
     const auto name = task_name::parse(request.step + ".0");
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -86,6 +86,9 @@
 {
     std::uint32_t shortCalls = 0;
     std::uint32_t longCalls = 0;
+    // Lanes for long calls, busy ones included, and how many of them slow calls leave to others.
+    std::uint32_t longCallsInAll = 0;
+    std::uint32_t longCallsKept = 0;
 };
 
 struct advice_request
@@ -216,6 +219,8 @@
     void expireLeases(time_point now);
     void retryStops(time_point now, scheduler_orders &orders);
     void blame(worker &at, double weight, time_point now);
+    // Part of the workers asked about that the advisor allowed, over the queue's last calls.
+    double goodShare(const std::string &queue) const;
     start_order orderFor(const task_run &task, time_point now) const;
     const queue_definition &queueOf(const job_run &job) const;
 
@@ -238,6 +243,7 @@
     std::map<std::string, std::vector<stored_effect>> m_effects;
     // Runs that workers report and nobody wants: an order to stop is due.
     std::vector<stop_order> m_strays;
+    std::map<std::string, double> m_goodShares;
     // Queues that left the configuration while jobs of theirs live on.
     mutable std::map<std::string, queue_definition> m_formerQueues;
 };
--- a/tests/cell/leadership_test.cpp
+++ b/tests/cell/leadership_test.cpp
@@ -27,6 +27,8 @@
     std::uint64_t revision = 0;
     bool resigned = false;
     int commitAgeMs = 0;
+    // When an answered heartbeat was sent.
+    int sentMs = 0;
 };
 
 struct watch_row
@@ -62,6 +64,16 @@
      {{sight::Row, 0, 5}, {sight::Silence, 5}, {sight::Row, 10, 6, true}},
      11,
      true},
+    {"the revision that the leader told counts from when it told it",
+     {{sight::Row, 0, 5}, {sight::Beat, 330, 9, false, 0, 300}, {sight::Silence, 1030},
+      {sight::Row, 1040, 9}},
+     1041,
+     true},
+    {"a row that moved since the leader told of it has a leader",
+     {{sight::Row, 0, 5}, {sight::Beat, 330, 9, false, 0, 300}, {sight::Silence, 1030},
+      {sight::Row, 1040, 10}},
+     1041,
+     false},
     {"without any look at the row nothing is taken over", {{sight::Silence, 5}}, 5000, false},
 };
 
@@ -76,7 +88,8 @@
             if (one.kind == sight::Row)
                 watch.rowSeen(rowOf(one.revision, one.resigned), one.revision, at(one.ms));
             else if (one.kind == sight::Beat)
-                watch.leaderAnswered(1, milliseconds(one.commitAgeMs), at(one.ms));
+                watch.leaderAnswered(1, milliseconds(one.commitAgeMs), one.revision, at(one.sentMs),
+                                     at(one.ms));
             else
                 watch.leaderSilent(at(one.ms));
         }
