Let the lease of a silent worker end

Ruled out: lack of room or tickets (job.overdue shows tasks 'running' on a silent worker). Change: looks at a silent worker carry no lease; jobs past their objective are explained in the log.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -71,6 +71,8 @@
 
 // How often the load is logged.
 constexpr milliseconds loadEvery {1000};
+// Jobs past their objective that are explained each time.
+constexpr std::size_t overdueTold = 2;
 
 std::string afterKey(const std::string &key)
 {
@@ -547,6 +549,10 @@
             .field("steps_without_room", static_cast<std::uint64_t>(load.stepsWithoutRoom))
             .field("advice_calls", advising)
             .field("write_ms", std::chrono::duration_cast<milliseconds>(m_writeTime).count());
+        for (const auto &id : m_scheduler.mostOverdue(overdueTold, now)) {
+            for (const auto &line : m_scheduler.explain(id, now))
+                log_event(log_level::Info, "job.overdue").field("job", id).field("why", line);
+        }
     }
 }
 
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -800,7 +800,8 @@
     order.worker = {at.entry.id, at.entry.address};
     order.term = m_term;
     order.storedEnds = at.storedEnds;
-    if (at.clockKnown) {
+    // A silent worker's lease is left to end: any order might have reached it.
+    if (at.clockKnown && at.answering) {
         order.leaseEndMs = at.clockAtMost(now) + m_options.lease.count();
         at.leaseEndMs = std::max(at.leaseEndMs, *order.leaseEndMs);
     }
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -177,6 +177,10 @@
     bool hasChanges() const { return !m_dirty.empty(); }
 
     scheduler_load load(time_point now) const;
+    // Why a job is not done: a line for each unfinished step that could run.
+    std::vector<std::string> explain(const std::string &id, time_point now) const;
+    // The jobs that wait longest past their objective, at most so many.
+    std::vector<std::string> mostOverdue(std::size_t most, time_point now) const;
     const job_run *job(const std::string &id) const;
 
 private:
