--- a/src/jobs/job_progress.h
+++ b/src/jobs/job_progress.h
@@ -38,7 +38,8 @@
     task_phase phase = task_phase::Waiting;
     // The highest attempt that was ever recorded; 0 before the first.
     std::uint32_t attempt = 0;
-    std::uint32_t failures = 0;
+    // Attempts whose failure was counted; a worker may tell an end again to the next leader.
+    std::vector<std::uint32_t> failedAttempts;
     // Set in all phases but Waiting and Done.
     worker *at = nullptr;
     // When the worker last acknowledged an order for this attempt; a report asked for after that
@@ -97,10 +98,8 @@
     std::vector<task_run> tasks;
     std::uint32_t waiting = 0;
     std::uint32_t done = 0;
-    // Failed runs of the gang as a whole.
-    std::uint32_t gangFailures = 0;
-    // The last attempt that was counted in gangFailures.
-    std::uint32_t gangFailedAttempt = 0;
+    // Attempts of the gang as a whole that failed.
+    std::vector<std::uint32_t> failedAttempts;
     bool ready = false;
     step_advice advice;
     // The objective of the whole occurrence, and the date after which it is worth nothing.
--- a/src/jobs/job_record.cpp
+++ b/src/jobs/job_record.cpp
@@ -28,6 +28,19 @@
      {'l', &step_definition::lasting},
      {'f', &step_definition::filler}}};
 
+json::array encodeNumbers(const std::vector<std::uint32_t> &numbers)
+{
+    return json::array(numbers.begin(), numbers.end());
+}
+
+std::vector<std::uint32_t> decodeNumbers(const json::value &value)
+{
+    std::vector<std::uint32_t> numbers;
+    for (const auto &entry : value.as_array())
+        numbers.push_back(entry.to_number<std::uint32_t>());
+    return numbers;
+}
+
 json::array encodeStep(const step_definition &step)
 {
     std::string flags;
@@ -35,13 +48,12 @@
         if (step.*member)
             flags.push_back(letter);
     }
-    json::array after(step.after.begin(), step.after.end());
     return {step.tasks,
             step.need.milliCores,
             step.need.memoryMib,
             step.need.accelerators,
             step.estimate.count(),
-            std::move(after),
+            encodeNumbers(step.after),
             flags,
             step.label,
             step.dataRack,
@@ -58,8 +70,7 @@
     step.need = {row.at(1).to_number<std::int64_t>(), row.at(2).to_number<std::int64_t>(),
                  row.at(3).to_number<std::int64_t>()};
     step.estimate = milliseconds(row.at(4).to_number<std::int64_t>());
-    for (const auto &earlier : row.at(5).as_array())
-        step.after.push_back(earlier.to_number<std::uint32_t>());
+    step.after = decodeNumbers(row.at(5));
     const std::string_view flags = row.at(6).as_string();
     for (const auto &[letter, member] : stepFlags)
         step.*member = flags.find(letter) != std::string_view::npos;
@@ -78,8 +89,8 @@
     std::string worker;
     if (task.at)
         worker = workerName(*task.at);
-    return {task.phase == task_phase::Done ? 1 : 0, task.attempt, task.failures, worker,
-            task.checkpoint};
+    return {task.phase == task_phase::Done ? 1 : 0, task.attempt,
+            encodeNumbers(task.failedAttempts), worker, task.checkpoint};
 }
 
 recorded_task decodeTask(const json::array &row)
@@ -87,7 +98,7 @@
     recorded_task task;
     task.done = row.at(0).to_number<int>() == 1;
     task.attempt = row.at(1).to_number<std::uint32_t>();
-    task.failures = row.at(2).to_number<std::uint32_t>();
+    task.failedAttempts = decodeNumbers(row.at(2));
     task.worker = row.at(3).as_string().c_str();
     task.checkpoint = row.at(4).as_string().c_str();
     return task;
@@ -96,7 +107,7 @@
 recorded_step decodeStepProgress(const json::object &row)
 {
     recorded_step step;
-    step.gangFailures = row.at("g").to_number<std::uint32_t>();
+    step.failedAttempts = decodeNumbers(row.at("g"));
     for (const auto &task : row.at("t").as_array())
         step.tasks.push_back(decodeTask(task.as_array()));
     return step;
@@ -162,7 +173,7 @@
             json::array tasks;
             for (const auto &task : step.tasks)
                 tasks.push_back(encodeTask(task));
-            steps.push_back(json::object {{"g", step.gangFailures}, {"t", std::move(tasks)}});
+            steps.push_back(json::object {{"g", encodeNumbers(step.failedAttempts)}, {"t", std::move(tasks)}});
         }
         live.emplace(std::to_string(number), std::move(steps));
     }
--- a/src/jobs/job_record.h
+++ b/src/jobs/job_record.h
@@ -15,7 +15,7 @@
 {
     bool done = false;
     std::uint32_t attempt = 0;
-    std::uint32_t failures = 0;
+    std::vector<std::uint32_t> failedAttempts;
     // The worker that may run it; empty when none does.
     std::string worker;
     std::string checkpoint;
@@ -25,7 +25,7 @@
 
 struct recorded_step
 {
-    std::uint32_t gangFailures = 0;
+    std::vector<std::uint32_t> failedAttempts;
     std::vector<recorded_task> tasks;
 
     bool operator==(const recorded_step &) const = default;
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -170,7 +170,7 @@
         auto &occurrence = makeOccurrence(job, number, steadyTime(due, now, wallNow));
         for (std::size_t s = 0; s < occurrence.steps.size() && s < steps.size(); ++s) {
             auto &step = occurrence.steps[s];
-            step.gangFailures = steps[s].gangFailures;
+            step.failedAttempts = steps[s].failedAttempts;
             for (std::size_t t = 0; t < step.tasks.size() && t < steps[s].tasks.size(); ++t)
                 restoreTask(step.tasks[t], steps[s].tasks[t]);
             if (step.finished())
@@ -184,7 +184,7 @@
 void job_scheduler::restoreTask(task_run &task, const recorded_task &from)
 {
     task.attempt = from.attempt;
-    task.failures = from.failures;
+    task.failedAttempts = from.failedAttempts;
     task.checkpoint = from.checkpoint;
     if (from.done) {
         task.phase = task_phase::Done;
@@ -288,12 +288,7 @@
         return false;
     if (job->state <= job_state::Running) {
         finish(*job, job_state::Cancelled);
-        for (auto &[number, occurrence] : job->occurrences) {
-            for (auto &step : occurrence.steps) {
-                for (auto &task : step.tasks)
-                    stopRun(task, now);
-            }
-        }
+        stopAll(*job, now);
     }
     return true;
 }
@@ -422,37 +417,47 @@
         finish(job, job_state::Completed);
 }
 
-// A gang fails once an attempt, however many of its members say so.
+// Each attempt counts once, however often its end is told; a gang's, whichever members tell it.
 void job_scheduler::countFailure(task_run &task, std::uint32_t attempt)
 {
-    auto &step = *task.step;
-    ++task.failures;
-    if (step.definition->gang && attempt > step.gangFailedAttempt) {
-        step.gangFailedAttempt = attempt;
-        ++step.gangFailures;
-    }
+    const auto note = [attempt](std::vector<std::uint32_t> &attempts) {
+        if (std::ranges::find(attempts, attempt) == attempts.end())
+            attempts.push_back(attempt);
+    };
+    note(task.failedAttempts);
+    if (task.step->definition->gang)
+        note(task.step->failedAttempts);
 }
 
-// Several failures of one task, or of one gang, fail the job; lasting tasks are always restarted.
 void job_scheduler::taskFailed(task_run &task, time_point now)
 {
-    auto &step = *task.step;
-    auto &job = *step.occurrence->job;
     if (task.at)
         release(task);
-    countFailure(task, task.attempt);
+    noteFailure(task, task.attempt, now);
+}
+
+// Several failures of one task, or of one gang, fail the job; lasting tasks are always restarted.
+void job_scheduler::noteFailure(task_run &task, std::uint32_t attempt, time_point now)
+{
+    auto &step = *task.step;
+    auto &job = *step.occurrence->job;
+    countFailure(task, attempt);
     touch(job);
-    const auto failures = step.definition->gang ? step.gangFailures : task.failures;
+    const auto failures =
+        step.definition->gang ? step.failedAttempts.size() : task.failedAttempts.size();
     if (step.definition->lasting || failures < queueOf(job).attempts)
         return;
     if (job.state > job_state::Running)
         return;
     finish(job, job_state::Failed);
+    stopAll(job, now);
+}
+
+void job_scheduler::stopAll(job_run &job, time_point now)
+{
     for (auto &[number, occurrence] : job.occurrences) {
-        for (auto &other : occurrence.steps) {
-            for (auto &running : other.tasks)
-                stopRun(running, now);
-        }
+        for (auto &step : occurrence.steps)
+            stopStep(step, now);
     }
 }
 
@@ -484,7 +489,7 @@
     }
 }
 
-void job_scheduler::stopGang(step_run &step, time_point now)
+void job_scheduler::stopStep(step_run &step, time_point now)
 {
     for (auto &member : step.tasks)
         stopRun(member, now);
@@ -523,7 +528,7 @@
     if (current || (end.how == run_end::Done && task->phase == task_phase::Waiting))
         applyEnd(*task, end, now);
     else if (end.how == run_end::Failed && task->phase != task_phase::Done)
-        countFailure(*task, end.attempt);
+        noteFailure(*task, end.attempt, now);
 }
 
 void job_scheduler::applyEnd(task_run &task, const ended_run &end, time_point now)
@@ -548,7 +553,7 @@
         backToWaiting(task);
     }
     if (gang)
-        stopGang(step, now);
+        stopStep(step, now);
 }
 
 void job_scheduler::takeActive(worker &at, const active_run &run, time_point now)
@@ -628,7 +633,7 @@
         auto &step = *task->step;
         backToWaiting(*task);
         if (step.definition->gang)
-            stopGang(step, now);
+            stopStep(step, now);
     }
 }
 
@@ -713,7 +718,7 @@
         break;
     }
     if (step.definition->gang)
-        stopGang(step, now);
+        stopStep(step, now);
 }
 
 void job_scheduler::stopAnswered(const stop_order &order, bool accepted, time_point now)
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -210,9 +210,11 @@
     void taskDone(task_run &task);
     void countFailure(task_run &task, std::uint32_t attempt);
     void taskFailed(task_run &task, time_point now);
+    void noteFailure(task_run &task, std::uint32_t attempt, time_point now);
     void gangDone(step_run &step);
     void stopRun(task_run &task, time_point now);
-    void stopGang(step_run &step, time_point now);
+    void stopStep(step_run &step, time_point now);
+    void stopAll(job_run &job, time_point now);
     void completeStep(step_run &step);
     void takeEnd(worker &at, const ended_run &end, time_point now);
     void applyEnd(task_run &task, const ended_run &end, time_point now);
--- /dev/null
+++ b/tests/jobs/takeover_test.cpp
@@ -0,0 +1,116 @@
+#include "jobs/scheduler_world.h"
+
+#include <doctest/doctest.h>
+
+using namespace plantaingap;
+using plantaingap::jobs::job_state;
+using plantaingap::jobs::run_end;
+using plantaingap::tests::milliseconds;
+using plantaingap::tests::scheduler_world;
+
+namespace {
+
+const std::string id = "00000000000000b1";
+
+// A new leader with what the store holds and the workers as they are.
+void takeOver(scheduler_world &world, scheduler_world &next)
+{
+    next.passed = world.passed;
+    next.fleet = world.fleet;
+    next.term = world.term + 1;
+    next.scheduler.lead(next.term, next.now());
+    for (const auto &[job, definition] : world.definitions) {
+        std::optional<jobs::recorded_progress> progress;
+        if (world.progress.contains(job))
+            progress = *jobs::decodeProgress(world.progress.at(job));
+        next.scheduler.restore(*jobs::decodeJob(definition), progress, next.now(), next.wall());
+    }
+    next.definitions = world.definitions;
+    next.progress = world.progress;
+    next.begin();
+}
+
+struct takeover_row
+{
+    const char *name;
+    bool gang;
+    std::uint32_t tasks;
+    // What happens to the first leader's runs, told and stored before it is gone or not.
+    run_end how;
+    bool told;
+    bool stored;
+    // Runs under the next leader before anything else ends, and the job's failures.
+    std::size_t runningAfter;
+    std::size_t failures;
+};
+
+const takeover_row rows[] = {
+    {"runs that go on are taken over", false, 2, run_end::Stopped, false, false, 2, 0},
+    {"a failure that nobody heard of counts once", false, 1, run_end::Failed, false, false, 1, 1},
+    {"a failure that was stored, and is told again, counts once", false, 1, run_end::Failed, true,
+     true, 1, 1},
+    {"a failure that was heard and not stored counts once", false, 1, run_end::Failed, true, false,
+     1, 1},
+    {"a gang's failure that is told again counts once", true, 2, run_end::Failed, true, true, 2, 1},
+    {"a task that was done is not run again", false, 1, run_end::Done, false, false, 0, 0},
+};
+
+} // namespace
+
+TEST_CASE("What a next leader makes of a job")
+{
+    for (const auto &row : rows) {
+        CAPTURE(std::string(row.name));
+        scheduler_world world;
+        world.begin();
+        auto step = scheduler_world::step(row.tasks, 4000);
+        step.gang = row.gang;
+        world.submit(id, "quick", {step});
+        world.settle();
+        world.lookAll();
+        REQUIRE(world.running(id) == row.tasks);
+        if (row.how != run_end::Stopped) {
+            // The worker keeps its ends: it never hears that they were stored.
+            world.endRuns(id + ".0.0.0", row.how);
+            if (row.gang)
+                world.endRuns(id, run_end::Broken);
+            if (row.told)
+                world.lookAll();
+            world.store = row.stored;
+            if (row.stored) {
+                for (const auto &change : world.scheduler.takeChanges(100))
+                    world.record(change);
+            }
+        }
+        scheduler_world next;
+        takeOver(world, next);
+        next.lookAll();
+        next.settle();
+        CHECK(next.running(id) == row.runningAfter);
+        CHECK(next.twice.empty());
+        const auto *job = next.scheduler.job(id);
+        if (row.how == run_end::Done) {
+            CHECK(next.finished[id] == job_state::Completed);
+            continue;
+        }
+        REQUIRE(job);
+        CHECK(job->state <= job_state::Running);
+        CHECK(job->occurrences.at(0).steps[0].tasks[0].failedAttempts.size() == row.failures);
+    }
+}
+
+TEST_CASE("A job fails when a task has failed as often as its queue allows, and not before")
+{
+    scheduler_world world;
+    world.begin();
+    world.submit(id, "quick", {scheduler_world::step(1, 4000)});
+    world.settle();
+    for (std::uint32_t attempt = 1; attempt <= scheduler_world::attempts; ++attempt) {
+        CHECK(world.scheduler.state(id) <= job_state::Running);
+        REQUIRE(world.endRuns(id, run_end::Failed) == 1);
+        world.lookAll();
+        world.settle();
+    }
+    CHECK(world.scheduler.state(id) == job_state::Failed);
+    CHECK(world.running() == 0);
+}
