Check a job against those that ended earlier, also when it came first

Change: a row read later takes the job back; writes as large as the store takes; a write under way is waited for; an instance that finds its own earlier process as the leader takes over at once. Test: jobs/takeover_test, 'known after it was handed in again' failed before.

--- a/src/cell/cell_instance.cpp
+++ b/src/cell/cell_instance.cpp
@@ -47,9 +47,6 @@
 constexpr milliseconds relayRetry {60};
 // Without any leader a request that was passed to nobody is refused after this.
 constexpr milliseconds leaderPatience {1200};
-// A request that may have been taken by a leader that did not answer is answered so after this; the
-// caller then asks again, and another attempt of this instance would be no better.
-constexpr milliseconds ambiguousPatience {1500};
 // Refused callers come back after as long as there has been no leader already, within these bounds.
 constexpr std::int64_t shortestReturn = 1;
 constexpr std::int64_t longestReturn = 4;
@@ -117,7 +114,7 @@
               [this](support::http_request request, support::http_peer) {
                   return serveReady(std::move(request));
               })
-    , m_watch(m_options.leader.leadership)
+    , m_watch(m_options.instance, m_options.leader.leadership)
 { }
 
 std::error_code cell_instance::start()
@@ -262,7 +259,8 @@
     bool ambiguous = false;
     while (true) {
         const auto now = clock::now();
-        if (now >= giveUp || now - start >= (ambiguous ? ambiguousPatience : leaderPatience))
+        // A request that a silent leader may have taken waits for what the next one knows of it.
+        if (now >= giveUp || (!ambiguous && now - start >= leaderPatience))
             break;
         auto attempt = call;
         if (const auto leading = m_leader) {
--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -25,14 +25,18 @@
 constexpr std::string_view progressTable = "progress";
 constexpr std::string_view endedTable = "ended";
 
-// Jobs in one write; each takes at most four of the 100 entries that the store allows.
-constexpr std::size_t batchJobs = 24;
+// Entries of one write (the platform's bound is 100) without those of the leader's own row.
+constexpr std::size_t batchEntries = 98;
+// Finished jobs are read into memory after a takeover, unless there are more than this.
+constexpr std::size_t mostEndedRead = 20'000;
 // Changes that come within this span share a write.
 constexpr milliseconds groupWait {10};
 // One attempt to write; an answer that comes later is not lost: the next attempt finds the write
 // done. Grows with each attempt.
 constexpr milliseconds commitPatience {500};
 constexpr milliseconds longestCommitPatience {2000};
+// A store that answers slowly gets this many times what its last answer took.
+constexpr int slowStorePatience = 2;
 constexpr milliseconds readPatience {1500};
 // Between attempts to write, first and longest.
 constexpr milliseconds firstBackoff {30};
@@ -132,6 +136,7 @@
     duty(watchWorkers());
     duty(planRegularly());
     duty(tellLoad());
+    duty(readEnded());
     co_await storeChanges();
     m_ended = true;
     for (auto &[id, timer] : m_waiters)
@@ -179,6 +184,37 @@
     co_return co_await readWorkers();
 }
 
+// Jobs that ended before this term. Once all are in memory, a new job need not be checked against
+// the store.
+awaitable<void> leader::readEnded()
+{
+    const auto self = shared_from_this();
+    std::string from;
+    std::size_t count = 0;
+    while (!m_ended && count < mostEndedRead) {
+        auto read = co_await m_ports.store.read(std::string(endedTable), from, {},
+                                                clock::now() + readPatience);
+        const auto *page = std::get_if<row_page>(&read);
+        if (!page) {
+            co_await pause(longestBackoff);
+            continue;
+        }
+        for (const auto &row : page->rows) {
+            if (const auto state = jobs::parseState(row.value))
+                m_scheduler.rememberEnded(row.at.key, *state, bootNow());
+        }
+        count += page->rows.size();
+        if (!page->more || page->rows.empty()) {
+            m_endedKnown = true;
+            log_event(log_level::Info, "leader.knows_ended_jobs")
+                .field("term", m_row.term)
+                .field("jobs", static_cast<std::uint64_t>(count));
+            co_return;
+        }
+        from = afterKey(page->rows.back().at.key);
+    }
+}
+
 void leader::restoreJobs(const std::vector<stored_row> &definitions,
                          const std::vector<stored_row> &progress)
 {
@@ -224,7 +260,8 @@
             continue;
         }
         if (change.definition) {
-            changes.expected.push_back({ended, 0});
+            if (!m_endedKnown)
+                changes.expected.push_back({ended, 0});
             changes.puts.emplace_back(definition, *change.definition);
         }
         if (change.progress)
@@ -291,7 +328,9 @@
 {
     ++m_row.sequence;
     auto backoff = firstBackoff;
-    auto patience = commitPatience;
+    auto patience = std::clamp(
+        std::chrono::duration_cast<milliseconds>(m_writeTime) * slowStorePatience, commitPatience,
+        longestCommitPatience);
     m_writingSince = bootNow();
     while (true) {
         const auto sentAt = bootNow();
@@ -339,7 +378,7 @@
             co_await pause(groupWait);
         // The last write gives way; what is not in it, the next leader learns from the workers.
         m_row.resigned = m_resigning;
-        if (!co_await storeBatch(m_scheduler.takeChanges(batchJobs)) || m_row.resigned)
+        if (!co_await storeBatch(m_scheduler.takeChanges(batchEntries)) || m_row.resigned)
             co_return;
         planSoon();
     }
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -80,6 +80,7 @@
     awaitable<void> lookAfter(std::string worker);
     awaitable<void> planRegularly();
     awaitable<void> tellLoad();
+    awaitable<void> readEnded();
 
     awaitable<bool> storeBatch(std::vector<jobs::job_change> batch);
     transaction makeTransaction(const std::vector<jobs::job_change> &batch) const;
@@ -130,6 +131,8 @@
     std::optional<time_point> m_writingSince;
     duration m_writeTime {};
     bool m_planPosted = false;
+    // All jobs that ended before this term are in memory.
+    bool m_endedKnown = false;
     boost::asio::steady_timer m_changed;
     std::uint64_t m_operatorRevision = 0;
     std::map<std::string, std::shared_ptr<boost::asio::steady_timer>> m_looks;
--- a/src/cell/leader_callers.cpp
+++ b/src/cell/leader_callers.cpp
@@ -33,6 +33,8 @@
 constexpr milliseconds endedPatience {1000};
 // How long a caller's job waits for the store before its caller is answered.
 constexpr milliseconds storedPatience {1200};
+// With more jobs than this waiting to be stored the store is the bottleneck; new ones are refused.
+constexpr std::size_t mostWaitingChanges = 150;
 // Callers come back after as long as the store has been away already, within these bounds.
 constexpr std::int64_t shortestReturn = 1;
 constexpr std::int64_t longestReturn = 4;
@@ -107,9 +109,9 @@
     const auto id = definition.id;
     const auto now = bootNow();
     const bool known = m_scheduler.recording(id) || m_scheduler.state(id);
-    if (!known && (storeAway(now) || m_resigning)) {
-        if (m_resigning)
-            co_return caller_answer {};
+    if (!known && m_resigning)
+        co_return caller_answer {};
+    if (!known && (storeAway(now) || m_scheduler.waitingChanges() > mostWaitingChanges)) {
         ++m_counters["submissions_store_away"];
         co_return answer(statusUnavailable, {}, returnSeconds(now));
     }
@@ -132,6 +134,8 @@
         ++m_counters["submissions_store_away"];
         co_return answer(statusUnavailable, {}, returnSeconds(bootNow()));
     }
+    // The store may have it: only its answer tells.
+    co_await waitStored(id, call.deadline);
     if (m_scheduler.state(id)) {
         ++m_counters["submissions_accepted"];
         log_event(log_level::Info, "job.accepted").field("job", id).field("queue", queue);
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -40,8 +40,9 @@
     }
 }
 
-leadership_watch::leadership_watch(leadership_options options)
-    : m_options(options)
+leadership_watch::leadership_watch(std::string self, leadership_options options)
+    : m_self(std::move(self))
+    , m_options(options)
 { }
 
 void leadership_watch::rowSeen(std::optional<leader_row> row, std::uint64_t revision,
@@ -84,6 +85,9 @@
         return false;
     if (!m_row || m_row->resigned)
         return true;
+    // An earlier process of this instance led, and is gone.
+    if (m_row->holder == m_self)
+        return true;
     return m_lastSeen - m_stillSince >= m_options.stillFor;
 }
 
--- a/src/cell/leadership.h
+++ b/src/cell/leadership.h
@@ -44,7 +44,7 @@
 class leadership_watch
 {
 public:
-    explicit leadership_watch(leadership_options options);
+    leadership_watch(std::string self, leadership_options options);
 
     // The row as the store just gave it; none when there is no row.
     void rowSeen(std::optional<leader_row> row, std::uint64_t revision, time_point now);
@@ -66,6 +66,7 @@
     time_point answeredAt() const { return m_answeredAt; }
 
 private:
+    std::string m_self;
     leadership_options m_options;
     std::optional<leader_row> m_row;
     std::uint64_t m_revision = 0;
--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -379,25 +379,35 @@
     ask(one, std::move(found), wanted);
 }
 
-// A gang first learns where it may run, and asks for tickets when there is room for all of it.
+// A gang asks about so many workers with room that one call should do. Where that fails it knows
+// more, keeps room there, and asks again when there is enough of it.
 void dispatcher::askForGang(const candidate &one)
 {
     const auto tasks = static_cast<double>(one.step->tasks.size());
-    double room = 0;
-    double reach = 0;
+    const auto sum = [](const std::vector<prospect> &found) {
+        double all = 0;
+        for (const auto &each : found)
+            all += each.tasks;
+        return all;
+    };
     auto known = prospects(one, true, true);
-    for (const auto &each : known)
-        room += each.tasks;
-    if (room >= tasks) {
+    if (sum(known) >= tasks) {
         ask(one, std::move(known), tasks);
         return;
     }
+    auto unknown = prospects(one, false, true);
+    if (sum(known) + sum(unknown) >= tasks) {
+        std::ranges::move(unknown, std::back_inserter(known));
+        ask(one, std::move(known), namedRoom * tasks);
+        return;
+    }
+    double reach = 0;
     for (const auto &[id, held] : one.step->advice.good) {
         const auto *at = m_owner.m_fleet.find(id);
         reach += at && at->usable(m_now) ? emptyRoom(one, *at) : 0;
     }
     if (reach < gangReach * tasks)
-        ask(one, prospects(one, false, false), (gangReach * tasks - reach) * namedRoom);
+        ask(one, prospects(one, false, false), gangReach * tasks - reach);
 }
 
 void dispatcher::ask(const candidate &one, std::vector<prospect> found, double wanted)
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -20,6 +20,10 @@
 // Weight of the newest answer; some twenty answers count.
 constexpr double shareWeight = 0.05;
 
+// Entries of a write that a job's end takes, and at most any other change of it.
+constexpr std::size_t entriesOfEnd = 3;
+constexpr std::size_t entriesOfChange = 3;
+
 milliseconds adviceTime(const queue_definition &queue)
 {
     if (!queue.advisor)
@@ -281,6 +285,22 @@
     closeJob(id, state, now);
 }
 
+void job_scheduler::rememberEnded(const std::string &id, job_state state, time_point now)
+{
+    const auto *known = job(id);
+    // Handed in again before this was known here.
+    if (known && !known->stored)
+        endedBefore(id, state, now);
+    else if (!known)
+        m_ended.try_emplace(id, ended_job {state, now + m_options.remember});
+}
+
+bool job_scheduler::sent(const std::string &id) const
+{
+    const auto *known = job(id);
+    return known && known->sent && !known->stored;
+}
+
 bool job_scheduler::cancel(const std::string &id, time_point now)
 {
     auto *job = liveJob(id);
@@ -849,34 +869,45 @@
 
 // The store.
 
-std::vector<job_change> job_scheduler::takeChanges(std::size_t most)
+std::vector<job_change> job_scheduler::takeChanges(std::size_t mostEntries)
 {
     std::vector<job_change> batch;
-    const auto count = std::min(most, m_dirty.size());
-    for (std::size_t i = 0; i < count; ++i) {
-        auto &job = *m_jobs.at(m_dirty[i]);
-        job_change change;
-        change.id = m_dirty[i];
-        job.dirty = false;
-        if (job.state > job_state::Running) {
-            change.finished = job.state;
-        } else {
-            if (!job.stored)
-                change.definition = encodeJob(job.definition, job.acceptedAt);
-            job.sent = true;
-            if (job.stored || job.occupying > 0)
-                change.progress = encodeProgress(job);
-        }
-        if (const auto effects = m_effects.find(change.id); effects != m_effects.end()) {
-            change.effects = std::move(effects->second);
-            m_effects.erase(effects);
-        }
-        batch.push_back(std::move(change));
-    }
-    m_dirty.erase(m_dirty.begin(), m_dirty.begin() + static_cast<std::ptrdiff_t>(count));
+    std::size_t entries = 0;
+    std::size_t taken = 0;
+    while (taken < m_dirty.size()) {
+        auto &job = *m_jobs.at(m_dirty[taken]);
+        const auto needed = job.state > job_state::Running ? entriesOfEnd : entriesOfChange;
+        if (entries + needed > mostEntries)
+            break;
+        batch.push_back(changeOf(job));
+        entries += needed;
+        ++taken;
+    }
+    m_dirty.erase(m_dirty.begin(), m_dirty.begin() + static_cast<std::ptrdiff_t>(taken));
     return batch;
 }
 
+job_change job_scheduler::changeOf(job_run &job)
+{
+    job_change change;
+    change.id = job.definition.id;
+    job.dirty = false;
+    if (job.state > job_state::Running) {
+        change.finished = job.state;
+    } else {
+        if (!job.stored)
+            change.definition = encodeJob(job.definition, job.acceptedAt);
+        if (job.stored || job.occupying > 0)
+            change.progress = encodeProgress(job);
+    }
+    job.sent = true;
+    if (const auto effects = m_effects.find(change.id); effects != m_effects.end()) {
+        change.effects = std::move(effects->second);
+        m_effects.erase(effects);
+    }
+    return change;
+}
+
 std::vector<start_order> job_scheduler::stored(const std::vector<job_change> &batch, time_point now)
 {
     std::vector<start_order> starts;
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -144,6 +144,10 @@
     bool withdraw(const std::string &id);
     // The store says that the job has ended before; it was not accepted anew.
     void endedBefore(const std::string &id, job_state state, time_point now);
+    // A job ended in an earlier term.
+    void rememberEnded(const std::string &id, job_state state, time_point now);
+    // The job was given to the store, which has not answered.
+    bool sent(const std::string &id) const;
     // False when no such job lives.
     bool cancel(const std::string &id, time_point now);
     // The stored state; none when the job is not known here.
@@ -170,8 +174,10 @@
     // Time passes: due occurrences, leases that ended, orders to send again, and placement.
     scheduler_orders plan(time_point now, wall_time wallNow, advice_lanes lanes);
 
-    // Changes that wait to be stored, at most so many jobs; the next batch only after this one.
-    std::vector<job_change> takeChanges(std::size_t most);
+    // Changes that wait to be stored and take at most so many entries; the next batch only after
+    // this one.
+    std::vector<job_change> takeChanges(std::size_t mostEntries);
+    std::size_t waitingChanges() const { return m_dirty.size(); }
     // The batch is stored. Returns the orders to start that it allows.
     std::vector<start_order> stored(const std::vector<job_change> &batch, time_point now);
     bool hasChanges() const { return !m_dirty.empty(); }
@@ -198,6 +204,7 @@
     void finish(job_run &job, job_state state);
     void closeJob(const std::string &id, job_state state, time_point now);
     void dropClosed();
+    job_change changeOf(job_run &job);
     void discard(job_run &job);
     static void countWaiting(const step_run &step, time_point now, scheduler_load &load);
     job_run *liveJob(const std::string &id);
--- a/tests/cell/leadership_test.cpp
+++ b/tests/cell/leadership_test.cpp
@@ -83,7 +83,7 @@
 {
     for (const auto &row : rows) {
         CAPTURE(row.name);
-        leadership_watch watch({});
+        leadership_watch watch("two", {});
         for (const auto &one : row.seen) {
             if (one.kind == sight::Row)
                 watch.rowSeen(rowOf(one.revision, one.resigned), one.revision, at(one.ms));
@@ -99,11 +99,18 @@
 
 TEST_CASE("A cell without a leader's row is taken at once")
 {
-    leadership_watch watch({});
+    leadership_watch watch("two", {});
     watch.rowSeen(std::nullopt, 0, at(0));
     CHECK(watch.mayTakeOver(at(1)));
 }
 
+TEST_CASE("An instance that finds its own earlier process as the leader takes over at once")
+{
+    leadership_watch watch("one", {});
+    watch.rowSeen(rowOf(3), 8, at(0));
+    CHECK(watch.mayTakeOver(at(1)));
+}
+
 TEST_CASE("The leader's row survives its encoding, and what is not one is refused")
 {
     const auto row = rowOf(7, true);
--- a/tests/jobs/takeover_test.cpp
+++ b/tests/jobs/takeover_test.cpp
@@ -114,3 +114,26 @@
     CHECK(world.scheduler.state(id) == job_state::Failed);
     CHECK(world.running() == 0);
 }
+
+TEST_CASE("A job that ended in an earlier term is not run again, whenever that becomes known")
+{
+    struct row
+    {
+        const char *name;
+        bool knownFirst;
+    };
+    for (const auto &row : {row {"known before it is handed in again", true},
+                            row {"known after it was handed in again", false}}) {
+        CAPTURE(std::string(row.name));
+        scheduler_world world;
+        world.begin();
+        if (row.knownFirst)
+            world.scheduler.rememberEnded(id, job_state::Completed, world.now());
+        world.submit(id, "quick", {scheduler_world::step(1, 4000)});
+        if (!row.knownFirst)
+            world.scheduler.rememberEnded(id, job_state::Completed, world.now());
+        world.settle();
+        CHECK(world.starts == 0);
+        CHECK(world.scheduler.state(id) == job_state::Completed);
+    }
+}
