More lanes for slow calls for advice; gangs name more workers and count room that comes free

Cause: a third of the cores stood idle while 30 gangs waited for one of three slow lanes, and a call that named too few workers had to be made again. Change: calls up to 150 ms share the short lanes; a gang names room for 2.2 times its tasks, counts runs that end before the answer comes, by their progress; late work does not hold new jobs off; a leader that cannot write is replaced after 0.8 s, and ends when a worker follows another.

--- a/src/cell/cell_instance.cpp
+++ b/src/cell/cell_instance.cpp
@@ -152,12 +152,13 @@
     const auto *page = std::get_if<row_page>(&read);
     if (!page)
         co_return false;
-    m_storeDelay = std::chrono::duration_cast<milliseconds>(bootNow() - askedAt);
+    const auto now = bootNow();
+    m_storeDelay = std::chrono::duration_cast<milliseconds>(now - askedAt);
     if (page->rows.empty())
-        m_watch.rowSeen(std::nullopt, 0, bootNow());
+        m_watch.rowSeen(std::nullopt, 0, now - askedAt, now);
     else
         m_watch.rowSeen(decodeLeaderRow(page->rows.front().value), page->rows.front().revision,
-                        bootNow());
+                        now - askedAt, now);
     co_return true;
 }
 
--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -64,6 +64,8 @@
 
 // A follower that has not sent a heartbeat for this long gets no calls for advice.
 constexpr milliseconds followerValidity {1000};
+// One in so many followers takes short calls only.
+constexpr std::size_t shortLaneShare = 3;
 constexpr std::uint32_t shortCallsEach = 6;
 constexpr std::uint32_t longCallsEach = 1;
 // Added to what the advisor will take: the queue of other callers and the way there and back.
@@ -332,7 +334,7 @@
         std::chrono::duration_cast<milliseconds>(m_writeTime) * slowStorePatience, commitPatience,
         longestCommitPatience);
     m_writingSince = bootNow();
-    while (true) {
+    while (!m_superseded) {
         const auto sentAt = bootNow();
         auto done = co_await m_ports.store.commit(makeTransaction(batch), clock::now() + patience);
         patience = std::min(patience * 3 / 2, longestCommitPatience);
@@ -364,6 +366,7 @@
         co_await pause(backoff);
         backoff = std::min(backoff * 2, longestBackoff);
     }
+    co_return false;
 }
 
 awaitable<void> leader::storeChanges()
@@ -505,10 +508,12 @@
             break;
         if (auto *report = std::get_if<jobs::worker_report>(&told)) {
             if (report->staleTerm) {
-                log_event(log_level::Warning, "worker.follows_other_leader").field("worker", id);
+                log_event(log_level::Warning, "leader.superseded")
+                    .field("term", m_row.term)
+                    .field("worker", id);
+                m_superseded = true;
                 m_scheduler.lookFailed(id, bootNow());
-                co_await pause(lookRetry);
-                continue;
+                break;
             }
             const bool wasAway = !at->answering;
             m_scheduler.reported(id, *report, now, bootNow());
@@ -616,7 +621,7 @@
         m_changed.cancel();
 }
 
-// Own calls count under the empty name. Every fourth instance, this one first, takes short calls
+// Own calls count under the empty name. This instance and every third other one take short calls
 // only; the others take one long call at a time each.
 std::string leader::laneFor(bool shortCall, time_point now) const
 {
@@ -636,7 +641,7 @@
         if (name.empty() || now - one.heard > followerValidity)
             continue;
         others = true;
-        consider(name, one, index++ % 4 == 0);
+        consider(name, one, index++ % shortLaneShare == 0);
     }
     const auto own = m_followers.find({});
     const follower none;
@@ -658,11 +663,10 @@
         if (name.empty() || now - one.heard > followerValidity)
             continue;
         others = true;
-        if (index++ % 4 == 0) {
+        if (index++ % shortLaneShare == 0) {
             lanes.shortCalls += left(shortCallsEach, one.shortCalls);
         } else {
             lanes.longCalls += left(longCallsEach, one.longCalls);
-            lanes.longCallsInAll += longCallsEach;
         }
     }
     const auto own = m_followers.find({});
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -123,6 +123,8 @@
     bool m_ready = false;
     bool m_ended = false;
     bool m_resigning = false;
+    // A worker has taken orders of a later leader.
+    bool m_superseded = false;
     // When the last write that the store took was sent.
     time_point m_committedAt;
     // The last attempt to write failed.
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -1,5 +1,6 @@
 #include "cell/leadership.h"
 
+#include <algorithm>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
@@ -11,6 +12,8 @@
 
 // Heartbeats without an answer for this long leave a follower without a leader.
 constexpr std::chrono::milliseconds answerValidity {1500};
+// A write takes a few times as long as a read.
+constexpr int slowStoreFactor = 4;
 
 } // namespace
 
@@ -46,8 +49,9 @@
 { }
 
 void leadership_watch::rowSeen(std::optional<leader_row> row, std::uint64_t revision,
-                               time_point now)
+                               duration readTime, time_point now)
 {
+    m_readTime = readTime;
     if (!m_seen || revision != m_revision) {
         // The leader told of this revision itself: the row has stood still since.
         m_stillSince = revision == m_toldRevision && m_toldRevision != 0 ? m_toldAt : now;
@@ -63,8 +67,10 @@
 {
     if (m_row && term < m_row->term)
         return;
-    m_toldRevision = revision;
-    m_toldAt = sentAt;
+    if (revision != m_toldRevision) {
+        m_toldRevision = revision;
+        m_toldAt = sentAt;
+    }
     m_answeredAt = now;
     m_suspicious = commitAge > m_options.suspectAge;
 }
@@ -88,7 +94,9 @@
     // An earlier process of this instance led, and is gone.
     if (m_row->holder == m_self)
         return true;
-    return m_lastSeen - m_stillSince >= m_options.stillFor;
+    // A store that answers slowly makes a leader's writes slow too.
+    const auto still = std::max<duration>(m_options.stillFor, m_readTime * slowStoreFactor);
+    return m_lastSeen - m_stillSince >= still;
 }
 
 bool leadership_watch::hasLeader(time_point now) const
--- a/src/cell/leadership.h
+++ b/src/cell/leadership.h
@@ -37,7 +37,7 @@
     // A row that stands still this long, as one that looks at it sees it, has lost its leader.
     std::chrono::milliseconds stillFor {700};
     // Writes of the leader older than this make its followers look at the row themselves.
-    std::chrono::milliseconds suspectAge {1200};
+    std::chrono::milliseconds suspectAge {800};
 };
 
 // What a follower has seen of the leader and of its row, and what follows from it.
@@ -46,8 +46,9 @@
 public:
     leadership_watch(std::string self, leadership_options options);
 
-    // The row as the store just gave it; none when there is no row.
-    void rowSeen(std::optional<leader_row> row, std::uint64_t revision, time_point now);
+    // The row as the store gave it after that time; none when there is no row.
+    void rowSeen(std::optional<leader_row> row, std::uint64_t revision, duration readTime,
+                 time_point now);
     // The leader of that term answered a heartbeat that was sent then, and told its row's revision.
     void leaderAnswered(std::uint64_t term, std::chrono::milliseconds commitAge,
                         std::uint64_t revision, time_point sentAt, time_point now);
@@ -71,12 +72,13 @@
     std::optional<leader_row> m_row;
     std::uint64_t m_revision = 0;
     bool m_seen = false;
-    // The revision that the leader told last, and when it had it at the earliest.
+    // The revision that the leader told last, and when it told of it first.
     std::uint64_t m_toldRevision = 0;
     time_point m_toldAt {};
     // When the row was first and last seen at this revision.
     time_point m_stillSince {};
     time_point m_lastSeen {};
+    duration m_readTime {};
     bool m_suspicious = true;
     time_point m_answeredAt {};
 };
--- a/src/jobs/admission.cpp
+++ b/src/jobs/admission.cpp
@@ -18,25 +18,31 @@
 
 using core_milliseconds = double;
 
-core_milliseconds remainingWork(const step_run &step)
+core_milliseconds waitingWork(const step_run &step)
 {
     const auto &definition = *step.definition;
     if (definition.filler || definition.lasting)
         return 0;
-    const double each =
-        static_cast<double>(definition.need.milliCores) / 1000.0
-        * static_cast<double>(definition.estimate.count());
-    const auto left = static_cast<double>(step.tasks.size() - step.done);
-    const auto occupying = left - static_cast<double>(step.waiting);
-    return each * (static_cast<double>(step.waiting) + occupying / 2);
+    const double each = static_cast<double>(definition.need.milliCores) / 1000.0
+                        * static_cast<double>(definition.estimate.count());
+    return each * static_cast<double>(step.waiting);
 }
 
-core_milliseconds remainingWork(const job_run &job)
+// Work that is placed before a job of that rank: what is still on time, and more urgent or due
+// earlier. Late work gives way and does not count.
+core_milliseconds workAhead(const job_run &other, bool otherQuick, bool quick, time_point mine,
+                            time_point now)
 {
+    if (other.state > job_state::Running || (quick && !otherQuick))
+        return 0;
     core_milliseconds sum = 0;
-    for (const auto &[number, occurrence] : job.occurrences) {
-        for (const auto &step : occurrence.steps)
-            sum += remainingWork(step);
+    for (const auto &[number, occurrence] : other.occurrences) {
+        for (const auto &step : occurrence.steps) {
+            const bool late = now + step.chainLeft > step.onTime;
+            const bool earlier = otherQuick != quick || step.onTime - step.chainLeft <= mine;
+            if (!late && earlier)
+                sum += waitingWork(step);
+        }
     }
     return sum;
 }
@@ -68,6 +74,7 @@
 } // namespace
 
 std::optional<std::uint32_t> refuseFor(const job_definition &job, const queue_definition &queue,
+                                       const std::set<std::string> &quickQueues,
                                        const job_map &jobs, const fleet &workers, time_point now)
 {
     const auto capacity = workers.capacity();
@@ -81,16 +88,12 @@
         return std::nullopt;
     const auto chain = static_cast<double>(longestChain(job).count());
     const auto objective = chain * queue.stretch + static_cast<double>(queue.slack.count());
-    const auto mine = now + std::chrono::duration_cast<duration>(
-                          std::chrono::duration<double, std::milli>(objective));
+    const auto latestStart = now + std::chrono::duration_cast<duration>(
+                                 std::chrono::duration<double, std::milli>(objective - chain));
     core_milliseconds ahead = 0;
     for (const auto &[id, other] : jobs) {
-        if (other->state > job_state::Running || other->occurrences.empty())
-            continue;
-        const auto &first = other->occurrences.begin()->second;
-        if (first.steps.empty() || first.steps.front().onTime > mine)
-            continue;
-        ahead += remainingWork(*other);
+        const bool otherQuick = quickQueues.contains(other->definition.queue);
+        ahead += workAhead(*other, otherQuick, queue.priority == 0, latestStart, now);
     }
     const auto cores = static_cast<double>(capacity.milliCores) / 1000.0;
     const auto wait = ahead / cores;
--- a/src/jobs/admission.h
+++ b/src/jobs/admission.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 // Whether a job is taken on. Load pattern that it answers: bursts of one kind well above what the
@@ -18,7 +19,9 @@
 using job_map = std::map<std::string, std::unique_ptr<job_run>, std::less<>>;
 
 // Seconds after which the caller should come again, when the job is to be refused; none to accept.
+// Jobs of quick queues are placed before all others.
 std::optional<std::uint32_t> refuseFor(const job_definition &job, const queue_definition &queue,
+                                       const std::set<std::string> &quickQueues,
                                        const job_map &jobs, const fleet &workers, time_point now);
 
 } // namespace plantaingap::jobs
--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -16,12 +16,14 @@
 constexpr double laterRoom = 0.5;
 // A gang looks for more workers until those allowed could hold it this many times over when empty.
 constexpr double gangReach = 1.5;
+// From the advisor's answer to the placement that uses it.
+constexpr std::chrono::milliseconds adviceWay {80};
 constexpr std::size_t fewestNamed = 3;
 // The platform's bound on one call.
 constexpr std::size_t mostNamed = 100;
-// Calls longer than this leave some lanes to shorter ones.
-constexpr std::chrono::microseconds slowAdvice {200'000};
-constexpr std::uint32_t lanesLeft = 2;
+// A gang's call names room for this many times its tasks: few of the workers are allowed, and one
+// that is missing costs another call.
+constexpr double namedForGang = 2.2;
 
 // The worth of a step now: 0 on time, 1 late but of use, 2 of no use to its caller any more.
 int bandOf(const step_run &step, time_point now)
@@ -64,9 +66,7 @@
     , m_now(now)
     , m_orders(orders)
     , m_lanes(owner.m_lanes)
-{
-    m_lanes.longCallsKept = m_lanes.longCallsInAll > 2 * lanesLeft ? lanesLeft : 0;
-}
+{ }
 
 void dispatcher::run()
 {
@@ -192,6 +192,22 @@
     return definition.mostPerWorker > 0 ? std::min(count, definition.mostPerWorker) : count;
 }
 
+std::uint32_t dispatcher::soonRoom(const candidate &one, const worker &at) const
+{
+    const auto &definition = *one.step->definition;
+    const auto until = m_now + one.queue->advisor->decide + adviceWay;
+    auto free = at.free();
+    for (const auto *run : at.runs) {
+        const auto &other = *run->step->definition;
+        if (run->phase == task_phase::Running && expectedEnd(*run, other.estimate) <= until)
+            free += effectiveNeed(other);
+    }
+    auto count = fits(effectiveNeed(definition), free);
+    if (definition.mostPerWorker > 0)
+        count = std::min(count, definition.mostPerWorker);
+    return count;
+}
+
 bool dispatcher::keptForOther(const candidate &one, const worker &at)
 {
     return at.reservedFor && at.reservedFor != one.step;
@@ -293,7 +309,7 @@
 // fits.
 void dispatcher::reserve(const candidate &one)
 {
-    if (one.band > 0 || m_reservations >= mostReservations)
+    if (one.band > 1 || m_reservations >= mostReservations)
         return;
     std::vector<worker *> options;
     for (auto *at : m_usable) {
@@ -328,15 +344,13 @@
     const auto &advice = one.step->advice;
     if (advice.asking || advice.askAgain > m_now)
         return false;
-    const auto decide = one.queue->advisor->decide;
-    if (decide <= shortAdvice)
-        return m_lanes.shortCalls > 0;
-    return m_lanes.longCalls > (decide > slowAdvice ? m_lanes.longCallsKept : 0);
+    const bool shortCall = one.queue->advisor->decide <= shortAdvice;
+    return (shortCall ? m_lanes.shortCalls : m_lanes.longCalls) > 0;
 }
 
 // Workers that may be asked about: those known to be allowed, or those not asked about before.
 std::vector<dispatcher::prospect> dispatcher::prospects(const candidate &one, bool known,
-                                                        bool withRoom) const
+                                                        room_kind kind) const
 {
     const auto &advice = one.step->advice;
     const auto salt = std::hash<std::string> {}(one.step->occurrence->job->definition.id);
@@ -349,9 +363,9 @@
             continue;
         if (!known && std::ranges::find(advice.bad, at->entry.id) != advice.bad.end())
             continue;
-        const double now = room(one, *at);
-        const double later = emptyRoom(one, *at);
-        const double tasks = withRoom ? now : now + laterRoom * (later - now);
+        double tasks = kind == room_kind::Now ? room(one, *at) : soonRoom(one, *at);
+        if (kind == room_kind::Later)
+            tasks += laterRoom * (emptyRoom(one, *at) - tasks);
         if (tasks <= 0)
             continue;
         const auto mix = (std::hash<std::string> {}(at->entry.id) ^ salt) * 0x9E3779B97F4A7C15U;
@@ -366,14 +380,14 @@
 // Tasks that can start one by one: asked about only where there is room for one at least.
 void dispatcher::askForRoom(const candidate &one)
 {
-    auto found = prospects(one, true, true);
+    auto found = prospects(one, true, room_kind::Now);
     std::erase_if(found, [&](const prospect &each) { return validTicket(*one.step, *each.at); });
     const double wanted = namedRoom * one.step->waiting;
     double expected = 0;
     for (const auto &each : found)
         expected += each.tasks;
     if (expected < wanted) {
-        auto unknown = prospects(one, false, true);
+        auto unknown = prospects(one, false, room_kind::Now);
         std::ranges::move(unknown, std::back_inserter(found));
     }
     ask(one, std::move(found), wanted);
@@ -390,15 +404,15 @@
             all += each.tasks;
         return all;
     };
-    auto known = prospects(one, true, true);
+    auto known = prospects(one, true, room_kind::Soon);
     if (sum(known) >= tasks) {
         ask(one, std::move(known), tasks);
         return;
     }
-    auto unknown = prospects(one, false, true);
+    auto unknown = prospects(one, false, room_kind::Soon);
     if (sum(known) + sum(unknown) >= tasks) {
         std::ranges::move(unknown, std::back_inserter(known));
-        ask(one, std::move(known), namedRoom * tasks);
+        ask(one, std::move(known), namedForGang * tasks);
         return;
     }
     double reach = 0;
@@ -407,7 +421,7 @@
         reach += at && at->usable(m_now) ? emptyRoom(one, *at) : 0;
     }
     if (reach < gangReach * tasks)
-        ask(one, prospects(one, false, false), gangReach * tasks - reach);
+        ask(one, prospects(one, false, room_kind::Later), gangReach * tasks - reach);
 }
 
 void dispatcher::ask(const candidate &one, std::vector<prospect> found, double wanted)
--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -46,12 +46,15 @@
     void askForRoom(const candidate &one);
     void askForGang(const candidate &one);
     void ask(const candidate &one, std::vector<prospect> prospects, double wanted);
-    std::vector<prospect> prospects(const candidate &one, bool known, bool withRoom) const;
+    enum class room_kind : std::uint8_t { Now, Soon, Later };
+    std::vector<prospect> prospects(const candidate &one, bool known, room_kind kind) const;
 
     bool eligible(const candidate &one, const worker &at) const;
     const ticket *validTicket(const step_run &step, const worker &at) const;
     // How many tasks of the step the worker has room for now, and when it is empty.
     std::uint32_t room(const candidate &one, const worker &at) const;
+    // The room that there will be when an advisor asked now has answered.
+    std::uint32_t soonRoom(const candidate &one, const worker &at) const;
     static std::uint32_t emptyRoom(const candidate &one, const worker &at);
     static std::uint32_t tasksOn(const step_run &step, const worker &at);
     static bool keptForOther(const candidate &one, const worker &at);
--- a/src/jobs/job_progress.h
+++ b/src/jobs/job_progress.h
@@ -51,8 +51,12 @@
     // Progress that another run can resume from; empty for none.
     std::string checkpoint;
     std::string ticket;
-    // Share of its speed as the worker reports it.
+    // Work done in hundredths, as the worker reports it; of a lasting task its share of full speed.
     std::uint32_t percent = 0;
+    // When the run began, as seen here; when it was last reported, and last got on.
+    time_point startedAt {};
+    time_point reportedAt {};
+    time_point progressAt {};
     // What a lasting task's users see, in milliseconds; else thousandths of a core.
     double measure = 0;
     // The speed that was last ordered.
@@ -61,6 +65,9 @@
     time_point pacedUntil {};
 };
 
+// When a run will end: by its progress once it has made some, else by its declared estimate.
+time_point expectedEnd(const task_run &task, milliseconds estimate);
+
 // A ticket of the placement advisor for one worker.
 struct ticket
 {
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -56,6 +56,10 @@
             m_formerQueues[queue.name] = queue;
     }
     m_configuration = std::move(configuration);
+    for (const auto &queue : m_configuration.queues) {
+        if (queue.priority == 0)
+            m_quickQueues.insert(queue.name);
+    }
 }
 
 const queue_definition &job_scheduler::queueOf(const job_run &job) const
@@ -236,7 +240,7 @@
     const auto *queue = m_configuration.byName(definition.queue);
     if (!queue)
         return {submit_answer::Refused, 1};
-    if (const auto wait = refuseFor(definition, *queue, m_jobs, m_fleet, now))
+    if (const auto wait = refuseFor(definition, *queue, m_quickQueues, m_jobs, m_fleet, now))
         return {submit_answer::Refused, *wait};
     auto made = std::make_unique<job_run>();
     auto &job = *made;
@@ -588,11 +592,16 @@
     if (task->phase == task_phase::Ordered || task->phase == task_phase::Doubtful) {
         task->phase = task_phase::Running;
         task->settled = now;
+        task->startedAt = now;
+        task->progressAt = now;
     }
     auto &step = *task->step;
     if (!run.checkpoint.empty() && step.definition->checkpoints)
         task->checkpoint = run.checkpoint;
+    if (run.percent != task->percent)
+        task->progressAt = now;
     task->percent = run.percent;
+    task->reportedAt = now;
     task->measure = run.measure;
     auto &job = *step.occurrence->job;
     if (!job.everStarted) {
@@ -713,6 +722,8 @@
     case start_result::Accepted: {
         task->phase = task_phase::Running;
         task->settled = now;
+        task->startedAt = now;
+        task->progressAt = now;
         auto &job = *step.occurrence->job;
         if (!job.everStarted) {
             job.everStarted = true;
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -78,7 +79,7 @@
 };
 
 // Calls for advice up to this long go over the lanes for short calls.
-inline constexpr std::chrono::microseconds shortAdvice {40'000};
+inline constexpr std::chrono::microseconds shortAdvice {150'000};
 
 // How many calls for advice may be made now. Short and long calls have lanes of their own, so that
 // a long call never delays a short one.
@@ -86,9 +87,6 @@
 {
     std::uint32_t shortCalls = 0;
     std::uint32_t longCalls = 0;
-    // Lanes for long calls, busy ones included, and how many of them slow calls leave to others.
-    std::uint32_t longCallsInAll = 0;
-    std::uint32_t longCallsKept = 0;
 };
 
 struct advice_request
@@ -241,6 +239,7 @@
     std::uint64_t m_term = 0;
     time_point m_foreignLeaseEnd {};
     cell_configuration m_configuration;
+    std::set<std::string> m_quickQueues;
     fleet m_fleet;
     advice_lanes m_lanes;
     std::map<std::string, std::unique_ptr<job_run>, std::less<>> m_jobs;
--- a/tests/cell/leadership_test.cpp
+++ b/tests/cell/leadership_test.cpp
@@ -29,6 +29,7 @@
     int commitAgeMs = 0;
     // When an answered heartbeat was sent.
     int sentMs = 0;
+    int readMs = 5;
 };
 
 struct watch_row
@@ -74,6 +75,17 @@
       {sight::Row, 1040, 10}},
      1041,
      false},
+    {"a leader that goes on answering and has not written is replaced at the first look",
+     {{sight::Row, 0, 5}, {sight::Beat, 330, 9, false, 100, 300},
+      {sight::Beat, 630, 9, false, 400, 600}, {sight::Beat, 1130, 9, false, 900, 1100},
+      {sight::Row, 1140, 9}},
+     1141,
+     true},
+    {"a slow store makes for slow writes, not for a lost leader",
+     {{sight::Row, 0, 5}, {sight::Beat, 330, 9, false, 900, 300},
+      {sight::Row, 1330, 9, false, 0, 0, 500}},
+     1331,
+     false},
     {"without any look at the row nothing is taken over", {{sight::Silence, 5}}, 5000, false},
 };
 
@@ -86,7 +98,8 @@
         leadership_watch watch("two", {});
         for (const auto &one : row.seen) {
             if (one.kind == sight::Row)
-                watch.rowSeen(rowOf(one.revision, one.resigned), one.revision, at(one.ms));
+                watch.rowSeen(rowOf(one.revision, one.resigned), one.revision,
+                              milliseconds(one.readMs), at(one.ms));
             else if (one.kind == sight::Beat)
                 watch.leaderAnswered(1, milliseconds(one.commitAgeMs), one.revision, at(one.sentMs),
                                      at(one.ms));
@@ -100,14 +113,14 @@
 TEST_CASE("A cell without a leader's row is taken at once")
 {
     leadership_watch watch("two", {});
-    watch.rowSeen(std::nullopt, 0, at(0));
+    watch.rowSeen(std::nullopt, 0, milliseconds(5), at(0));
     CHECK(watch.mayTakeOver(at(1)));
 }
 
 TEST_CASE("An instance that finds its own earlier process as the leader takes over at once")
 {
     leadership_watch watch("one", {});
-    watch.rowSeen(rowOf(3), 8, at(0));
+    watch.rowSeen(rowOf(3), 8, milliseconds(5), at(0));
     CHECK(watch.mayTakeOver(at(1)));
 }
 
--- a/tests/jobs/scheduler_world.h
+++ b/tests/jobs/scheduler_world.h
@@ -293,7 +293,7 @@
     duration passed {0};
     jobs::job_scheduler scheduler;
     std::map<std::string, fake_worker> fleet;
-    jobs::advice_lanes lanes {8, 8, 8, 0};
+    jobs::advice_lanes lanes {8, 8};
     std::set<std::string> notAllowed;
     bool store = true;
     std::map<std::string, std::string> definitions;
