Set aside workers that fail or hang, keep off slow ones, and log such decisions

Cause: grey, hanging and slow workers were only avoided after whole bursts of failures, and nothing told why a run had been lost or moved. Change: evidence per worker from ends and from progress (decision/worker_health, jobs/run_speed); runs without progress or on a worker that is slow beyond doubt begin elsewhere; notes in the log. Test: jobs/run_speed_test, jobs/health_test.

--- a/src/cell/cell_instance.cpp
+++ b/src/cell/cell_instance.cpp
@@ -86,25 +86,24 @@
 } // namespace
 
 cell_instance::cell_instance(asio::io_context &context, instance_options options,
-                             table_store &store, worker_gateway &workers,
-                             placement_advisor &advisor, const caller_codec &codec,
-                             platform_tables tables)
+                             table_store &store, worker_gateway &workers, step_advisor &advisor,
+                             const caller_codec &codec, platform_tables tables)
     : m_context(context)
     , m_options(std::move(options))
     , m_store(store)
-    , m_peers(context,
-              {[this](const follower_beat &told) {
-                   return m_leader ? m_leader->beat(told) : leader_beat {};
-               },
-               [this](caller_call call) -> awaitable<caller_answer> {
-                   const auto leading = m_leader;
-                   if (!leading)
-                       co_return caller_answer {};
-                   co_return co_await leading->handle(std::move(call));
-               },
-               [&advisor](advice_call call) {
-                   return advisor.ask(std::move(call.step), std::move(call.workers), call.deadline);
-               }})
+    , m_peers(context, {[this](const follower_beat &told) {
+                            return m_leader ? m_leader->beat(told) : leader_beat {};
+                        },
+                        [this](caller_call call) -> awaitable<caller_answer> {
+                            const auto leading = m_leader;
+                            if (!leading)
+                                co_return caller_answer {};
+                            co_return co_await leading->handle(std::move(call));
+                        },
+                        [&advisor](advice_call call) {
+                            return advisor.ask(std::move(call.step), std::move(call.workers),
+                                               call.deadline);
+                        }})
     , m_ports {store, workers, advisor, codec, std::move(tables), m_peers}
     , m_callers(context, callerLimits(m_options),
                 [this](support::http_request request, support::http_peer) {
@@ -236,8 +235,8 @@
             if (answered && answered->leads && answered->term >= term) {
                 if (!m_watch.hasLeader(bootNow()))
                     log_event(log_level::Info, "leader.regained").field("term", answered->term);
-                m_watch.leaderAnswered(answered->term, answered->commitAge, answered->rowRevision, now,
-                                       bootNow());
+                m_watch.leaderAnswered(answered->term, answered->commitAge, answered->rowRevision,
+                                       now, bootNow());
             } else {
                 if (m_watch.hasLeader(bootNow()))
                     log_event(log_level::Warning, "leader.silent").field("term", term);
--- a/src/cell/cell_instance.h
+++ b/src/cell/cell_instance.h
@@ -39,7 +39,7 @@
     static constexpr std::string_view deadlineHeader = "Plantaingap-Deadline-Ms";
 
     cell_instance(boost::asio::io_context &context, instance_options options, table_store &store,
-                  worker_gateway &workers, placement_advisor &advisor, const caller_codec &codec,
+                  worker_gateway &workers, step_advisor &advisor, const caller_codec &codec,
                   platform_tables tables);
 
     // Binds all listeners and begins.
--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -49,7 +49,7 @@
 
 constexpr milliseconds orderPatience {800};
 // How long a worker may hold a look when nothing ends.
-constexpr milliseconds lookWait {1000};
+constexpr milliseconds lookWait {700};
 constexpr milliseconds lookPatience {700};
 constexpr milliseconds lookRetry {150};
 // Ends that wait for the store longer than this do not hold up the next look.
@@ -77,6 +77,8 @@
 
 // How often the load is logged.
 constexpr milliseconds loadEvery {1000};
+// Decisions logged after one pass of placement.
+constexpr std::size_t mostNotes = 40;
 // Jobs past their objective that are explained each time.
 constexpr std::size_t overdueTold = 2;
 
@@ -279,8 +281,7 @@
         if (row.at.table == endedTable) {
             if (row.revision == 0 || row.value.empty())
                 continue;
-            const auto state =
-                jobs::parseState(row.value).value_or(jobs::job_state::Completed);
+            const auto state = jobs::parseState(row.value).value_or(jobs::job_state::Completed);
             std::erase_if(batch, [&row](const auto &change) { return change.id == row.at.key; });
             m_scheduler.endedBefore(row.at.key, state, bootNow());
             wake(row.at.key);
@@ -330,9 +331,9 @@
 {
     ++m_row.sequence;
     auto backoff = firstBackoff;
-    auto patience = std::clamp(
-        std::chrono::duration_cast<milliseconds>(m_writeTime) * slowStorePatience, commitPatience,
-        longestCommitPatience);
+    auto patience =
+        std::clamp(std::chrono::duration_cast<milliseconds>(m_writeTime) * slowStorePatience,
+                   commitPatience, longestCommitPatience);
     m_writingSince = bootNow();
     while (!m_superseded) {
         const auto sentAt = bootNow();
@@ -502,8 +503,7 @@
         auto order = m_scheduler.look(*at, now);
         order.wait = at->reports == 0 || !at->unstoredEnds.empty() ? milliseconds(0) : lookWait;
         ++m_counters["looks"];
-        auto told =
-            co_await m_ports.workers.look(order, clock::now() + order.wait + lookPatience);
+        auto told = co_await m_ports.workers.look(order, clock::now() + order.wait + lookPatience);
         if (m_ended)
             break;
         if (auto *report = std::get_if<jobs::worker_report>(&told)) {
@@ -569,6 +569,23 @@
     }
 }
 
+// Bounded: under a flood the rest is counted.
+void leader::tellNotes()
+{
+    const auto notes = m_scheduler.takeNotes();
+    for (std::size_t i = 0; i < std::min(notes.size(), mostNotes); ++i) {
+        log_event(log_level::Info, notes[i].event)
+            .field("task", notes[i].task)
+            .field("attempt", notes[i].attempt)
+            .field("worker", notes[i].worker)
+            .field("reason", notes[i].reason);
+    }
+    if (notes.size() > mostNotes) {
+        log_event(log_level::Info, "notes.left_out")
+            .field("count", static_cast<std::uint64_t>(notes.size() - mostNotes));
+    }
+}
+
 awaitable<void> leader::tellLoad()
 {
     const auto self = shared_from_this();
@@ -605,6 +622,7 @@
     const auto now = bootNow();
     m_wall.told(m_options.instance, support::wallNow(), now);
     auto orders = m_scheduler.plan(now, m_wall.at(now), lanes(now));
+    tellNotes();
     for (auto &stop : orders.stops)
         asio::co_spawn(m_context, sendStop(std::move(stop)), asio::detached);
     for (auto &throttle : orders.throttles)
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -21,7 +21,7 @@
 {
     table_store &store;
     worker_gateway &workers;
-    placement_advisor &advisor;
+    step_advisor &advisor;
     const caller_codec &codec;
     platform_tables tables;
     peer_link &peers;
@@ -32,7 +32,8 @@
     std::string instance;
     leadership_options leadership;
     jobs::scheduler_options scheduler;
-    // Without a write that the store took for this long a leader renews no leases: another may lead.
+    // Without a write that the store took for this long a leader renews no leases: another may
+    // lead.
     std::chrono::milliseconds validity {8000};
 };
 
@@ -94,6 +95,7 @@
 
     void planSoon();
     void plan();
+    void tellNotes();
     awaitable<void> sendStart(jobs::start_order order);
     awaitable<void> sendStop(jobs::stop_order order);
     awaitable<void> sendThrottle(jobs::throttle_order order);
--- a/src/cell/leader_callers.cpp
+++ b/src/cell/leader_callers.cpp
@@ -74,8 +74,7 @@
     if (rest.empty()) {
         if (call.method != "GET")
             co_return answer(statusNotAllowed);
-        co_return answer(statusOk,
-                         m_ports.codec.waitingJobs(m_scheduler.waitingJobs(queue->name)));
+        co_return answer(statusOk, m_ports.codec.waitingJobs(m_scheduler.waitingJobs(queue->name)));
     }
     if (!isIdentifier(rest)) {
         co_return answer(call.method == "POST" ? statusBadRequest : statusGone);
@@ -192,8 +191,7 @@
 {
     const auto self = shared_from_this();
     const auto askedAt = bootNow();
-    auto read = co_await m_ports.store.read("ended", id, id + '\x01',
-                                            clock::now() + endedPatience);
+    auto read = co_await m_ports.store.read("ended", id, id + '\x01', clock::now() + endedPatience);
     const auto *page = std::get_if<row_page>(&read);
     // Another leader may have accepted the job since this one last wrote.
     known = page && !m_ended && m_committedAt >= askedAt - m_options.leadership.stillFor;
--- a/src/cell/ports.h
+++ b/src/cell/ports.h
@@ -152,10 +152,10 @@
 };
 
 // The service that names the workers on which a step may run.
-class placement_advisor
+class step_advisor
 {
 public:
-    virtual ~placement_advisor() = default;
+    virtual ~step_advisor() = default;
     virtual awaitable<outcome<advice>> ask(std::string step, std::vector<std::string> workers,
                                            time_point deadline) = 0;
 };
--- a/src/jobs/admission.cpp
+++ b/src/jobs/admission.cpp
@@ -88,7 +88,8 @@
         return std::nullopt;
     const auto chain = static_cast<double>(longestChain(job).count());
     const auto objective = chain * queue.stretch + static_cast<double>(queue.slack.count());
-    const auto latestStart = now + std::chrono::duration_cast<duration>(
+    const auto latestStart = now
+                             + std::chrono::duration_cast<duration>(
                                  std::chrono::duration<double, std::milli>(objective - chain));
     core_milliseconds ahead = 0;
     for (const auto &[id, other] : jobs) {
--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -140,6 +140,9 @@
     const auto &definition = *one.step->definition;
     if (at.entry.service != one.queue->service || !at.hasLabel(definition.label))
         return false;
+    // A worker that is set aside gets a single run to prove itself.
+    if (at.health.quarantined() && (definition.gang || !at.runs.empty()))
+        return false;
     if (!definition.filler && !servesUsers(definition))
         return true;
     // Served tasks and fillers disturb each other; they are kept apart.
@@ -178,9 +181,8 @@
     auto count = fits(effectiveNeed(definition), at.free());
     if (definition.mostPerWorker > 0) {
         const auto there = tasksOn(*one.step, at);
-        count = std::min(count, definition.mostPerWorker > there
-                                    ? definition.mostPerWorker - there
-                                    : 0U);
+        count = std::min(count,
+                         definition.mostPerWorker > there ? definition.mostPerWorker - there : 0U);
     }
     return count;
 }
@@ -219,14 +221,14 @@
 {
     const auto &definition = *one.step->definition;
     worker *best = nullptr;
-    auto bestRank = std::make_tuple(true, std::int64_t {0}, std::int64_t {0});
+    auto bestRank = std::make_tuple(true, true, std::int64_t {0}, std::int64_t {0});
     for (auto *at : among) {
         if (room(one, *at) == 0 || (!intoReserved && keptForOther(one, *at)))
             continue;
         const bool far = !definition.dataRack.empty() && at->rack != definition.dataRack;
         const auto left = at->free() - effectiveNeed(definition);
         const auto spread = definition.lasting ? -left.milliCores : left.milliCores;
-        const auto rank = std::make_tuple(far, spread, left.memoryMib);
+        const auto rank = std::make_tuple(at->speed.slow(), far, spread, left.memoryMib);
         if (!best || rank < bestRank) {
             best = at;
             bestRank = rank;
@@ -275,14 +277,17 @@
     std::vector<std::pair<std::uint32_t, worker *>> places;
     std::uint32_t total = 0;
     for (auto *at : allowed(one)) {
-        const auto count = keptForOther(one, *at) ? 0 : room(one, *at);
+        // The slowest member holds up a gang.
+        const bool unfit = keptForOther(one, *at) || at->speed.slow();
+        const auto count = unfit ? 0 : room(one, *at);
         if (count > 0)
             places.emplace_back(count, at);
         total += count;
     }
     if (total < step.tasks.size())
         return false;
-    std::ranges::stable_sort(places, [](const auto &a, const auto &b) { return a.first > b.first; });
+    std::ranges::stable_sort(places,
+                             [](const auto &a, const auto &b) { return a.first > b.first; });
     std::uint32_t attempt = 0;
     std::string checkpoint;
     for (const auto &task : step.tasks) {
@@ -314,7 +319,7 @@
     std::vector<worker *> options;
     for (auto *at : m_usable) {
         const bool good = !one.queue->advisor || one.step->advice.good.contains(at->entry.id);
-        if (good && eligible(one, *at) && !keptForOther(one, *at))
+        if (good && eligible(one, *at) && !keptForOther(one, *at) && !at->speed.slow())
             options.push_back(at);
     }
     if (options.empty())
@@ -357,7 +362,7 @@
     const double share = known ? 1.0 : m_owner.goodShare(one.queue->name);
     std::vector<prospect> found;
     for (auto *at : m_usable) {
-        if (!eligible(one, *at) || keptForOther(one, *at))
+        if (!eligible(one, *at) || keptForOther(one, *at) || at->speed.slow())
             continue;
         if (advice.good.contains(at->entry.id) != known)
             continue;
--- a/src/jobs/fleet.cpp
+++ b/src/jobs/fleet.cpp
@@ -33,7 +33,8 @@
 
 bool worker::usable(time_point now) const
 {
-    return listed && answering && clockKnown && !entry.draining && now >= quarantinedUntil;
+    return listed && answering && clockKnown && !entry.draining
+           && (!health.quarantined() || now >= health.probeAt());
 }
 
 bool worker::hasLabel(std::string_view label) const
@@ -105,4 +106,14 @@
     return sum;
 }
 
+resources fleet::used() const
+{
+    resources sum;
+    for (const auto &[id, known] : m_workers) {
+        if (known->listed && !known->entry.draining)
+            sum += known->used;
+    }
+    return sum;
+}
+
 } // namespace plantaingap::jobs
--- a/src/jobs/fleet.h
+++ b/src/jobs/fleet.h
@@ -1,7 +1,9 @@
 #ifndef PLANTAINGAP_JOBS_FLEET_H
 #define PLANTAINGAP_JOBS_FLEET_H
 
+#include "decision/worker_health.h"
 #include "jobs/job_progress.h"
+#include "jobs/run_speed.h"
 #include "jobs/worker.h"
 
 #include <map>
@@ -46,10 +48,9 @@
     // While the worker has not answered in this term: when leases of earlier leaders have ended.
     time_point foreignLeaseEnd {};
 
-    // Evidence against the worker: failures that other workers do not share, decaying.
-    double blame = 0;
-    time_point blameAt {};
-    time_point quarantinedUntil {};
+    // Evidence that it fails or hangs what it is given; set aside and probed when there is enough.
+    decision::worker_health health;
+    worker_speed speed;
     // A gang that waits for room here; others keep away from that room if they can.
     const step_run *reservedFor = nullptr;
     time_point reservedUntil {};
@@ -82,6 +83,7 @@
     const auto &all() const { return m_workers; }
 
     resources capacity() const;
+    resources used() const;
 
 private:
     std::map<std::string, std::unique_ptr<worker>, std::less<>> m_workers;
--- a/src/jobs/job_progress.cpp
+++ b/src/jobs/job_progress.cpp
@@ -1,5 +1,7 @@
 #include "jobs/job_progress.h"
 
+#include <algorithm>
+
 namespace plantaingap::jobs {
 
 namespace {
@@ -12,9 +14,11 @@
 
 time_point expectedEnd(const task_run &task, milliseconds estimate)
 {
-    if (task.percent < tellingPercent || task.reportedAt <= task.startedAt)
+    const auto done = task.percent - std::min(task.firstPercent, task.percent);
+    if (done < tellingPercent || task.reportedAt <= task.firstReportAt)
         return task.startedAt + estimate;
-    return task.startedAt + (task.reportedAt - task.startedAt) * wholePercent / task.percent;
+    const auto left = wholePercent - std::min(task.percent, wholePercent);
+    return task.reportedAt + (task.reportedAt - task.firstReportAt) * left / done;
 }
 
 } // namespace plantaingap::jobs
--- a/src/jobs/job_progress.h
+++ b/src/jobs/job_progress.h
@@ -55,6 +55,12 @@
     std::uint32_t percent = 0;
     // When the run began, as seen here; when it was last reported, and last got on.
     time_point startedAt {};
+    // The first report of this run, and how far it was then: it may have resumed, or begun under
+    // an earlier leader.
+    time_point firstReportAt {};
+    std::uint32_t firstPercent = 0;
+    // The run has told of its worker's speed.
+    bool speedTold = false;
     time_point reportedAt {};
     time_point progressAt {};
     // What a lasting task's users see, in milliseconds; else thousandths of a core.
--- a/src/jobs/job_record.cpp
+++ b/src/jobs/job_record.cpp
@@ -173,7 +173,8 @@
             json::array tasks;
             for (const auto &task : step.tasks)
                 tasks.push_back(encodeTask(task));
-            steps.push_back(json::object {{"g", encodeNumbers(step.failedAttempts)}, {"t", std::move(tasks)}});
+            steps.push_back(
+                json::object {{"g", encodeNumbers(step.failedAttempts)}, {"t", std::move(tasks)}});
         }
         live.emplace(std::to_string(number), std::move(steps));
     }
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -396,12 +396,23 @@
     task.at = nullptr;
     task.settled.reset();
     task.percent = 0;
+    task.firstReportAt = {};
+    task.speedTold = false;
     task.paced = 100;
     task.phase = task_phase::Waiting;
     ++task.step->waiting;
     --task.step->occurrence->job->occupying;
 }
 
+void job_scheduler::note(std::string_view event, const task_run &task, std::string_view reason)
+{
+    const auto &step = *task.step;
+    const task_name name {step.occurrence->job->definition.id, step.occurrence->number, step.number,
+                          task.index};
+    m_notes.push_back(
+        {event, name.text(), task.attempt, task.at ? task.at->entry.id : std::string(), reason});
+}
+
 void job_scheduler::backToWaiting(task_run &task)
 {
     auto &job = *task.step->occurrence->job;
@@ -563,6 +574,8 @@
     if (!end.checkpoint.empty() && step.definition->checkpoints)
         task.checkpoint = end.checkpoint;
     if (end.how == run_end::Done) {
+        if (at)
+            judge(*at, task, false, now);
         if (gang)
             gangDone(step);
         else
@@ -570,8 +583,9 @@
         return;
     }
     if (end.how == run_end::Failed) {
+        note("run.failed", task, "told by its worker");
         if (at)
-            blame(*at, 1.0, now);
+            judge(*at, task, true, now);
         taskFailed(task, now);
     } else if (task.at) {
         backToWaiting(task);
@@ -598,7 +612,13 @@
     auto &step = *task->step;
     if (!run.checkpoint.empty() && step.definition->checkpoints)
         task->checkpoint = run.checkpoint;
-    if (run.percent != task->percent)
+    if (task->firstReportAt == time_point {}) {
+        task->firstReportAt = now;
+        task->firstPercent = run.percent;
+        task->progressAt = now;
+    }
+    // Time without reports proves nothing.
+    if (run.percent != task->percent || now - task->reportedAt > m_options.stalled)
         task->progressAt = now;
     task->percent = run.percent;
     task->reportedAt = now;
@@ -621,7 +641,7 @@
     if (!at)
         return;
     if (report.otherLife) {
-        loseAll(*at);
+        loseAll(*at, "another life of the worker answers");
         at->answering = false;
         return;
     }
@@ -637,6 +657,7 @@
     for (const auto &run : report.active)
         takeActive(*at, run, now);
     loseMissing(*at, report, askedAt, now);
+    watchProgress(*at, now);
 }
 
 void job_scheduler::loseMissing(worker &at, const worker_report &report, time_point askedAt,
@@ -660,18 +681,22 @@
         if (!task->at)
             continue;
         auto &step = *task->step;
+        if (task->phase != task_phase::Stopping)
+            note("run.lost", *task, "not reported by its worker");
         backToWaiting(*task);
         if (step.definition->gang)
             stopStep(step, now);
     }
 }
 
-void job_scheduler::loseAll(worker &at)
+void job_scheduler::loseAll(worker &at, std::string_view reason)
 {
     const auto runs = at.runs;
     for (auto *task : runs) {
-        if (task->at == &at)
-            backToWaiting(*task);
+        if (task->at != &at)
+            continue;
+        note("run.lost", *task, reason);
+        backToWaiting(*task);
     }
 }
 
@@ -685,23 +710,7 @@
 {
     for (auto &[id, at] : m_fleet.all()) {
         if (!at->answering && !at->runs.empty() && at->leasesEnded(now))
-            loseAll(*at);
-    }
-}
-
-void job_scheduler::blame(worker &at, double weight, time_point now)
-{
-    // Blame halves each two seconds; three failures in quick succession set a worker aside.
-    constexpr double halfLifeSeconds = 2.0;
-    constexpr double blameLimit = 3.0;
-    constexpr std::chrono::seconds quarantine {4};
-    const std::chrono::duration<double> passed = now - at.blameAt;
-    at.blame *= std::exp2(-passed.count() / halfLifeSeconds);
-    at.blame += weight;
-    at.blameAt = now;
-    if (at.blame >= blameLimit) {
-        at.quarantinedUntil = now + quarantine;
-        at.blame = blameLimit / 2;
+            loseAll(*at, "the worker's lease ended");
     }
 }
 
@@ -710,8 +719,8 @@
 {
     const auto name = task_name::parse(order.task);
     auto *task = name ? find(*name) : nullptr;
-    if (auto *at = m_fleet.find(order.worker.id); at && workerClockMs && at->reports > 0
-        && *workerClockMs >= at->clockMs) {
+    if (auto *at = m_fleet.find(order.worker.id);
+        at && workerClockMs && at->reports > 0 && *workerClockMs >= at->clockMs) {
         at->clockMs = *workerClockMs;
         at->clockAt = now;
     }
@@ -739,12 +748,12 @@
     case start_result::OtherLife:
     case start_result::Ended:
         if (result == start_result::Refused && task->at)
-            blame(*task->at, 0.5, now);
+            judge(*task->at, *task, true, now);
         backToWaiting(*task);
         break;
     case start_result::Unknown:
         if (task->at)
-            blame(*task->at, 0.5, now);
+            judge(*task->at, *task, true, now);
         stopRun(*task, now);
         break;
     }
@@ -772,8 +781,7 @@
             const auto &step = *task->step;
             const task_name name {step.occurrence->job->definition.id, step.occurrence->number,
                                   step.number, task->index};
-            orders.stops.push_back(
-                {{id, at->entry.address}, name.text(), task->attempt, m_term});
+            orders.stops.push_back({{id, at->entry.address}, name.text(), task->attempt, m_term});
         }
     }
 }
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -10,6 +10,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 // The decisions of the cell's leader about jobs of steps: which jobs are accepted, which task runs
@@ -31,6 +32,8 @@
     milliseconds adviceRetry {150};
     // Taken off a ticket's validity: the answer's way back and the order's way to the worker.
     milliseconds ticketMargin {200};
+    // A run that makes no progress for this long, or for half of its estimate, hangs.
+    milliseconds stalled {1500};
     // How long finished jobs are remembered for callers who ask.
     std::chrono::seconds remember {240};
     // Data far away or a gang on several racks: work takes this many times as long.
@@ -99,6 +102,17 @@
     std::chrono::microseconds cost {0};
 };
 
+// A decision or a change of belief that someone may ask about later.
+struct scheduler_note
+{
+    // Such as "run.stopped".
+    std::string_view event;
+    std::string task;
+    std::uint32_t attempt = 0;
+    std::string worker;
+    std::string_view reason;
+};
+
 // Orders that are to be sent now.
 struct scheduler_orders
 {
@@ -180,6 +194,9 @@
     std::vector<start_order> stored(const std::vector<job_change> &batch, time_point now);
     bool hasChanges() const { return !m_dirty.empty(); }
 
+    // What was decided since the last call.
+    std::vector<scheduler_note> takeNotes() { return std::exchange(m_notes, {}); }
+
     scheduler_load load(time_point now) const;
     // Why a job is not done: a line for each unfinished step that could run.
     std::vector<std::string> explain(const std::string &id, time_point now) const;
@@ -226,12 +243,17 @@
     void takeActive(worker &at, const active_run &run, time_point now);
     void newLife(worker &at, std::int64_t bornMs);
     void loseMissing(worker &at, const worker_report &report, time_point askedAt, time_point now);
-    void loseAll(worker &at);
+    void loseAll(worker &at, std::string_view reason);
     void expireLeases(time_point now);
     void retryStops(time_point now, scheduler_orders &orders);
-    void blame(worker &at, double weight, time_point now);
+    // A run there failed or did not.
+    void judge(worker &at, const task_run &task, bool failed, time_point now);
+    void watchProgress(worker &at, time_point now);
+    void observeSpeed(worker &at, task_run &task, time_point now);
+    bool worthMoving(const worker &at, const task_run &task, time_point now) const;
     // Part of the workers asked about that the advisor allowed, over the queue's last calls.
     double goodShare(const std::string &queue) const;
+    void note(std::string_view event, const task_run &task, std::string_view reason);
     start_order orderFor(const task_run &task, time_point now) const;
     const queue_definition &queueOf(const job_run &job) const;
 
@@ -255,7 +277,11 @@
     std::map<std::string, std::vector<stored_effect>> m_effects;
     // Runs that workers report and nobody wants: an order to stop is due.
     std::vector<stop_order> m_strays;
+    std::vector<scheduler_note> m_notes;
     std::map<std::string, double> m_goodShares;
+    declared_times m_times;
+    decision::kind_failures m_failures;
+    std::map<std::string, std::uint32_t> m_kinds;
     // Queues that left the configuration while jobs of theirs live on.
     mutable std::map<std::string, queue_definition> m_formerQueues;
 };
--- /dev/null
+++ b/tests/jobs/health_test.cpp
@@ -0,0 +1,66 @@
+#include "jobs/scheduler_world.h"
+
+#include <doctest/doctest.h>
+
+using namespace plantaingap;
+using plantaingap::jobs::job_state;
+using plantaingap::jobs::run_end;
+using plantaingap::tests::milliseconds;
+using plantaingap::tests::scheduler_world;
+
+namespace {
+
+std::string identifier(int number)
+{
+    auto text = std::to_string(number);
+    return std::string(16 - text.size(), '0') + text;
+}
+
+} // namespace
+
+// Load pattern: a worker that is healthy by its own word fails whatever it is given.
+TEST_CASE("A worker that fails everything is set aside, and jobs end well on the others")
+{
+    scheduler_world world(4);
+    world.begin();
+    int failedJobs = 0;
+    for (int i = 0; i < 60; ++i) {
+        const auto id = identifier(i);
+        world.submit(id, "quick", {scheduler_world::step(1, 4000)});
+        world.settle();
+        for (int attempt = 0; attempt < 3; ++attempt) {
+            for (auto &[name, at] : world.fleet) {
+                while (!at.active.empty()) {
+                    world.end(name, at.active.begin()->first,
+                              name == "w0" ? run_end::Failed : run_end::Done);
+                }
+            }
+            world.passed += milliseconds(100);
+            world.lookAll();
+            world.settle();
+        }
+        failedJobs += world.scheduler.state(id) == job_state::Failed ? 1 : 0;
+    }
+    CHECK(failedJobs == 0);
+    CHECK(world.scheduler.workers().find("w0")->health.quarantined());
+    for (const auto *good : {"w1", "w2", "w3"})
+        CHECK_FALSE(world.scheduler.workers().find(good)->health.quarantined());
+}
+
+// Load pattern: a worker accepts tasks that never get on.
+TEST_CASE("A run that makes no progress is begun elsewhere, and the worker hears of it")
+{
+    scheduler_world world(2);
+    world.begin();
+    world.submit(identifier(1), "quick", {scheduler_world::step(1, 4000)});
+    world.settle();
+    REQUIRE(world.running() == 1);
+    const auto firstStarts = world.starts;
+    // The fake workers report the same progress all the while.
+    world.percent = 30;
+    world.pass(milliseconds(4000));
+    CHECK(world.stops >= 1);
+    CHECK(world.starts > firstStarts);
+    CHECK(world.running() == 1);
+    CHECK(world.twice.empty());
+}
--- /dev/null
+++ b/tests/jobs/run_speed_test.cpp
@@ -0,0 +1,49 @@
+#include "jobs/run_speed.h"
+
+#include <cmath>
+#include <doctest/doctest.h>
+#include <random>
+#include <string>
+
+using namespace plantaingap::jobs;
+
+namespace {
+
+// Workers whose tasks take a factor of what is usual, in a queue whose declarations are off.
+struct speed_row
+{
+    const char *name;
+    double factor;
+    // Spread of the declarations' errors, as a logarithm.
+    double spread;
+    int runs;
+    bool slow;
+};
+
+const speed_row rows[] = {
+    {"a usual worker is never called slow", 1.0, 0.9, 400, false},
+    {"a zone that is a third slower is not called slow", 1.33, 0.2, 200, false},
+    {"a worker that takes six times as long is found within ten runs", 6.0, 0.2, 10, true},
+    {"also where declarations are off by a factor of two and more", 7.0, 0.9, 30, true},
+};
+
+} // namespace
+
+TEST_CASE("Which workers are called slow")
+{
+    for (const auto &row : rows) {
+        CAPTURE(std::string(row.name));
+        std::mt19937 random(7);
+        std::normal_distribution<double> error(0.0, row.spread);
+        declared_times times;
+        for (int i = 0; i < 1000; ++i)
+            times.observe("queue", 1.5 * std::exp(error(random)));
+        worker_speed speed;
+        bool everSlow = false;
+        for (int i = 0; i < row.runs; ++i) {
+            speed.observe(times.observe("queue", 1.5 * row.factor * std::exp(error(random))));
+            everSlow = everSlow || speed.slow();
+        }
+        CHECK(everSlow == row.slow);
+    }
+}
--- a/tests/jobs/scheduler_world.h
+++ b/tests/jobs/scheduler_world.h
@@ -113,13 +113,12 @@
         if (order.leaseEndMs)
             to.leaseEndMs = std::max(to.leaseEndMs, *order.leaseEndMs);
         to.term = std::max(to.term, order.term);
-        std::erase_if(to.ended,
-                      [&](const auto &end) { return end.number <= order.storedEnds; });
+        std::erase_if(to.ended, [&](const auto &end) { return end.number <= order.storedEnds; });
         jobs::worker_report report;
         report.clockMs = workerClock();
         report.bornMs = to.bornMs;
         for (const auto &[task, run] : to.active)
-            report.active.push_back({task, run.attempt, run.checkpoint, 100, 0});
+            report.active.push_back({task, run.attempt, run.checkpoint, percent, 0});
         report.ended = to.ended;
         scheduler.reported(id, report, now(), now());
     }
@@ -171,7 +170,8 @@
             advise(orders.advice);
             for (const auto &stop : orders.stops)
                 carryOut(stop);
-            const auto batch = store ? scheduler.takeChanges(100) : std::vector<jobs::job_change> {};
+            const auto batch =
+                store ? scheduler.takeChanges(100) : std::vector<jobs::job_change> {};
             if (batch.empty() && orders.advice.empty() && orders.stops.empty())
                 return;
             for (const auto &change : batch)
@@ -301,6 +301,8 @@
     std::map<std::string, jobs::job_state> finished;
     std::map<std::string, std::string> checkpoints;
     std::vector<std::string> twice;
+    // What all workers report of the progress of what runs there.
+    std::uint32_t percent = 100;
     int starts = 0;
     int stops = 0;
     int advised = 0;
