Try other workers first after a failure; gangs take poor workers only when they must

Cause: both attempts of a task went to the worker that fails everything, which failed its job. Change: workers on which a step failed come last; slow ones too. Test: jobs/gang_test, jobs/health_test.

--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -210,6 +210,12 @@
     return count;
 }
 
+bool dispatcher::failedThere(const candidate &one, const worker &at)
+{
+    const auto &failed = one.step->failedOn;
+    return std::ranges::find(failed, at.entry.id) != failed.end();
+}
+
 bool dispatcher::keptForOther(const candidate &one, const worker &at)
 {
     return at.reservedFor && at.reservedFor != one.step;
@@ -221,14 +227,15 @@
 {
     const auto &definition = *one.step->definition;
     worker *best = nullptr;
-    auto bestRank = std::make_tuple(true, true, std::int64_t {0}, std::int64_t {0});
+    auto bestRank = std::make_tuple(true, true, true, std::int64_t {0}, std::int64_t {0});
     for (auto *at : among) {
         if (room(one, *at) == 0 || (!intoReserved && keptForOther(one, *at)))
             continue;
         const bool far = !definition.dataRack.empty() && at->rack != definition.dataRack;
         const auto left = at->free() - effectiveNeed(definition);
         const auto spread = definition.lasting ? -left.milliCores : left.milliCores;
-        const auto rank = std::make_tuple(at->speed.slow(), far, spread, left.memoryMib);
+        const auto rank =
+            std::make_tuple(failedThere(one, *at), at->speed.slow(), far, spread, left.memoryMib);
         if (!best || rank < bestRank) {
             best = at;
             bestRank = rank;
@@ -274,20 +281,23 @@
 bool dispatcher::placeGang(const candidate &one)
 {
     auto &step = *one.step;
-    std::vector<std::pair<std::uint32_t, worker *>> places;
+    std::vector<gang_place> places;
     std::uint32_t total = 0;
     for (auto *at : allowed(one)) {
-        // The slowest member holds up a gang.
-        const bool unfit = keptForOther(one, *at) || at->speed.slow();
-        const auto count = unfit ? 0 : room(one, *at);
-        if (count > 0)
-            places.emplace_back(count, at);
+        const auto count = keptForOther(one, *at) ? 0 : room(one, *at);
+        if (count == 0)
+            continue;
+        // The slowest member holds up a gang, and a failed one ends it.
+        const bool poor = at->speed.slow() || failedThere(one, *at);
+        places.push_back({poor, count, at});
         total += count;
     }
     if (total < step.tasks.size())
         return false;
-    std::ranges::stable_sort(places,
-                             [](const auto &a, const auto &b) { return a.first > b.first; });
+    std::ranges::stable_sort(places, [](const gang_place &a, const gang_place &b) {
+        return std::make_pair(a.poor, -std::int64_t {a.count})
+               < std::make_pair(b.poor, -std::int64_t {b.count});
+    });
     std::uint32_t attempt = 0;
     std::string checkpoint;
     for (const auto &task : step.tasks) {
@@ -296,7 +306,7 @@
             checkpoint = task.checkpoint;
     }
     std::size_t next = 0;
-    for (auto &[count, at] : places) {
+    for (const auto &[poor, count, at] : places) {
         for (std::uint32_t i = 0; i < count && next < step.tasks.size(); ++i) {
             auto &task = step.tasks[next++];
             task.checkpoint = checkpoint;
@@ -362,7 +372,10 @@
     const double share = known ? 1.0 : m_owner.goodShare(one.queue->name);
     std::vector<prospect> found;
     for (auto *at : m_usable) {
-        if (!eligible(one, *at) || keptForOther(one, *at) || at->speed.slow())
+        if (!eligible(one, *at) || keptForOther(one, *at))
+            continue;
+        // While there is time for better ones.
+        if (at->speed.slow() && one.band == 0)
             continue;
         if (advice.good.contains(at->entry.id) != known)
             continue;
--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -25,6 +25,15 @@
         int band = 0;
     };
 
+    // Room for members of a gang.
+    struct gang_place
+    {
+        // Slow, or a member failed there.
+        bool poor = false;
+        std::uint32_t count = 0;
+        worker *at = nullptr;
+    };
+
     // A worker and how many tasks of a step can be hoped for there.
     struct prospect
     {
@@ -57,6 +66,7 @@
     std::uint32_t soonRoom(const candidate &one, const worker &at) const;
     static std::uint32_t emptyRoom(const candidate &one, const worker &at);
     static std::uint32_t tasksOn(const step_run &step, const worker &at);
+    static bool failedThere(const candidate &one, const worker &at);
     static bool keptForOther(const candidate &one, const worker &at);
     // The workers that the step may be placed on now, as far as rules and tickets go.
     std::vector<worker *> allowed(const candidate &one) const;
--- a/src/jobs/job_progress.h
+++ b/src/jobs/job_progress.h
@@ -114,6 +114,8 @@
     // Attempts of the gang as a whole that failed.
     std::vector<std::uint32_t> failedAttempts;
     bool ready = false;
+    // Workers on which runs of the step failed in this term; others are tried first.
+    std::vector<std::string> failedOn;
     step_advice advice;
     // The objective of the whole occurrence, and the date after which it is worth nothing.
     time_point onTime {};
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -584,8 +584,10 @@
     }
     if (end.how == run_end::Failed) {
         note("run.failed", task, "told by its worker");
-        if (at)
+        if (at) {
             judge(*at, task, true, now);
+            step.failedOn.push_back(at->entry.id);
+        }
         taskFailed(task, now);
     } else if (task.at) {
         backToWaiting(task);
--- /dev/null
+++ b/tests/jobs/gang_test.cpp
@@ -0,0 +1,118 @@
+#include "jobs/scheduler_world.h"
+
+#include <doctest/doctest.h>
+
+using namespace plantaingap;
+using plantaingap::jobs::job_state;
+using plantaingap::jobs::run_end;
+using plantaingap::tests::milliseconds;
+using plantaingap::tests::scheduler_world;
+
+namespace {
+
+const std::string id = "00000000000000c1";
+const std::string other = "00000000000000c2";
+
+jobs::step_definition gangOf(std::uint32_t tasks, std::int64_t milliCores)
+{
+    auto step = scheduler_world::step(tasks, milliCores, 4000);
+    step.gang = true;
+    return step;
+}
+
+const jobs::advisor_cost advisorCost {std::chrono::microseconds(450'000),
+                                      std::chrono::microseconds(6'400), milliseconds(1500)};
+
+struct gang_row
+{
+    const char *name;
+    std::uint32_t tasks;
+    std::int64_t milliCores;
+    // Workers of 16 cores that the advisor does not allow.
+    std::set<std::string> notAllowed;
+    std::size_t running;
+};
+
+const gang_row rows[] = {
+    {"a gang that fits starts whole", 8, 8000, {}, 8},
+    {"a gang that does not fit starts not at all", 9, 8000, {}, 0},
+    {"a gang runs only where the advisor allows it", 4, 8000, {"w0", "w1"}, 4},
+    {"a gang that the advisor leaves too little room waits", 5, 8000, {"w0", "w1"}, 0},
+};
+
+} // namespace
+
+TEST_CASE("Gangs start whole or not at all")
+{
+    for (const auto &row : rows) {
+        CAPTURE(std::string(row.name));
+        scheduler_world world(4, {16'000, 32'768, 0}, advisorCost);
+        world.notAllowed = row.notAllowed;
+        world.begin();
+        world.submit(id, "large", {gangOf(row.tasks, row.milliCores)});
+        world.settle();
+        CHECK(world.running(id) == row.running);
+    }
+}
+
+// Load pattern: a busy fleet in which single tasks fill each hole as it appears.
+TEST_CASE("Room is kept for a gang that waits, until it fits")
+{
+    scheduler_world world(4, {16'000, 32'768, 0}, advisorCost);
+    world.begin();
+    for (int i = 0; i < 8; ++i)
+        world.submit("00000000000000d" + std::to_string(i), "middle",
+                     {scheduler_world::step(1, 8000, 2000)});
+    world.settle();
+    REQUIRE(world.running() == 8);
+    world.submit(id, "large", {gangOf(4, 8000)});
+    for (int i = 0; i < 8; ++i)
+        world.submit("00000000000000e" + std::to_string(i), "middle",
+                     {scheduler_world::step(1, 8000, 2000)});
+    world.settle();
+    CHECK(world.running(id) == 0);
+    // Holes appear one by one.
+    for (int i = 0; i < 8 && world.running(id) == 0; ++i) {
+        world.endRuns("00000000000000d" + std::to_string(i), run_end::Done);
+        world.passed += milliseconds(200);
+        world.lookAll();
+        world.settle();
+    }
+    CHECK(world.running(id) == 4);
+}
+
+TEST_CASE("A gang whose only allowed workers failed it is tried there again")
+{
+    scheduler_world world(4, {16'000, 32'768, 0}, advisorCost);
+    world.notAllowed = {"w2", "w3"};
+    world.begin();
+    world.submit(id, "large", {gangOf(4, 8000)});
+    world.settle();
+    REQUIRE(world.running(id) == 4);
+    world.endRuns(id + ".0.0.0", run_end::Failed);
+    world.endRuns(id, run_end::Broken);
+    world.pass(milliseconds(1000));
+    CHECK(world.running(id) == 4);
+    CHECK(world.twice.empty());
+}
+
+TEST_CASE("When one member cannot start, the others are stopped, and the gang starts anew")
+{
+    scheduler_world world(4);
+    world.begin();
+    world.submit(id, "large", {gangOf(8, 8000)});
+    world.fleet["w3"].reachable = false;
+    world.settle();
+    world.pass(milliseconds(1000));
+    CHECK(world.running(id) == 0);
+    world.fleet["w3"].reachable = true;
+    world.pass(milliseconds(1500));
+    CHECK(world.running(id) == 8);
+    std::set<std::uint32_t> attempts;
+    for (const auto &[name, at] : world.fleet) {
+        for (const auto &[task, run] : at.active)
+            attempts.insert(run.attempt);
+    }
+    CHECK(attempts.size() == 1);
+    CHECK(world.twice.empty());
+}
