--- /dev/null
+++ b/tests/adapter/codec_test.cpp
@@ -0,0 +1,204 @@
+#include "platform/codecs.h"
+#include "platform/documents.h"
+
+#include <doctest/doctest.h>
+#include <random>
+#include <string>
+
+using namespace plantaingap;
+using namespace plantaingap::adapter;
+using plantaingap::jobs::run_end;
+
+namespace {
+
+const std::string wholeJob =
+    R"({"spec":"text","steps":[{"count":4,"cpu":500,"mem_mb":256,"estimate_ms":900,"affinity":"r1-3"},)"
+    R"({"count":20,"cpu":2000,"mem_mb":1024,"estimate_ms":7000,"after":[0],"checkpoint":true,)"
+    R"("gang":true,"max_per_server":3,"requires":"a"}],"times":3,"start_ms":1000,"interval_ms":50})";
+
+const std::string wholeEntry =
+    R"({"service":"s","address":"10.0.0.9:8080","zone":"z","version":"v1","slots":8,"state":"ready",)"
+    R"("cold_ms":0,"capacity":{"cpu":16000,"mem_mb":32768,"gpus":1},"labels":["a","r1-2"],)"
+    R"("time_ms":5,"seq":4,"born":77})";
+
+const std::string wholeReport =
+    R"({"time_ms":482113,"born":9,"active":[["a.0.1.17",2,"saved",41,12.5]],)"
+    R"("ended":[[59,"a.0.1.8",1,"failed",""],[58,"a.0.1.9",1,"done",""]]})";
+
+struct text_row
+{
+    const char *name;
+    std::string text;
+};
+
+} // namespace
+
+TEST_CASE("A job's fields are taken over one by one")
+{
+    const auto job = decodeSubmission(wholeJob);
+    REQUIRE(job);
+    CHECK(job->payload == "text");
+    CHECK(job->occurrences == 3);
+    CHECK(job->interval == std::chrono::milliseconds(50));
+    REQUIRE(job->steps.size() == 2);
+    CHECK(job->steps[0].dataRack == "r1-3");
+    CHECK(job->steps[0].need == resources {500, 256, 0});
+    CHECK(job->steps[1].after == std::vector<std::uint32_t> {0});
+    CHECK(job->steps[1].gang);
+    CHECK(job->steps[1].checkpoints);
+    CHECK(job->steps[1].mostPerWorker == 3);
+    CHECK(job->steps[1].label == "a");
+}
+
+TEST_CASE("A malformed job is no job")
+{
+    const text_row rows[] = {
+        {"empty", ""},
+        {"not JSON", "{\"steps\":"},
+        {"no steps", R"({"spec":"x"})"},
+        {"steps of another type", R"({"spec":"x","steps":{}})"},
+        {"no tasks", R"({"spec":"x","steps":[{"count":0}]})"},
+        {"a negative amount", R"({"spec":"x","steps":[{"count":1,"cpu":-5}]})"},
+        {"a step after itself", R"({"spec":"x","steps":[{"count":1,"after":[0]}]})"},
+        {"a flag of another type", R"({"spec":"x","steps":[{"count":1,"gang":1}]})"},
+        {"too many tasks", R"({"spec":"x","steps":[{"count":1000000000}]})"},
+    };
+    for (const auto &row : rows) {
+        CAPTURE(std::string(row.name));
+        CHECK_FALSE(decodeSubmission(row.text).has_value());
+    }
+}
+
+TEST_CASE("An entry of the list of workers, and entries of other writers")
+{
+    const auto entry = decodeWorkerEntry("i-1", wholeEntry);
+    REQUIRE(entry);
+    CHECK(entry->id == "i-1");
+    CHECK(entry->capacity == resources {16000, 32768, 1});
+    CHECK(entry->labels == std::vector<std::string> {"a", "r1-2"});
+    CHECK(entry->bornMs == 77);
+    CHECK_FALSE(entry->draining);
+    const text_row rows[] = {
+        {"bytes", "\xff\xfe"},
+        {"nothing", ""},
+        {"a list", "[]"},
+        {"an unknown state", R"({"service":"s","address":"a","zone":"z","state":"odd",)"
+                             R"("capacity":{"cpu":1,"mem_mb":1},"labels":[]})"},
+        {"no capacity", R"({"service":"s","address":"a","zone":"z","state":"ready","labels":[]})"},
+        {"a label of another type", R"({"service":"s","address":"a","zone":"z","state":"ready",)"
+                                    R"("capacity":{"cpu":1,"mem_mb":1},"labels":[1]})"},
+    };
+    for (const auto &row : rows) {
+        CAPTURE(std::string(row.name));
+        CHECK_FALSE(decodeWorkerEntry("i-1", row.text).has_value());
+    }
+}
+
+TEST_CASE("A worker's report, its ends in the order of their numbers")
+{
+    const auto report = decodeReport(wholeReport);
+    REQUIRE(report);
+    CHECK(report->clockMs == 482113);
+    CHECK(report->bornMs == 9);
+    REQUIRE(report->active.size() == 1);
+    CHECK(report->active[0].percent == 41);
+    CHECK(report->active[0].checkpoint == "saved");
+    REQUIRE(report->ended.size() == 2);
+    CHECK(report->ended[0].number == 58);
+    CHECK(report->ended[0].how == run_end::Done);
+    CHECK(report->ended[1].how == run_end::Failed);
+    for (const char *text : {"", "{}", R"({"time_ms":1,"active":[],"ended":[[1,"t",1,"odd",""]]})",
+                             R"({"time_ms":1,"active":[["t"]],"ended":[]})"}) {
+        CHECK_FALSE(decodeReport(text).has_value());
+    }
+}
+
+TEST_CASE("What workers answer to orders")
+{
+    using cell::order_answer;
+    struct reply_row
+    {
+        unsigned status;
+        const char *body;
+        order_answer answer;
+    };
+    for (const auto &row : {
+             reply_row {200, R"({"time_ms":5})", order_answer::Accepted},
+             reply_row {409, R"({"time_ms":5,"reason":"fence"})", order_answer::StaleTerm},
+             reply_row {409, R"({"time_ms":5,"reason":"old"})", order_answer::OldAttempt},
+             reply_row {409, R"({"time_ms":5,"reason":"late"})", order_answer::Expired},
+             reply_row {409, R"({"time_ms":5,"reason":"room"})", order_answer::NoRoom},
+             reply_row {409, R"({"time_ms":5,"reason":"ticket"})", order_answer::BadTicket},
+             reply_row {409, R"({"reason":"new"})", order_answer::Refused},
+             reply_row {421, "", order_answer::OtherLife},
+             reply_row {503, "", order_answer::Unwell},
+             reply_row {500, "", order_answer::Unknown},
+         }) {
+        CAPTURE(std::string(row.body));
+        CHECK(decodeOrderReply(row.status, row.body).answer == row.answer);
+    }
+    CHECK(decodeOrderReply(200, R"({"time_ms":5})").workerClockMs == 5);
+    CHECK_FALSE(decodeOrderReply(200, "?").workerClockMs.has_value());
+}
+
+TEST_CASE("The configuration in force, queues that cannot be read left out")
+{
+    const auto configuration = decodeConfiguration(
+        R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/","service":"s","slo_ms":1200,)"
+        R"("priority":1,"attempts":2,"stretch":2.2,)"
+        R"("placement_advisor":{"decide_ms":450.0,"each_ms":6.4,"valid_ms":1500}},{"name":3}],)"
+        R"("services":[{"name":"s","spare":true}],"limits":{"body_bytes":1000}})");
+    REQUIRE(configuration);
+    CHECK(configuration->version == 7);
+    REQUIRE(configuration->queues.size() == 1);
+    const auto &queue = configuration->queues[0];
+    CHECK(queue.slack == std::chrono::milliseconds(1200));
+    REQUIRE(queue.advisor);
+    CHECK(queue.advisor->perWorker == std::chrono::microseconds(6400));
+    CHECK(configuration->bodyBytes == 1000);
+    CHECK(configuration->find("h", "/p/x") == &queue);
+    CHECK(configuration->find("h", "/q/x") == nullptr);
+    CHECK(configuration->find("i", "/p/x") == nullptr);
+    CHECK_FALSE(decodeConfiguration("{}").has_value());
+}
+
+TEST_CASE("Rows of the store, those with unreadable values kept empty")
+{
+    cell::transaction changes;
+    changes.puts.emplace_back(cell::row_key {"t", "k"}, "value \x01");
+    CHECK(encodeTransaction(changes).find(base64("value \x01")) != std::string::npos);
+    for (const char *bytes : {"", "a", "ab", "abc", "abcd"})
+        CHECK(fromBase64(base64(bytes)) == std::string(bytes));
+    const auto page =
+        decodeRows(R"({"rows":[{"table":"t","key":"k","value":"bm9kZS0x","api_version":4},)"
+                   R"({"table":"t","key":"l","value":"??","api_version":5},{"table":1}],)"
+                   R"("has_more":true,"api_version":9})");
+    REQUIRE(page);
+    CHECK(page->more);
+    CHECK(page->revision == 9);
+    REQUIRE(page->rows.size() == 2);
+    CHECK(page->rows[0].value == "node-1");
+    CHECK(page->rows[1].value.empty());
+}
+
+TEST_CASE("Mutated messages never do more than be refused")
+{
+    std::mt19937 random(11);
+    constexpr int rounds = 20'000;
+    for (int i = 0; i < rounds; ++i) {
+        for (std::string text : {wholeJob, wholeEntry, wholeReport}) {
+            const auto cuts = random() % 4;
+            for (unsigned c = 0; c < cuts; ++c)
+                text[random() % text.size()] = static_cast<char>(random());
+            if (random() % 3 == 0)
+                text.resize(random() % text.size());
+            decodeSubmission(text);
+            decodeWorkerEntry("i-1", text);
+            decodeReport(text);
+            decodeRows(text);
+            decodeAdvice(text);
+            decodeConfiguration(text);
+        }
+    }
+    CHECK(decodeSubmission(wholeJob).has_value());
+}
