--- a/src/cell/cell_instance.cpp
+++ b/src/cell/cell_instance.cpp
@@ -268,6 +268,7 @@
             auto given = co_await leading->handle(std::move(attempt));
             if (given.leads)
                 co_return given;
+            ambiguous = ambiguous || given.uncertain;
         } else if (m_watch.row() && !m_watch.row()->resigned
                    && m_watch.row()->holder != m_options.instance) {
             attempt.deadline = std::min(giveUp, now + relayPatience);
@@ -275,6 +276,7 @@
             const auto *answered = std::get_if<caller_answer>(&given);
             if (answered && answered->leads)
                 co_return *answered;
+            ambiguous = ambiguous || (answered && answered->uncertain);
             if (!answered) {
                 ++m_relayFailures;
                 ambiguous = true;
--- a/src/cell/leader_callers.cpp
+++ b/src/cell/leader_callers.cpp
@@ -140,9 +140,12 @@
         log_event(log_level::Info, "job.accepted").field("job", id).field("queue", queue);
         co_return answer(statusOk);
     }
-    if (m_ended)
-        co_return caller_answer {};
-    co_return answer(statusUnknown);
+    if (!m_ended)
+        co_return answer(statusUnknown);
+    // The last write of this term may have been done.
+    caller_answer open;
+    open.uncertain = !m_scheduler.withdraw(id);
+    co_return open;
 }
 
 awaitable<caller_answer> leader::cancel(caller_call call, std::string id)
--- a/src/cell/peer_link.cpp
+++ b/src/cell/peer_link.cpp
@@ -135,6 +135,7 @@
         answer->set_status(given.status);
         answer->set_body(std::move(given.body));
         answer->set_retry_after_s(given.retryAfterSeconds);
+        answer->set_uncertain(given.uncertain);
         reactor->Finish(grpc::Status::OK);
     }
 
@@ -277,7 +278,7 @@
     if (!good)
         co_return call_failure::Unknown;
     co_return caller_answer {call->reply.leads(), call->reply.status(), call->reply.body(),
-                             call->reply.retry_after_s()};
+                             call->reply.retry_after_s(), call->reply.uncertain()};
 }
 
 awaitable<outcome<advice>> peer_link::advise(std::string address, advice_call told)
--- a/src/cell/peer_link.h
+++ b/src/cell/peer_link.h
@@ -48,6 +48,8 @@
     unsigned status = 0;
     std::string body;
     std::uint32_t retryAfterSeconds = 0;
+    // The callee led when the request came, and does not know what became of it.
+    bool uncertain = false;
 };
 
 struct advice_call
