--- a/src/operator/document_keys.cpp
+++ b/src/operator/document_keys.cpp
@@ -149,7 +149,8 @@
     return std::string(introduction) + "\n## Settings file\n" + tableText<instance_settings>()
            + tableText<link_security>() + tableText<support::tls_files>()
            + tableText<principal_settings>() + tableText<instance_limits>()
-           + tableText<peer_settings>() + "\n## Configuration set\n" + tableText<configuration>()
+           + tableText<peer_settings>() + "\n## Settings file on the platform\n"
+           + tableText<cell_settings>() + "\n## Configuration set\n" + tableText<configuration>()
            + tableText<service_declaration>() + tableText<kind_declaration>()
            + tableText<team_declaration>() + tableText<job_declaration>()
            + tableText<worker_class_declaration>() + tableText<resources>();
