Leave leading to instances with enough processors

Cause: on the grown deployment an instance with 0.12 of a core took over after the leader was lost and could not keep up (a third of the requests failed). Change: the settings tell the instance's cores; below 0.2 it waits 0.4 s longer before it takes over. The linter's findings on the new code are mended.

--- a/daemons/plantaingap_cell.cpp
+++ b/daemons/plantaingap_cell.cpp
@@ -21,6 +21,11 @@
 // Kept back from the grace of a planned stop for the end of the process itself.
 constexpr std::chrono::milliseconds stopReserve {1200};
 
+// An instance with fewer processors than this leads only when no larger one does; a leader of 350
+// workers takes 0.28 of a core.
+constexpr std::int64_t leadingMilliCores = 200;
+constexpr std::chrono::milliseconds smallInstanceDelay {400};
+
 void tell(const findings &found)
 {
     for (const auto &one : found)
@@ -38,6 +43,8 @@
     options.stopDeadline = settings.stopGrace - stopReserve;
     options.stopAcceptAfter = std::min(options.stopAcceptAfter, options.stopDeadline / 2);
     options.leader.instance = settings.instance;
+    if (settings.milliCores < leadingMilliCores)
+        options.takeOverDelay = smallInstanceDelay;
     auto &scheduler = options.leader.scheduler;
     scheduler.lease = std::min(scheduler.lease, settings.longestLease);
     return options;
--- a/src/cell/cell_instance.cpp
+++ b/src/cell/cell_instance.cpp
@@ -106,11 +106,11 @@
                         }})
     , m_ports {store, workers, advisor, codec, std::move(tables), m_peers}
     , m_callers(context, callerLimits(m_options),
-                [this](support::http_request request, support::http_peer) {
+                [this](support::http_request request, const support::http_peer &) {
                     return serveCaller(std::move(request));
                 })
     , m_ready(context, {},
-              [this](support::http_request request, support::http_peer) {
+              [this](support::http_request request, const support::http_peer &) {
                   return serveReady(std::move(request));
               })
     , m_watch(m_options.instance, m_options.leader.leadership)
@@ -204,7 +204,8 @@
             continue;
         }
         // Nearer instances first; a row that moved meanwhile has found its leader.
-        const auto handicap = std::min(m_storeDelay * storeDistance, longestHandicap);
+        const auto handicap =
+            std::min(m_storeDelay * storeDistance, longestHandicap) + m_options.takeOverDelay;
         co_await pause(handicap);
         if (co_await readRow() && m_watch.mayTakeOver(bootNow()) && !m_stopping)
             co_await takeOver();
@@ -314,18 +315,27 @@
     co_return response;
 }
 
+std::string cell_instance::metrics() const
+{
+    std::string text;
+    const auto add = [&text](std::string_view name, std::uint64_t value) {
+        text.append("plantaingap_").append(name).append(" ").append(std::to_string(value));
+        text.append("\n");
+    };
+    add("caller_requests_total", m_callerRequests);
+    add("relay_failures_total", m_relayFailures);
+    add("unanswerable_total", m_unanswerable);
+    add("leads", m_leader ? 1 : 0);
+    if (m_leader)
+        text += m_leader->metrics();
+    return text;
+}
+
 awaitable<support::http_response> cell_instance::serveReady(support::http_request request)
 {
     const auto path = support::targetPath(request.target());
-    if (path == "/metrics") {
-        std::string text = "plantaingap_caller_requests_total " + std::to_string(m_callerRequests)
-                           + "\nplantaingap_relay_failures_total " + std::to_string(m_relayFailures)
-                           + "\nplantaingap_unanswerable_total " + std::to_string(m_unanswerable)
-                           + "\n";
-        if (m_leader)
-            text += m_leader->metrics();
-        co_return support::makeResponse(http::status::ok, "text/plain", std::move(text));
-    }
+    if (path == "/metrics")
+        co_return support::makeResponse(http::status::ok, "text/plain", metrics());
     if (path != "/ready")
         co_return support::makeResponse(http::status::not_found, "text/plain", "not found\n");
     co_return serving()
--- a/src/cell/cell_instance.h
+++ b/src/cell/cell_instance.h
@@ -25,6 +25,8 @@
     // Callers' connections; more are closed at once.
     std::size_t callerConnections = 2048;
     leader_options leader;
+    // Waits this much longer before it takes the cell over.
+    std::chrono::milliseconds takeOverDelay {0};
     // From SIGTERM until new connections are no longer taken, and until the process ends.
     std::chrono::milliseconds stopAcceptAfter {2600};
     std::chrono::milliseconds stopDeadline {4800};
@@ -59,6 +61,7 @@
     awaitable<support::http_response> serveReady(support::http_request request);
     awaitable<void> pause(std::chrono::milliseconds span);
     bool serving() const;
+    std::string metrics() const;
 
     boost::asio::io_context &m_context;
     instance_options m_options;
--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -92,7 +92,7 @@
 leader::leader(asio::io_context &context, cell_ports ports, leader_options options, leader_row row,
                std::uint64_t revision)
     : m_context(context)
-    , m_ports(ports)
+    , m_ports(std::move(ports))
     , m_options(std::move(options))
     , m_row(std::move(row))
     , m_revision(revision)
--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -408,7 +408,7 @@
         auto unknown = prospects(one, false, room_kind::Now);
         std::ranges::move(unknown, std::back_inserter(found));
     }
-    ask(one, std::move(found), wanted);
+    ask(one, found, wanted);
 }
 
 // A gang asks about so many workers with room that one call should do. Where that fails it knows
@@ -424,13 +424,13 @@
     };
     auto known = prospects(one, true, room_kind::Soon);
     if (sum(known) >= tasks) {
-        ask(one, std::move(known), tasks);
+        ask(one, known, tasks);
         return;
     }
     auto unknown = prospects(one, false, room_kind::Soon);
     if (sum(known) + sum(unknown) >= tasks) {
         std::ranges::move(unknown, std::back_inserter(known));
-        ask(one, std::move(known), namedForGang * tasks);
+        ask(one, known, namedForGang * tasks);
         return;
     }
     double reach = 0;
@@ -442,7 +442,7 @@
         ask(one, prospects(one, false, room_kind::Later), gangReach * tasks - reach);
 }
 
-void dispatcher::ask(const candidate &one, std::vector<prospect> found, double wanted)
+void dispatcher::ask(const candidate &one, const std::vector<prospect> &found, double wanted)
 {
     auto &step = *one.step;
     advice_request request;
--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -54,7 +54,7 @@
     bool mayAsk(const candidate &one) const;
     void askForRoom(const candidate &one);
     void askForGang(const candidate &one);
-    void ask(const candidate &one, std::vector<prospect> prospects, double wanted);
+    void ask(const candidate &one, const std::vector<prospect> &found, double wanted);
     enum class room_kind : std::uint8_t { Now, Soon, Later };
     std::vector<prospect> prospects(const candidate &one, bool known, room_kind kind) const;
 
--- a/src/operator/cell_settings.h
+++ b/src/operator/cell_settings.h
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/system/result.hpp>
 #include <chrono>
+#include <cstdint>
 #include <plantaingap/result.h>
 #include <string>
 
@@ -24,6 +25,8 @@
     // Port 0 when no queue needs an advisor.
     boost::asio::ip::tcp::endpoint advisor;
     std::uint32_t callerConnections = 2048;
+    // Processors that the instance has, in thousandths of a core.
+    std::int64_t milliCores = 1000;
     // The longest lease that a worker takes.
     std::chrono::milliseconds longestLease {10'000};
     // From the signal to stop until the process is ended by force.
