--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -6,6 +6,7 @@
 #include "cell/ports.h"
 #include "cell/wall_estimate.h"
 #include "jobs/job_scheduler.h"
+#include "jobs/worker_list.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -91,7 +92,7 @@
     void batchStored(const std::vector<jobs::job_change> &batch);
     void takeConfiguration(const stored_row &row);
     awaitable<bool> readWorkers();
-    void startLooks(const std::vector<std::string> &fresh);
+    void startLooks();
 
     void planSoon();
     void plan();
@@ -139,6 +140,7 @@
     bool m_endedKnown = false;
     boost::asio::steady_timer m_changed;
     std::uint64_t m_operatorRevision = 0;
+    jobs::worker_list m_list;
     std::map<std::string, std::shared_ptr<boost::asio::steady_timer>> m_looks;
     std::multimap<std::string, std::shared_ptr<boost::asio::steady_timer>> m_waiters;
     std::map<std::string, follower> m_followers;
--- /dev/null
+++ b/src/jobs/worker_list.h
@@ -0,0 +1,27 @@
+#ifndef PLANTAINGAP_JOBS_WORKER_LIST_H
+#define PLANTAINGAP_JOBS_WORKER_LIST_H
+
+#include "jobs/worker.h"
+
+#include <vector>
+
+namespace plantaingap::jobs {
+
+// The platform's list of workers across outages of its store. Load pattern that it answers: entries
+// lapse while the store is away, and those of living workers are back some two seconds after it.
+class worker_list
+{
+public:
+    // The list as it was just read, with former entries added while they may still come back.
+    std::vector<worker_entry> read(std::vector<worker_entry> entries, time_point now);
+
+private:
+    std::vector<worker_entry> m_last;
+    time_point m_readAt {};
+    // Until when entries that are missing count.
+    time_point m_lapsedUntil {};
+};
+
+} // namespace plantaingap::jobs
+
+#endif
