--- a/src/jobs/job_changes.cpp
+++ b/src/jobs/job_changes.cpp
@@ -63,7 +63,6 @@
                 if (task.phase != task_phase::Recording || task.attempt != effect.attempt)
                     continue;
                 task.phase = task_phase::Ordered;
-                task.orderedAt = now;
                 starts.push_back(orderFor(task, now));
                 task.at->leaseEndMs = std::max(task.at->leaseEndMs, starts.back().leaseEndMs);
             } else if (!effect.start) {
--- a/src/jobs/job_progress.h
+++ b/src/jobs/job_progress.h
@@ -45,7 +45,6 @@
     // When the worker last acknowledged an order for this attempt; a report asked for after that
     // and without the run shows that it is gone. None: the worker acknowledged nothing yet.
     std::optional<time_point> settled;
-    time_point orderedAt {};
     // When the next order to stop may be sent.
     time_point nextStop {};
     // Progress that another run can resume from; empty for none.
@@ -65,10 +64,6 @@
     time_point progressAt {};
     // What a lasting task's users see, in milliseconds; else thousandths of a core.
     double measure = 0;
-    // The speed that was last ordered.
-    std::uint32_t paced = 100;
-    // When a filler beside a served task may be sped up again.
-    time_point pacedUntil {};
 };
 
 // When a run will end: by its progress once it has made some, else by its declared estimate.
@@ -90,7 +85,6 @@
     bool asking = false;
     // Not before this, after a failed call.
     time_point askAgain {};
-    std::uint32_t calls = 0;
 };
 
 struct occurrence_run
@@ -122,8 +116,6 @@
     time_point lateUntil {};
     // Work on the longest chain from this step to the end, this step included.
     milliseconds chainLeft {0};
-    // Tasks of this step that were tried and found no room; the room they wait for is kept.
-    bool reserving = false;
 
     bool finished() const { return done == tasks.size(); }
 };
--- a/src/jobs/job_runs.cpp
+++ b/src/jobs/job_runs.cpp
@@ -30,7 +30,6 @@
     task.percent = 0;
     task.firstReportAt = {};
     task.speedTold = false;
-    task.paced = 100;
     task.phase = task_phase::Waiting;
     ++task.step->waiting;
     --task.step->occurrence->job->occupying;
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -379,7 +379,6 @@
         return;
     auto &advice = task->step->advice;
     advice.asking = false;
-    ++advice.calls;
     const auto expires = now + validity - m_options.ticketMargin;
     if (!request.workers.empty()) {
         const auto share =
--- a/src/jobs/worker.h
+++ b/src/jobs/worker.h
@@ -106,9 +106,6 @@
     std::int64_t bornMs = 0;
     std::vector<active_run> active;
     std::vector<ended_run> ended;
-    // Set when the answer came over another connection than the last one, so that the numbers of
-    // ends that were given before may belong to an earlier life.
-    bool newConnection = false;
     // The worker answered, and refuses this leader's term.
     bool staleTerm = false;
     // Another life of the worker is at this address.
