Give calls for advice by length and distance; keep room for gangs by task

Change: jobs/advice_callers picks the instance for each call by what it has open and how far it is; gangs plan the earliest moment at which known workers have room for all, keep that room from others when it is near, and renew tickets in time; jobs/expected_times learns times by queue; dates move by the time of failed runs.

--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -61,14 +61,6 @@
     const leader_row &row() const { return m_row; }
 
 private:
-    struct follower
-    {
-        std::string address;
-        time_point heard {};
-        std::uint32_t shortCalls = 0;
-        std::uint32_t longCalls = 0;
-    };
-
     // Taking over.
     awaitable<bool> load();
     awaitable<bool> loadTable(const std::string &table, std::vector<stored_row> &rows);
@@ -100,9 +92,7 @@
     awaitable<void> sendStart(jobs::start_order order);
     awaitable<void> sendStop(jobs::stop_order order);
     awaitable<void> sendThrottle(jobs::throttle_order order);
-    awaitable<void> sendAdvice(jobs::advice_request request, std::string instance);
-    jobs::advice_lanes lanes(time_point now) const;
-    std::string laneFor(bool shortCall, time_point now) const;
+    awaitable<void> sendAdvice(jobs::advice_request request);
 
     // Callers.
     awaitable<caller_answer> submit(caller_call call, jobs::job_definition definition);
@@ -143,7 +133,8 @@
     jobs::worker_list m_list;
     std::map<std::string, std::shared_ptr<boost::asio::steady_timer>> m_looks;
     std::multimap<std::string, std::shared_ptr<boost::asio::steady_timer>> m_waiters;
-    std::map<std::string, follower> m_followers;
+    // Where each instance that follows can be called.
+    std::map<std::string, std::string> m_followers;
     std::map<std::string, std::uint64_t> m_counters;
 };
 
--- a/src/cell/leader_orders.cpp
+++ b/src/cell/leader_orders.cpp
@@ -26,12 +26,6 @@
 
 constexpr milliseconds orderPatience {800};
 
-// A follower that has not sent a heartbeat for this long gets no calls for advice.
-constexpr milliseconds followerValidity {1000};
-// One in so many followers takes short calls only.
-constexpr std::size_t shortLaneShare = 3;
-constexpr std::uint32_t shortCallsEach = 6;
-constexpr std::uint32_t longCallsEach = 1;
 // Added to what the advisor will take: the queue of other callers and the way there and back.
 constexpr milliseconds adviceGrace {700};
 
@@ -95,9 +89,7 @@
             co_return;
         const auto now = bootNow();
         const auto load = m_scheduler.load(now);
-        std::uint32_t advising = 0;
-        for (const auto &[name, one] : m_followers)
-            advising += one.shortCalls + one.longCalls;
+        const auto advising = m_scheduler.adviceCallers().open();
         log_event(log_level::Info, "leader.load")
             .field("term", m_row.term)
             .field("jobs", static_cast<std::uint64_t>(load.jobs))
@@ -109,6 +101,10 @@
             .field("steps_asking", static_cast<std::uint64_t>(load.stepsAsking))
             .field("steps_without_room", static_cast<std::uint64_t>(load.stepsWithoutRoom))
             .field("advice_calls", advising)
+            .field("advice_made", m_counters["advice_calls"])
+            .field("advice_failed", m_counters["advice_failures"])
+            .field("starts", m_counters["starts"])
+            .field("starts_refused", m_counters["starts_not_accepted"])
             .field("write_ms", std::chrono::duration_cast<milliseconds>(m_writeTime).count());
         for (const auto &id : m_scheduler.mostOverdue(overdueTold, now)) {
             for (const auto &line : m_scheduler.explain(id, now))
@@ -121,97 +117,32 @@
 {
     const auto now = bootNow();
     m_wall.told(m_options.instance, support::wallNow(), now);
-    auto orders = m_scheduler.plan(now, m_wall.at(now), lanes(now));
+    auto orders = m_scheduler.plan(now, m_wall.at(now));
     tellNotes();
     for (auto &stop : orders.stops)
         asio::co_spawn(m_context, sendStop(std::move(stop)), asio::detached);
     for (auto &throttle : orders.throttles)
         asio::co_spawn(m_context, sendThrottle(std::move(throttle)), asio::detached);
-    for (auto &request : orders.advice) {
-        const bool shortCall = request.decide <= jobs::shortAdvice;
-        auto instance = laneFor(shortCall, now);
-        auto &lane = m_followers[instance];
-        ++(shortCall ? lane.shortCalls : lane.longCalls);
-        asio::co_spawn(m_context, sendAdvice(std::move(request), std::move(instance)),
-                       asio::detached);
-    }
+    for (auto &request : orders.advice)
+        asio::co_spawn(m_context, sendAdvice(std::move(request)), asio::detached);
     if (m_scheduler.hasChanges())
         m_changed.cancel();
 }
 
-// Own calls count under the empty name. This instance and every third other one take short calls
-// only; the others take one long call at a time each.
-std::string leader::laneFor(bool shortCall, time_point now) const
-{
-    std::string best;
-    std::uint32_t fewest = UINT32_MAX;
-    const auto consider = [&](const std::string &name, const follower &one, bool takesShort) {
-        const auto count = shortCall ? one.shortCalls : one.longCalls;
-        const auto bound = shortCall ? shortCallsEach : longCallsEach;
-        if (takesShort == shortCall && count < bound && count < fewest) {
-            best = name;
-            fewest = count;
-        }
-    };
-    std::size_t index = 1;
-    bool others = false;
-    for (const auto &[name, one] : m_followers) {
-        if (name.empty() || now - one.heard > followerValidity)
-            continue;
-        others = true;
-        consider(name, one, index++ % shortLaneShare == 0);
-    }
-    const auto own = m_followers.find({});
-    const follower none;
-    consider({}, own == m_followers.end() ? none : own->second, true);
-    if (!others)
-        consider({}, own == m_followers.end() ? none : own->second, false);
-    return best;
-}
-
-jobs::advice_lanes leader::lanes(time_point now) const
-{
-    jobs::advice_lanes lanes;
-    std::size_t index = 1;
-    bool others = false;
-    const auto left = [](std::uint32_t bound, std::uint32_t used) {
-        return bound > used ? bound - used : 0;
-    };
-    for (const auto &[name, one] : m_followers) {
-        if (name.empty() || now - one.heard > followerValidity)
-            continue;
-        others = true;
-        if (index++ % shortLaneShare == 0) {
-            lanes.shortCalls += left(shortCallsEach, one.shortCalls);
-        } else {
-            lanes.longCalls += left(longCallsEach, one.longCalls);
-        }
-    }
-    const auto own = m_followers.find({});
-    const follower mine = own == m_followers.end() ? follower {} : own->second;
-    lanes.shortCalls += left(shortCallsEach, mine.shortCalls);
-    if (!others)
-        lanes.longCalls += left(longCallsEach, mine.longCalls);
-    return lanes;
-}
-
-awaitable<void> leader::sendAdvice(jobs::advice_request request, std::string instance)
+awaitable<void> leader::sendAdvice(jobs::advice_request request)
 {
     const auto self = shared_from_this();
-    const bool shortCall = request.decide <= jobs::shortAdvice;
     const auto deadline =
-        clock::now() + request.cost + std::chrono::duration_cast<duration>(adviceGrace);
+        clock::now() + request.length + std::chrono::duration_cast<duration>(adviceGrace);
     ++m_counters["advice_calls"];
     outcome<advice> told = call_failure::Unknown;
-    if (instance.empty()) {
+    if (request.caller.empty()) {
         told = co_await m_ports.advisor.ask(request.step, request.workers, deadline);
     } else {
-        const auto address = m_followers[instance].address;
+        const auto address = m_followers[request.caller];
         advice_call call {request.step, request.workers, deadline};
         told = co_await m_ports.peers.advise(address, std::move(call));
     }
-    auto &lane = m_followers[instance];
-    --(shortCall ? lane.shortCalls : lane.longCalls);
     if (m_ended)
         co_return;
     if (const auto *given = std::get_if<advice>(&told)) {
@@ -293,9 +224,8 @@
 leader_beat leader::beat(const follower_beat &told)
 {
     const auto now = bootNow();
-    auto &one = m_followers[told.instance];
-    one.address = told.address;
-    one.heard = now;
+    m_followers[told.instance] = told.address;
+    m_scheduler.adviceCallers().heard(told.instance, now);
     m_wall.told(told.instance, told.wall, now);
     const auto age = std::chrono::duration_cast<milliseconds>(now - m_committedAt);
     return {!m_ended && !m_row.resigned, m_row.term, age, m_revision};
--- a/src/jobs/admission.cpp
+++ b/src/jobs/admission.cpp
@@ -24,7 +24,7 @@
     if (definition.filler || definition.lasting)
         return 0;
     const double each = static_cast<double>(definition.need.milliCores) / 1000.0
-                        * static_cast<double>(definition.estimate.count());
+                        * static_cast<double>(step.expected.count());
     return each * static_cast<double>(step.waiting);
 }
 
@@ -55,8 +55,8 @@
     });
 }
 
-// The longest chain of steps by declared estimates.
-milliseconds longestChain(const job_definition &job)
+// The longest chain of steps, by what their tasks are expected to take.
+milliseconds longestChain(const job_definition &job, const expected_times &times)
 {
     std::vector<milliseconds> until(job.steps.size(), milliseconds(0));
     milliseconds longest {0};
@@ -65,7 +65,7 @@
             if (earlier < i)
                 until[i] = std::max(until[i], until[earlier]);
         }
-        until[i] += job.steps[i].estimate;
+        until[i] += times.expect(job.queue, job.steps[i].estimate);
         longest = std::max(longest, until[i]);
     }
     return longest;
@@ -75,7 +75,8 @@
 
 std::optional<std::uint32_t> refuseFor(const job_definition &job, const queue_definition &queue,
                                        const std::set<std::string> &quickQueues,
-                                       const job_map &jobs, const fleet &workers, time_point now)
+                                       const job_map &jobs, const fleet &workers,
+                                       const expected_times &times, time_point now)
 {
     const auto capacity = workers.capacity();
     if (capacity.milliCores == 0)
@@ -86,7 +87,7 @@
     }
     if (job.occurrences > 0)
         return std::nullopt;
-    const auto chain = static_cast<double>(longestChain(job).count());
+    const auto chain = static_cast<double>(longestChain(job, times).count());
     const auto objective = chain * queue.stretch + static_cast<double>(queue.slack.count());
     const auto latestStart = now
                              + std::chrono::duration_cast<duration>(
--- a/src/jobs/admission.h
+++ b/src/jobs/admission.h
@@ -1,6 +1,7 @@
 #ifndef PLANTAINGAP_JOBS_ADMISSION_H
 #define PLANTAINGAP_JOBS_ADMISSION_H
 
+#include "jobs/expected_times.h"
 #include "jobs/fleet.h"
 #include "jobs/job_progress.h"
 
@@ -22,7 +23,8 @@
 // Jobs of quick queues are placed before all others.
 std::optional<std::uint32_t> refuseFor(const job_definition &job, const queue_definition &queue,
                                        const std::set<std::string> &quickQueues,
-                                       const job_map &jobs, const fleet &workers, time_point now);
+                                       const job_map &jobs, const fleet &workers,
+                                       const expected_times &times, time_point now);
 
 } // namespace plantaingap::jobs
 
--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -3,6 +3,7 @@
 
 #include "jobs/job_scheduler.h"
 
+#include <array>
 #include <vector>
 
 namespace plantaingap::jobs {
@@ -43,43 +44,62 @@
         std::size_t mix = 0;
     };
 
+    // Room for members of a gang from a moment on.
+    struct opening
+    {
+        time_point from {};
+        std::uint32_t tasks = 0;
+        worker *at = nullptr;
+    };
+
     std::vector<candidate> readySteps();
     void serve(const candidate &one);
+    void placeSingly(const candidate &one);
+
+    // Gangs.
     void serveGang(const candidate &one);
     bool placeGang(const candidate &one);
-    void placeSingly(const candidate &one);
-    void reserve(const candidate &one);
+    void planGang(const candidate &one);
+    void addOpenings(const candidate &one, worker &at, std::vector<opening> &found) const;
+    // Places and how many members each is to hold.
+    using gang_places = std::vector<std::pair<worker *, std::uint32_t>>;
+    void reserve(const candidate &one, const gang_places &places);
+    void dropReservation(const step_run &step);
 
     // Advice.
     bool mayAsk(const candidate &one) const;
     void askForRoom(const candidate &one);
     void askForGang(const candidate &one);
+    bool renewTickets(const candidate &one);
+    void discover(const candidate &one);
     void ask(const candidate &one, const std::vector<prospect> &found, double wanted);
-    enum class room_kind : std::uint8_t { Now, Soon, Later };
+    static std::chrono::microseconds lengthOfCall(const candidate &one, std::size_t workers);
+    // Room that is there now, or also what will come free.
+    enum class room_kind : std::uint8_t { Now, Later };
     std::vector<prospect> prospects(const candidate &one, bool known, room_kind kind) const;
 
     bool eligible(const candidate &one, const worker &at) const;
     const ticket *validTicket(const step_run &step, const worker &at) const;
     // How many tasks of the step the worker has room for now, and when it is empty.
     std::uint32_t room(const candidate &one, const worker &at) const;
-    // The room that there will be when an advisor asked now has answered.
-    std::uint32_t soonRoom(const candidate &one, const worker &at) const;
     static std::uint32_t emptyRoom(const candidate &one, const worker &at);
     static std::uint32_t tasksOn(const step_run &step, const worker &at);
     static bool failedThere(const candidate &one, const worker &at);
-    static bool keptForOther(const candidate &one, const worker &at);
+    // Room that a gang waits for and in which this step would be in its way.
+    resources keptForOther(const candidate &one, const worker &at) const;
     // The workers that the step may be placed on now, as far as rules and tickets go.
     std::vector<worker *> allowed(const candidate &one) const;
-    worker *choose(const candidate &one, const std::vector<worker *> &among,
-                   bool intoReserved) const;
+    worker *choose(const candidate &one, const std::vector<worker *> &among) const;
     void assign(task_run &task, worker &at, std::uint32_t attempt);
 
     job_scheduler &m_owner;
     time_point m_now;
     scheduler_orders &m_orders;
-    advice_lanes m_lanes;
+    // No instance is free for calls of that class; none becomes free during a pass.
+    std::array<bool, advice_callers::callClasses> m_callersBusy {};
     std::vector<worker *> m_usable;
-    std::uint32_t m_reservations = 0;
+    resources m_usableRoom;
+    resources m_reservedRoom;
 };
 
 } // namespace plantaingap::jobs
--- a/src/jobs/fleet.h
+++ b/src/jobs/fleet.h
@@ -51,9 +51,12 @@
     // Evidence that it fails or hangs what it is given; set aside and probed when there is enough.
     decision::worker_health health;
     worker_speed speed;
-    // A gang that waits for room here; others keep away from that room if they can.
+    // A gang that waits for that much room here; others keep away from it.
     const step_run *reservedFor = nullptr;
+    resources reservedRoom;
     time_point reservedUntil {};
+    // When that gang is expected to begin; until then short work may use the room.
+    time_point reservedStart {};
 
     resources free() const { return entry.capacity - used; }
     // The worker's clock now, not later than this.
--- a/src/jobs/job_health.cpp
+++ b/src/jobs/job_health.cpp
@@ -65,8 +65,8 @@
     if (!at.speed.slow())
         return false;
     const auto &definition = *task.step->definition;
-    const auto left = expectedEnd(task, definition.estimate) - now;
-    const auto usual = std::chrono::duration_cast<duration>(definition.estimate * movingFactor);
+    const auto left = expectedEnd(task) - now;
+    const auto usual = std::chrono::duration_cast<duration>(task.step->expected * movingFactor);
     if (left < std::max<duration>(usual, movingGain))
         return false;
     return !definition.gang || task.percent < gangMovingPercent;
@@ -87,7 +87,7 @@
             continue;
         }
         observeSpeed(at, *task, now);
-        const auto patience = std::max<duration>(m_options.stalled, definition.estimate / 2);
+        const auto patience = std::max<duration>(m_options.stalled, task->step->expected / 2);
         const bool hangs = now - task->progressAt > patience;
         if (hangs)
             judge(at, *task, true, now);
--- a/src/jobs/job_progress.cpp
+++ b/src/jobs/job_progress.cpp
@@ -12,11 +12,11 @@
 
 } // namespace
 
-time_point expectedEnd(const task_run &task, milliseconds estimate)
+time_point expectedEnd(const task_run &task)
 {
     const auto done = task.percent - std::min(task.firstPercent, task.percent);
     if (done < tellingPercent || task.reportedAt <= task.firstReportAt)
-        return task.startedAt + estimate;
+        return task.startedAt + task.step->expected;
     const auto left = wholePercent - std::min(task.percent, wholePercent);
     return task.reportedAt + (task.reportedAt - task.firstReportAt) * left / done;
 }
--- a/src/jobs/job_progress.h
+++ b/src/jobs/job_progress.h
@@ -54,6 +54,10 @@
     std::uint32_t percent = 0;
     // When the run began, as seen here; when it was last reported, and last got on.
     time_point startedAt {};
+    // The run began from nothing under this leader, so that its end tells how long it took.
+    bool timed = false;
+    // What runs of the task took that failed.
+    duration failedTime {0};
     // The first report of this run, and how far it was then: it may have resumed, or begun under
     // an earlier leader.
     time_point firstReportAt {};
@@ -66,8 +70,9 @@
     double measure = 0;
 };
 
-// When a run will end: by its progress once it has made some, else by its declared estimate.
-time_point expectedEnd(const task_run &task, milliseconds estimate);
+// When a run will end: by its progress once it has made some, else by what its task is expected to
+// take.
+time_point expectedEnd(const task_run &task);
 
 // A ticket of the placement advisor for one worker.
 struct ticket
@@ -76,6 +81,9 @@
     time_point expires {};
 };
 
+// An objective is missed for good at this many times its span.
+inline constexpr int lateFactor = 3;
+
 // What the advisor has said about one step.
 struct step_advice
 {
@@ -87,6 +95,20 @@
     time_point askAgain {};
 };
 
+// What a gang that waits can hope for.
+struct gang_plan
+{
+    // When the workers on which it may run will have room for all members; none: too few are known.
+    std::optional<time_point> startAt;
+    // Not planned anew, and no further workers are asked about, before these.
+    time_point reviewAt {};
+    time_point discoverAt {};
+    // The workers that have that room.
+    std::vector<std::string> places;
+    // Others are kept off that room.
+    bool reserved = false;
+};
+
 struct occurrence_run
 {
     job_run *job = nullptr;
@@ -110,7 +132,12 @@
     bool ready = false;
     // Workers on which runs of the step failed in this term; others are tried first.
     std::vector<std::string> failedOn;
+    // What one task is expected to take, from its declaration and what its queue's took.
+    milliseconds expected {0};
+    // The longest that any one task lost in runs that failed; a gang's, all together.
+    duration failedTime {0};
     step_advice advice;
+    gang_plan gang;
     // The objective of the whole occurrence, and the date after which it is worth nothing.
     time_point onTime {};
     time_point lateUntil {};
--- a/src/jobs/job_runs.cpp
+++ b/src/jobs/job_runs.cpp
@@ -27,6 +27,7 @@
     std::erase(at.runs, &task);
     task.at = nullptr;
     task.settled.reset();
+    task.timed = false;
     task.percent = 0;
     task.firstReportAt = {};
     task.speedTold = false;
@@ -119,6 +120,35 @@
     stopAll(job, now);
 }
 
+// The objective counts runs that fail through the task's own fault: its dates move by them, so that
+// what has failed once is not late for that alone.
+void job_scheduler::allowForFailedRun(task_run &task, time_point now)
+{
+    if (task.startedAt == time_point {})
+        return;
+    auto &step = *task.step;
+    auto &occurrence = *step.occurrence;
+    task.failedTime += now - task.startedAt;
+    const auto longest = step.definition->gang ? step.failedTime + (now - task.startedAt)
+                                               : std::max(step.failedTime, task.failedTime);
+    const auto stretch = queueOf(*occurrence.job).stretch;
+    const auto more = std::chrono::duration_cast<duration>((longest - step.failedTime) * stretch);
+    step.failedTime = longest;
+    for (auto &each : occurrence.steps) {
+        each.onTime += more;
+        each.lateUntil += more * lateFactor;
+    }
+}
+
+void job_scheduler::observeTime(const task_run &task, time_point now)
+{
+    const auto &step = *task.step;
+    if (!task.timed || step.definition->lasting)
+        return;
+    m_expected.observe(step.occurrence->job->definition.queue, step.definition->estimate,
+                       std::chrono::duration_cast<milliseconds>(now - task.startedAt));
+}
+
 void job_scheduler::stopAll(job_run &job, time_point now)
 {
     for (auto &[number, occurrence] : job.occurrences) {
@@ -205,8 +235,10 @@
     if (!end.checkpoint.empty() && step.definition->checkpoints)
         task.checkpoint = end.checkpoint;
     if (end.how == run_end::Done) {
-        if (at)
+        if (at) {
             judge(*at, task, false, now);
+            observeTime(task, now);
+        }
         if (gang)
             gangDone(step);
         else
@@ -218,6 +250,7 @@
         if (at) {
             judge(*at, task, true, now);
             step.failedOn.push_back(at->entry.id);
+            allowForFailedRun(task, now);
         }
         taskFailed(task, now);
     } else if (task.at) {
@@ -365,6 +398,7 @@
         task->phase = task_phase::Running;
         task->settled = now;
         task->startedAt = now;
+        task->timed = task->checkpoint.empty();
         task->progressAt = now;
         auto &job = *step.occurrence->job;
         if (!job.everStarted) {
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-// An objective is missed for good at this many times its span.
-constexpr int lateFactor = 3;
 // A chain of steps counts one call for advice on this many workers a step.
 constexpr int advisedWorkers = 30;
 
@@ -109,7 +107,8 @@
             if (std::ranges::count(later.definition->after, step.number) > 0)
                 behind = std::max(behind, later.chainLeft);
         }
-        step.chainLeft = step.definition->estimate + advice + behind;
+        step.expected = m_expected.expect(queue.name, step.definition->estimate);
+        step.chainLeft = step.expected + advice + behind;
         longest = std::max(longest, step.chainLeft);
     }
     const auto objective = std::chrono::duration_cast<duration>(longest * queue.stretch)
@@ -236,7 +235,8 @@
     const auto *queue = m_configuration.byName(definition.queue);
     if (!queue)
         return {submit_answer::Refused, 1};
-    if (const auto wait = refuseFor(definition, *queue, m_quickQueues, m_jobs, m_fleet, now))
+    if (const auto wait =
+            refuseFor(definition, *queue, m_quickQueues, m_jobs, m_fleet, m_expected, now))
         return {submit_answer::Refused, *wait};
     auto made = std::make_unique<job_run>();
     auto &job = *made;
@@ -373,6 +373,7 @@
                             const std::map<std::string, std::string> &tickets,
                             milliseconds validity, time_point now)
 {
+    m_callers.ended(request.caller, request.servedAt, now);
     const auto name = task_name::parse(request.step + ".0");
     auto *task = name ? find(*name) : nullptr;
     if (!task)
@@ -403,6 +404,7 @@
 
 void job_scheduler::adviceFailed(const advice_request &request, time_point now)
 {
+    m_callers.ended(request.caller, request.servedAt, now);
     const auto name = task_name::parse(request.step + ".0");
     auto *task = name ? find(*name) : nullptr;
     if (!task)
@@ -434,10 +436,9 @@
 
 // Time.
 
-scheduler_orders job_scheduler::plan(time_point now, wall_time wallNow, advice_lanes lanes)
+scheduler_orders job_scheduler::plan(time_point now, wall_time wallNow)
 {
     scheduler_orders orders;
-    m_lanes = lanes;
     dropClosed();
     makeDueOccurrences(now, wallNow);
     expireLeases(now);
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -1,6 +1,8 @@
 #ifndef PLANTAINGAP_JOBS_JOB_SCHEDULER_H
 #define PLANTAINGAP_JOBS_JOB_SCHEDULER_H
 
+#include "jobs/advice_callers.h"
+#include "jobs/expected_times.h"
 #include "jobs/fleet.h"
 #include "jobs/job_record.h"
 
@@ -81,25 +83,17 @@
     std::vector<stored_effect> effects;
 };
 
-// Calls for advice up to this long go over the lanes for short calls.
-inline constexpr std::chrono::microseconds shortAdvice {150'000};
-
-// How many calls for advice may be made now. Short and long calls have lanes of their own, so that
-// a long call never delays a short one.
-struct advice_lanes
-{
-    std::uint32_t shortCalls = 0;
-    std::uint32_t longCalls = 0;
-};
-
 struct advice_request
 {
     std::string step;
     std::string queue;
     std::vector<std::string> workers;
-    // The fixed part of the call, and how long it will take as a whole.
-    std::chrono::microseconds decide {0};
-    std::chrono::microseconds cost {0};
+    // How long the advisor will take for it.
+    std::chrono::microseconds length {0};
+    // The instance that makes the call, empty for the leader's own; and when the advisor will have
+    // served it.
+    std::string caller;
+    time_point servedAt {};
 };
 
 // A decision or a change of belief that someone may ask about later.
@@ -182,9 +176,11 @@
     void advised(const advice_request &request, const std::map<std::string, std::string> &tickets,
                  milliseconds validity, time_point now);
     void adviceFailed(const advice_request &request, time_point now);
+    // The instances that make calls for advice.
+    advice_callers &adviceCallers() { return m_callers; }
 
     // Time passes: due occurrences, leases that ended, orders to send again, and placement.
-    scheduler_orders plan(time_point now, wall_time wallNow, advice_lanes lanes);
+    scheduler_orders plan(time_point now, wall_time wallNow);
 
     // Changes that wait to be stored and take at most so many entries; the next batch only after
     // this one.
@@ -233,6 +229,8 @@
     void countFailure(task_run &task, std::uint32_t attempt);
     void taskFailed(task_run &task, time_point now);
     void noteFailure(task_run &task, std::uint32_t attempt, time_point now);
+    void allowForFailedRun(task_run &task, time_point now);
+    void observeTime(const task_run &task, time_point now);
     void gangDone(step_run &step);
     void stopRun(task_run &task, time_point now);
     void stopStep(step_run &step, time_point now);
@@ -263,7 +261,8 @@
     cell_configuration m_configuration;
     std::set<std::string> m_quickQueues;
     fleet m_fleet;
-    advice_lanes m_lanes;
+    advice_callers m_callers;
+    expected_times m_expected;
     std::map<std::string, std::unique_ptr<job_run>, std::less<>> m_jobs;
     // Finished jobs and when to forget them.
     struct ended_job
--- a/tests/jobs/scheduler_world.h
+++ b/tests/jobs/scheduler_world.h
@@ -166,7 +166,9 @@
     void settle()
     {
         for (int round = 0; round < 20; ++round) {
-            auto orders = scheduler.plan(now(), wall(), lanes);
+            for (const auto &name : adviceCallers)
+                scheduler.adviceCallers().heard(name, now());
+            auto orders = scheduler.plan(now(), wall());
             advise(orders.advice);
             for (const auto &stop : orders.stops)
                 carryOut(stop);
@@ -293,7 +295,8 @@
     duration passed {0};
     jobs::job_scheduler scheduler;
     std::map<std::string, fake_worker> fleet;
-    jobs::advice_lanes lanes {8, 8};
+    // Instances that make calls for advice, besides the leader.
+    std::vector<std::string> adviceCallers {"e1", "e2", "e3", "e4", "e5", "e6", "e7"};
     std::set<std::string> notAllowed;
     bool store = true;
     std::map<std::string, std::string> definitions;
