Ask for tickets of spare places; keep room only for gangs that will be on time

Cause: 21% of the cores stood idle, kept for gangs whose start slipped: tickets named exactly the places planned, and one run that ended late cost another call; late gangs kept room too.

--- a/src/jobs/advice_callers.cpp
+++ b/src/jobs/advice_callers.cpp
@@ -27,15 +27,16 @@
 using call_class = advice_callers::call_class;
 
 // The longest calls that an instance takes, by its place in the order of distance: the nearest
-// quarter is kept for quick calls, the next for middling ones.
+// sixth is kept for quick calls, the next eighth for middling ones.
 call_class longestAt(std::size_t place, std::size_t count)
 {
     if (count == 1)
         return call_class::Long;
-    const auto quarter = std::max<std::size_t>(1, count / 4);
-    if (place < quarter)
+    const auto quick = std::max<std::size_t>(1, count / 6);
+    const auto middle = std::max<std::size_t>(1, count / 8);
+    if (place < quick)
         return count == 2 ? call_class::Middle : call_class::Quick;
-    return count > 2 && place < 2 * quarter ? call_class::Middle : call_class::Long;
+    return count > 2 && place < quick + middle ? call_class::Middle : call_class::Long;
 }
 
 } // namespace
--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -65,6 +65,7 @@
     using gang_places = std::vector<std::pair<worker *, std::uint32_t>>;
     void reserve(const candidate &one, const gang_places &places);
     void dropReservation(const step_run &step);
+    bool mayReserveMore(std::int64_t milliCores = 0) const;
 
     // Advice.
     bool mayAsk(const candidate &one) const;
--- a/src/jobs/dispatcher_advice.cpp
+++ b/src/jobs/dispatcher_advice.cpp
@@ -119,7 +119,7 @@
 bool dispatcher::renewTickets(const candidate &one)
 {
     const auto &plan = one.step->gang;
-    const auto length = lengthOfCall(one, plan.places.size());
+    const auto length = lengthOfCall(one, plan.places.size() + plan.spares.size());
     // Room that others may take meanwhile is asked about only when it is there.
     const auto ahead = plan.reserved ? duration(length) + ticketWay : duration(0);
     if (*plan.startAt > m_now + ahead)
@@ -134,8 +134,13 @@
             named.push_back({at, 0, 0});
         lacking = lacking || !held || held->expires <= start;
     }
-    if (lacking)
-        ask(one, named, 1);
+    if (!lacking)
+        return true;
+    for (const auto &id : plan.spares) {
+        if (auto *at = m_owner.m_fleet.find(id))
+            named.push_back({at, 0, 0});
+    }
+    ask(one, named, 1);
     return true;
 }
 
@@ -148,7 +153,9 @@
     double reach = 0;
     for (const auto &each : prospects(one, true, room_kind::Later))
         reach += each.tasks;
-    const auto target = (reach < firstReach * tasks ? firstReach : widestReach) * tasks;
+    // More workers help no gang while all room that may be kept is kept.
+    const bool widely = reach >= firstReach * tasks && mayReserveMore();
+    const auto target = (widely ? widestReach : firstReach) * tasks;
     if (reach >= target)
         return;
     plan.discoverAt = m_now + discoverEvery;
--- a/src/jobs/dispatcher_gangs.cpp
+++ b/src/jobs/dispatcher_gangs.cpp
@@ -16,6 +16,9 @@
 // Kept room is given up unless it is planned anew within this; a few reviews.
 constexpr std::chrono::milliseconds reservation {400};
 constexpr std::chrono::milliseconds reviewEvery {100};
+// Of a gang's members, as many more find room on workers for which tickets are asked too: some runs
+// end later than expected.
+constexpr double spareShare = 0.5;
 // A run that has passed its expected end is expected to end after this.
 constexpr std::chrono::milliseconds overrun {200};
 
@@ -119,6 +122,7 @@
     plan.reviewAt = m_now + reviewEvery;
     plan.startAt.reset();
     plan.places.clear();
+    plan.spares.clear();
     dropReservation(step);
     plan.reserved = false;
     std::vector<opening> openings;
@@ -129,10 +133,18 @@
     }
     std::ranges::stable_sort(openings, {}, &opening::from);
     gang_places places;
-    std::uint32_t missing = static_cast<std::uint32_t>(step.tasks.size());
+    auto missing = static_cast<std::uint32_t>(step.tasks.size());
+    auto spare = static_cast<std::uint32_t>(static_cast<double>(missing) * spareShare);
     for (const auto &each : openings) {
-        if (missing == 0)
+        const auto &id = each.at->entry.id;
+        if (missing == 0 && spare == 0)
             break;
+        if (missing == 0) {
+            spare -= std::min(each.tasks, spare);
+            if (std::ranges::find(plan.spares, id) == plan.spares.end())
+                plan.spares.push_back(id);
+            continue;
+        }
         const auto taken = std::min(each.tasks, missing);
         missing -= taken;
         plan.startAt = each.from;
@@ -148,8 +160,19 @@
     }
     for (const auto &[at, members] : places)
         plan.places.push_back(at->entry.id);
-    if (one.band <= 1 && *plan.startAt <= m_now + longestReserved)
+    const bool onTime = *plan.startAt + step.chainLeft <= step.onTime;
+    if (*plan.startAt <= m_now + longestReserved
+        && (onTime || (one.band <= 1 && m_reservedRoom.milliCores == 0))) {
         reserve(one, places);
+    }
+}
+
+// One gang may always wait, however small the fleet.
+bool dispatcher::mayReserveMore(std::int64_t milliCores) const
+{
+    const auto bound = mostReserved * static_cast<double>(m_usableRoom.milliCores);
+    return m_reservedRoom.milliCores == 0
+           || static_cast<double>(m_reservedRoom.milliCores + milliCores) <= bound;
 }
 
 void dispatcher::reserve(const candidate &one, const gang_places &places)
@@ -157,10 +180,7 @@
     auto &plan = one.step->gang;
     const auto need = effectiveNeed(*one.step->definition);
     const auto wanted = need.milliCores * static_cast<std::int64_t>(one.step->tasks.size());
-    const auto bound = mostReserved * static_cast<double>(m_usableRoom.milliCores);
-    const bool within = static_cast<double>(m_reservedRoom.milliCores + wanted) <= bound;
-    // One gang may always wait, however small the fleet.
-    if (!within && m_reservedRoom.milliCores > 0)
+    if (!mayReserveMore(wanted))
         return;
     for (const auto &[at, members] : places) {
         at->reservedFor = one.step;
--- a/src/jobs/job_changes.cpp
+++ b/src/jobs/job_changes.cpp
@@ -92,6 +92,10 @@
     load.capacity = m_fleet.capacity();
     for (const auto &[id, at] : m_fleet.all()) {
         load.used += at->used;
+        if (at->reservedFor) {
+            load.keptMilliCores +=
+                std::clamp<std::int64_t>(at->free().milliCores, 0, at->reservedRoom.milliCores);
+        }
         load.occupyingTasks += at->runs.size();
     }
     for (const auto &[id, job] : m_jobs) {
--- a/src/jobs/job_progress.h
+++ b/src/jobs/job_progress.h
@@ -103,8 +103,9 @@
     // Not planned anew, and no further workers are asked about, before these.
     time_point reviewAt {};
     time_point discoverAt {};
-    // The workers that have that room.
+    // The workers that have that room, and others that will have some soon after.
     std::vector<std::string> places;
+    std::vector<std::string> spares;
     // Others are kept off that room.
     bool reserved = false;
 };
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -129,6 +129,8 @@
     std::size_t stepsUnasked = 0;
     std::size_t stepsWithoutRoom = 0;
     resources used;
+    // Free room that is kept for gangs.
+    std::int64_t keptMilliCores = 0;
     resources capacity;
 };
 
