--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -380,6 +380,8 @@
         return;
     auto &advice = task->step->advice;
     advice.asking = false;
+    // Single tasks would take the room before the next review.
+    task->step->gang.reviewAt = now;
     const auto expires = now + validity - m_options.ticketMargin;
     if (!request.workers.empty()) {
         const auto share =
--- /dev/null
+++ b/tests/jobs/expected_times_test.cpp
@@ -0,0 +1,71 @@
+#include "jobs/expected_times.h"
+
+#include <cmath>
+#include <doctest/doctest.h>
+#include <random>
+#include <string>
+
+using plantaingap::jobs::expected_times;
+using std::chrono::milliseconds;
+
+namespace {
+
+const std::string queue = "queue";
+
+struct learning_row
+{
+    const char *name;
+    // Seen times are the declared ones, times this, or do not depend on them at all.
+    double factor;
+    bool related;
+    milliseconds declared;
+    // What must be expected, within a quarter.
+    milliseconds expected;
+};
+
+const learning_row rows[] = {
+    {"honest declarations are believed", 1.0, true, milliseconds(500), milliseconds(500)},
+    {"declarations that are half the truth are doubled", 2.0, true, milliseconds(500),
+     milliseconds(1000)},
+    {"declarations without meaning give way to the usual time", 1.0, false, milliseconds(400),
+     milliseconds(1000)},
+};
+
+} // namespace
+
+TEST_CASE("Times are learned from what runs took")
+{
+    for (const auto &row : rows) {
+        CAPTURE(std::string(row.name));
+        std::mt19937 random(7);
+        std::uniform_real_distribution<double> logs(std::log(200.0), std::log(3000.0));
+        std::uniform_real_distribution<double> noise(-0.1, 0.1);
+        expected_times times;
+        for (int i = 0; i < 400; ++i) {
+            const auto declared = std::exp(logs(random));
+            const auto seen = row.related ? declared * row.factor : 1000.0;
+            times.observe(queue, milliseconds(std::llround(declared)),
+                          milliseconds(std::llround(seen * std::exp(noise(random)))));
+        }
+        const auto told = static_cast<double>(times.expect(queue, row.declared).count());
+        const auto wanted = static_cast<double>(row.expected.count());
+        CHECK(told > wanted * 0.75);
+        CHECK(told < wanted * 1.25);
+    }
+}
+
+TEST_CASE("Without runs a declaration is all there is")
+{
+    const expected_times times;
+    CHECK(times.expect(queue, milliseconds(700)) == milliseconds(700));
+}
+
+TEST_CASE("A single run moves little, and a liar less than ten times")
+{
+    expected_times times;
+    times.observe(queue, milliseconds(1000), milliseconds(100'000));
+    CHECK(times.expect(queue, milliseconds(1000)) < milliseconds(3000));
+    for (int i = 0; i < 1000; ++i)
+        times.observe(queue, milliseconds(1000), milliseconds(100'000));
+    CHECK(times.expect(queue, milliseconds(1000)) <= milliseconds(10'000));
+}
--- a/tests/jobs/gang_test.cpp
+++ b/tests/jobs/gang_test.cpp
@@ -116,3 +116,95 @@
     CHECK(attempts.size() == 1);
     CHECK(world.twice.empty());
 }
+
+namespace {
+
+// Four workers of two members each, all busy until single tasks of 2 s end.
+void fillWithSingles(scheduler_world &world)
+{
+    world.begin();
+    for (int i = 0; i < 8; ++i)
+        world.submit("00000000000000d" + std::to_string(i), "middle",
+                     {scheduler_world::step(1, 8000, 2000)});
+    world.settle();
+    REQUIRE(world.running() == 8);
+}
+
+struct kept_row
+{
+    const char *name;
+    int memberMilliCores;
+    int singleMilliCores;
+    int singleMs;
+    // Of four single tasks handed in when half of the fleet is free and the gang lacks the rest.
+    std::size_t singles;
+};
+
+const kept_row kept[] = {
+    {"no single task takes the room that a gang waits for", 8000, 8000, 2000, 0},
+    {"short tasks use it while they end before the gang begins", 8000, 8000, 100, 4},
+    {"room beyond what the gang needs is for anyone", 6000, 4000, 2000, 2},
+};
+
+} // namespace
+
+// Load pattern: a full fleet whose tasks end one by one, and more single tasks than room.
+TEST_CASE("Room is kept for the members of a gang that begins soon, and no more than that")
+{
+    for (const auto &row : kept) {
+        CAPTURE(std::string(row.name));
+        scheduler_world world(4, {16'000, 32'768, 0}, advisorCost);
+        fillWithSingles(world);
+        world.submit(id, "large", {gangOf(8, row.memberMilliCores)});
+        // The others end in 800 ms, as expected.
+        world.passed += milliseconds(1200);
+        for (int i = 0; i < 4; ++i)
+            world.endRuns("00000000000000d" + std::to_string(i), run_end::Done);
+        world.lookAll();
+        world.settle();
+        REQUIRE(world.running(id) == 0);
+        for (int i = 0; i < 4; ++i)
+            world.submit("00000000000000e" + std::to_string(i), "middle",
+                         {scheduler_world::step(1, row.singleMilliCores, row.singleMs)});
+        world.settle();
+        CHECK(world.running("00000000000000e") == row.singles);
+    }
+}
+
+TEST_CASE("No room is kept for a gang that would be late")
+{
+    scheduler_world world(4, {16'000, 32'768, 0}, advisorCost);
+    fillWithSingles(world);
+    world.submit(id, "large", {gangOf(8, 8000)});
+    // Past any hope of its objective, and in company that can still be on time.
+    world.passed += milliseconds(13'000);
+    world.submit(other, "large", {gangOf(7, 8000)});
+    for (int i = 0; i < 4; ++i)
+        world.endRuns("00000000000000d" + std::to_string(i), run_end::Done);
+    world.lookAll();
+    world.settle();
+    std::size_t late = 0;
+    for (const auto &[name, at] : world.scheduler.workers().all())
+        late += at->reservedFor && at->reservedFor->occurrence->job->definition.id == id ? 1 : 0;
+    CHECK(late == 0);
+}
+
+// Load pattern: gangs of tasks of which one in twenty fails, so that most gangs run twice.
+TEST_CASE("A run that failed moves the dates of its job by what it took")
+{
+    scheduler_world world(4, {16'000, 32'768, 0}, advisorCost);
+    world.begin();
+    world.submit(id, "large", {gangOf(4, 8000)});
+    world.settle();
+    REQUIRE(world.running(id) == 4);
+    const auto &step = world.scheduler.job(id)->occurrences.at(0).steps.front();
+    const auto before = step.onTime;
+    const auto lateBefore = step.lateUntil;
+    world.passed += milliseconds(3000);
+    world.endRuns(id + ".0.0.0", run_end::Failed);
+    world.endRuns(id, run_end::Broken);
+    world.lookAll();
+    // The queue's stretch is two.
+    CHECK(step.onTime - before == milliseconds(6000));
+    CHECK(step.lateUntil - lateBefore == milliseconds(18'000));
+}
