Try a write again beside one without an answer; give a leader its time anew after an outage

Cause: when a silent store came back, the leader's write still hung for up to 2 s in its last attempt, and a follower took the cell over at its first look, since the row had stood still during the outage; the former leader noticed 1.2 s later. Ruled out: callers' return times. Change: attempts at a write overlap, a new one each 300 ms over a new connection; a row that could not be read for 0.4 s counts as moving when it can. Refused jobs are logged with reason and age of the last write. Test: cell/leader_test (a write beside one that hangs), cell/leadership_test (four rows).

--- a/src/cell/cell_instance.cpp
+++ b/src/cell/cell_instance.cpp
@@ -149,8 +149,10 @@
     auto read = co_await m_store.read(leaderKey.table, leaderKey.key, leaderKey.key + '\x01',
                                       clock::now() + rowPatience);
     const auto *page = std::get_if<row_page>(&read);
-    if (!page)
+    if (!page) {
+        m_watch.rowUnreadable(askedAt);
         co_return false;
+    }
     const auto now = bootNow();
     m_storeDelay = std::chrono::duration_cast<milliseconds>(now - askedAt);
     if (page->rows.empty())
--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -31,14 +31,16 @@
 constexpr std::size_t mostEndedRead = 20'000;
 // Changes that come within this span share a write.
 constexpr milliseconds groupWait {10};
-// One attempt to write; an answer that comes later is not lost: the next attempt finds the write
-// done. Grows with each attempt.
-constexpr milliseconds commitPatience {500};
-constexpr milliseconds longestCommitPatience {2000};
-// A store that answers slowly gets this many times what its last answer took.
+// A write without an answer is tried again beside it after this, or after this many times what the
+// last one took; each attempt waits for its answer so long. At most so many are open at once.
+constexpr milliseconds attemptEvery {300};
 constexpr int slowStorePatience = 2;
+constexpr milliseconds longestCommitPatience {2000};
+constexpr std::uint32_t mostAttempts = 7;
+// Before a write that the store refused is tried again.
+constexpr milliseconds refusedBackoff {120};
 constexpr milliseconds readPatience {1500};
-// Between attempts to write, first and longest.
+// Between attempts to read, first and longest.
 constexpr milliseconds firstBackoff {30};
 constexpr milliseconds longestBackoff {400};
 // How long a worker may hold a look when nothing ends.
@@ -298,46 +300,97 @@
         planSoon();
 }
 
+// The attempts to make one write. A write that has no answer is tried again beside it, over another
+// connection: the first may have been lost, or a silent store may be back. The chain of the
+// leader's row lets only one of them be done.
+struct leader::write_race
+{
+    explicit write_race(asio::io_context &context)
+        : answered(context)
+    { }
+
+    asio::steady_timer answered;
+    std::optional<outcome<transaction_result>> answer;
+    time_point answerSentAt {};
+    std::uint32_t open = 0;
+};
+
+awaitable<void> leader::attemptWrite(std::shared_ptr<write_race> race, transaction changes)
+{
+    const auto self = shared_from_this();
+    const auto sentAt = bootNow();
+    ++m_counters["store_writes"];
+    ++race->open;
+    auto done =
+        co_await m_ports.store.commit(std::move(changes), clock::now() + longestCommitPatience);
+    --race->open;
+    const auto *failure = std::get_if<call_failure>(&done);
+    // Without an answer the other attempts go on.
+    if (race->answer || (failure && *failure != call_failure::Refused))
+        co_return;
+    race->answer = std::move(done);
+    race->answerSentAt = sentAt;
+    race->answered.cancel();
+}
+
+void leader::tellStoreFailing(bool refused)
+{
+    ++m_counters["store_failures"];
+    if (!m_storeFailing)
+        log_event(log_level::Warning, "store.lost").field("refused", refused ? 1 : 0);
+    m_storeFailing = true;
+}
+
+// The first answer to one of the attempts at a write; none after a while without any, or after a
+// refusal.
+awaitable<std::optional<transaction_result>>
+leader::raceWrite(std::shared_ptr<write_race> race, const std::vector<jobs::job_change> &batch)
+{
+    const auto every = std::max<duration>(attemptEvery, m_writeTime * slowStorePatience);
+    if (race->open < mostAttempts) {
+        asio::co_spawn(m_context, attemptWrite(race, makeTransaction(batch)), asio::detached);
+    }
+    race->answered.expires_after(std::chrono::duration_cast<milliseconds>(every));
+    if (!race->answer)
+        co_await race->answered.async_wait(asTuple);
+    const auto answer = std::exchange(race->answer, std::nullopt);
+    if (answer) {
+        if (const auto *result = std::get_if<transaction_result>(&*answer))
+            co_return *result;
+    }
+    tellStoreFailing(answer.has_value());
+    if (answer)
+        co_await pause(refusedBackoff);
+    else
+        m_ports.store.renewConnections();
+    co_return std::nullopt;
+}
+
 // Stores one batch, however often that has to be tried; false when another leads.
 awaitable<bool> leader::storeBatch(std::vector<jobs::job_change> batch)
 {
     ++m_row.sequence;
-    auto backoff = firstBackoff;
-    auto patience =
-        std::clamp(std::chrono::duration_cast<milliseconds>(m_writeTime) * slowStorePatience,
-                   commitPatience, longestCommitPatience);
     m_writingSince = bootNow();
+    const auto race = std::make_shared<write_race>(m_context);
     while (!m_superseded) {
-        const auto sentAt = bootNow();
-        auto done = co_await m_ports.store.commit(makeTransaction(batch), clock::now() + patience);
-        patience = std::min(patience * 3 / 2, longestCommitPatience);
-        ++m_counters["store_writes"];
-        bool applied = false;
-        if (auto *result = std::get_if<transaction_result>(&done)) {
-            applied = result->applied;
-            if (applied)
-                m_revision = result->revision;
-            else if (!settleConflicts(result->conflicts, batch, applied))
-                co_return false;
-            if (!applied)
-                continue;
-            if (m_storeFailing)
-                log_event(log_level::Info, "store.regained").field("term", m_row.term);
-            m_storeFailing = false;
-            m_committedAt = sentAt;
-            m_writeTime = bootNow() - *m_writingSince;
-            m_writingSince.reset();
-            batchStored(batch);
-            co_return true;
-        }
-        if (!m_storeFailing) {
-            log_event(log_level::Warning, "store.lost")
-                .field("refused", std::get<call_failure>(done) == call_failure::Refused ? 1 : 0);
-        }
-        m_storeFailing = true;
-        ++m_counters["store_failures"];
-        co_await pause(backoff);
-        backoff = std::min(backoff * 2, longestBackoff);
+        const auto result = co_await raceWrite(race, batch);
+        if (!result)
+            continue;
+        bool applied = result->applied;
+        if (applied)
+            m_revision = result->revision;
+        else if (!settleConflicts(result->conflicts, batch, applied))
+            co_return false;
+        if (!applied)
+            continue;
+        if (m_storeFailing)
+            log_event(log_level::Info, "store.regained").field("term", m_row.term);
+        m_storeFailing = false;
+        m_committedAt = race->answerSentAt;
+        m_writeTime = bootNow() - race->answerSentAt;
+        m_writingSince.reset();
+        batchStored(batch);
+        co_return true;
     }
     co_return false;
 }
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -76,7 +76,12 @@
     awaitable<void> tellLoad();
     awaitable<void> readEnded();
 
+    struct write_race;
     awaitable<bool> storeBatch(std::vector<jobs::job_change> batch);
+    awaitable<std::optional<transaction_result>>
+    raceWrite(std::shared_ptr<write_race> race, const std::vector<jobs::job_change> &batch);
+    awaitable<void> attemptWrite(std::shared_ptr<write_race> race, transaction changes);
+    void tellStoreFailing(bool refused);
     transaction makeTransaction(const std::vector<jobs::job_change> &batch) const;
     // Takes out what the store already knows as ended; false when another leads.
     bool settleConflicts(const std::vector<stored_row> &conflicts,
@@ -96,6 +101,8 @@
 
     // Callers.
     awaitable<caller_answer> submit(caller_call call, jobs::job_definition definition);
+    // Refuses a job that was not given to the store.
+    caller_answer refuseUnstored(const std::string &id, std::string_view reason, time_point now);
     awaitable<caller_answer> cancel(caller_call call, std::string id);
     awaitable<caller_answer> tell(caller_call call, std::string id);
     awaitable<std::optional<jobs::job_state>> endedState(std::string id, bool &known);
--- a/src/cell/leader_callers.cpp
+++ b/src/cell/leader_callers.cpp
@@ -103,6 +103,19 @@
     return static_cast<std::uint32_t>(std::clamp(away.count(), shortestReturn, longestReturn));
 }
 
+caller_answer leader::refuseUnstored(const std::string &id, std::string_view reason, time_point now)
+{
+    ++m_counters["submissions_store_away"];
+    const auto seconds = returnSeconds(now);
+    log_event(log_level::Info, "job.refused")
+        .field("job", id)
+        .field("reason", reason)
+        .field("committed_ms_ago",
+               std::chrono::duration_cast<milliseconds>(now - m_committedAt).count())
+        .field("retry_after_s", seconds);
+    return answer(statusUnavailable, {}, seconds);
+}
+
 awaitable<caller_answer> leader::submit(caller_call call, jobs::job_definition definition)
 {
     const auto id = definition.id;
@@ -111,8 +124,7 @@
     if (!known && m_resigning)
         co_return caller_answer {};
     if (!known && (storeAway(now) || m_scheduler.waitingChanges() > mostWaitingChanges)) {
-        ++m_counters["submissions_store_away"];
-        co_return answer(statusUnavailable, {}, returnSeconds(now));
+        co_return refuseUnstored(id, "the store is away", now);
     }
     const auto queue = definition.queue;
     const auto verdict = m_scheduler.submit(std::move(definition), now, m_wall.at(now));
@@ -121,6 +133,7 @@
         log_event(log_level::Info, "job.refused")
             .field("job", id)
             .field("queue", queue)
+            .field("reason", "no hope to be in time")
             .field("retry_after_s", verdict.retryAfterSeconds);
         co_return answer(statusTooMany, {}, verdict.retryAfterSeconds);
     }
@@ -130,8 +143,7 @@
     planSoon();
     co_await waitStored(id, std::min(call.deadline, clock::now() + storedPatience));
     if (!m_ended && m_scheduler.withdraw(id)) {
-        ++m_counters["submissions_store_away"];
-        co_return answer(statusUnavailable, {}, returnSeconds(bootNow()));
+        co_return refuseUnstored(id, "not stored in time", bootNow());
     }
     // The store may have it: only its answer tells.
     co_await waitStored(id, call.deadline);
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -12,6 +12,8 @@
 
 // Heartbeats without an answer for this long leave a follower without a leader.
 constexpr std::chrono::milliseconds answerValidity {1500};
+// Reads of the row that fail for this long mean that the store is away, and not one lost answer.
+constexpr std::chrono::milliseconds outage {400};
 // A write takes a few times as long as a read.
 constexpr int slowStoreFactor = 4;
 
@@ -57,6 +59,10 @@
         m_stillSince = revision == m_toldRevision && m_toldRevision != 0 ? m_toldAt : now;
         m_seen = true;
     }
+    // While the store was away the leader could not write either; it gets its time anew.
+    if (m_unreadableSince && now - *m_unreadableSince >= outage)
+        m_stillSince = now;
+    m_unreadableSince.reset();
     m_lastSeen = now;
     m_row = std::move(row);
     m_revision = revision;
@@ -75,6 +81,12 @@
     m_suspicious = commitAge > m_options.suspectAge;
 }
 
+void leadership_watch::rowUnreadable(time_point now)
+{
+    if (!m_unreadableSince)
+        m_unreadableSince = now;
+}
+
 void leadership_watch::leaderSilent(time_point)
 {
     m_suspicious = true;
--- a/src/cell/leadership.h
+++ b/src/cell/leadership.h
@@ -53,6 +53,8 @@
     void leaderAnswered(std::uint64_t term, std::chrono::milliseconds commitAge,
                         std::uint64_t revision, time_point sentAt, time_point now);
     void leaderSilent(time_point now);
+    // The store gave no answer about the row.
+    void rowUnreadable(time_point now);
 
     // The row is to be read again.
     bool suspicious(time_point now) const;
@@ -79,6 +81,8 @@
     time_point m_stillSince {};
     time_point m_lastSeen {};
     duration m_readTime {};
+    // The first of the reads that failed since the row was last seen.
+    std::optional<time_point> m_unreadableSince;
     bool m_suspicious = true;
     time_point m_answeredAt {};
 };
--- a/src/cell/ports.h
+++ b/src/cell/ports.h
@@ -94,6 +94,8 @@
     // Rows that changed after a revision, as soon as there is one; empty when none came in time.
     virtual awaitable<outcome<row_page>> changes(std::string table, std::uint64_t after,
                                                  std::chrono::milliseconds wait) = 0;
+    // Calls from now on use new connections: those that are kept may be silent.
+    virtual void renewConnections() = 0;
 };
 
 // What a worker answered to an order.
--- a/tests/cell/leader_test.cpp
+++ b/tests/cell/leader_test.cpp
@@ -40,34 +40,27 @@
      false, true, 0, true},
 };
 
-} // namespace
-
-TEST_CASE("What a caller is told when its leader is replaced")
+struct leader_world
 {
-    for (const auto &row : rows) {
-        CAPTURE(std::string(row.name));
-        asio::io_context context(1);
-        memory_store store(context);
-        tests::no_workers workers;
-        tests::no_advisor advisor;
-        tests::plain_codec codec;
-        peer_link peers(context, {});
-        cell_ports ports {store, workers, advisor, codec, {{"op", "config"}, "servers"}, peers};
-        leader_options options;
-        options.instance = "one";
+    leader_world()
+    {
         transaction first;
         first.puts.emplace_back(leaderKey, encodeLeaderRow(rowOf("one", 1)));
         first.puts.emplace_back(row_key {"op", "config"}, "any");
         const auto revision = store.apply(first).revision;
-        auto leading = std::make_shared<leader>(context, ports, options, rowOf("one", 1), revision);
+        leader_options options;
+        options.instance = "one";
+        leading = std::make_shared<leader>(context, ports, options, rowOf("one", 1), revision);
         asio::co_spawn(context, leading->run(), asio::detached);
         while (!leading->ready())
             context.run_one();
-        store.now = row.mood;
-        std::optional<caller_answer> told;
+    }
+
+    void submit()
+    {
         asio::co_spawn(
             context,
-            [&]() -> awaitable<void> {
+            [this]() -> awaitable<void> {
                 caller_call call;
                 call.method = "POST";
                 call.host = "host";
@@ -76,9 +69,32 @@
                 told = co_await leading->handle(std::move(call));
             },
             asio::detached);
+    }
+
+    asio::io_context context {1};
+    memory_store store {context};
+    tests::no_workers workers;
+    tests::no_advisor advisor;
+    tests::plain_codec codec;
+    peer_link peers {context, {}};
+    cell_ports ports {store, workers, advisor, codec, {{"op", "config"}, "servers"}, peers};
+    std::shared_ptr<leader> leading;
+    std::optional<caller_answer> told;
+};
+
+} // namespace
+
+TEST_CASE("What a caller is told when its leader is replaced")
+{
+    for (const auto &row : rows) {
+        CAPTURE(std::string(row.name));
+        leader_world world;
+        auto &store = world.store;
+        store.now = row.mood;
+        world.submit();
         const row_key jobRow {"jobs", id};
         while (!store.rows.contains(jobRow))
-            context.run_one();
+            world.context.run_one();
         if (row.mood != memory_store::mood::Well) {
             transaction claim;
             claim.expected.push_back({leaderKey, store.rows.at(leaderKey).revision});
@@ -86,11 +102,29 @@
             REQUIRE(store.apply(claim).applied);
             store.now = memory_store::mood::Well;
         }
-        while (!told)
-            context.run_one();
-        CHECK(told->leads == row.leads);
-        CHECK(told->uncertain == row.uncertain);
-        CHECK(told->status == row.status);
+        while (!world.told)
+            world.context.run_one();
+        CHECK(world.told->leads == row.leads);
+        CHECK(world.told->uncertain == row.uncertain);
+        CHECK(world.told->status == row.status);
         CHECK(store.rows.contains(jobRow) == row.inStore);
     }
 }
+
+// Load pattern: the store falls silent and is back while a call to it still hangs.
+TEST_CASE("A write that has no answer is tried again beside the one that hangs")
+{
+    leader_world world;
+    auto &store = world.store;
+    store.now = memory_store::mood::Silent;
+    world.submit();
+    while (store.unanswered == 0)
+        world.context.run_one();
+    store.now = memory_store::mood::Well;
+    while (!world.told && store.unanswered > 0)
+        world.context.run_one();
+    CHECK(store.unanswered > 0);
+    REQUIRE(world.told);
+    CHECK(world.told->status == 200);
+    CHECK(store.rows.contains({"jobs", id}));
+}
--- a/tests/cell/leadership_test.cpp
+++ b/tests/cell/leadership_test.cpp
@@ -22,7 +22,7 @@
 // What a follower sees, in order.
 struct sight
 {
-    enum kind_of { Row, Beat, Silence } kind;
+    enum kind_of { Row, Beat, Silence, Unreadable } kind;
     int ms;
     std::uint64_t revision = 0;
     bool resigned = false;
@@ -93,6 +93,27 @@
       {sight::Row, 1330, 9, false, 0, 0, 500}},
      1331,
      false},
+    {"when the store is back a leader gets its time anew",
+     {{sight::Row, 0, 5},
+      {sight::Beat, 330, 9, false, 0, 300},
+      {sight::Silence, 700},
+      {sight::Unreadable, 800},
+      {sight::Unreadable, 4000},
+      {sight::Row, 5000, 9}},
+     5001,
+     false},
+    {"a leader that does not use that time is replaced",
+     {{sight::Row, 0, 5},
+      {sight::Silence, 700},
+      {sight::Unreadable, 800},
+      {sight::Row, 5000, 5},
+      {sight::Row, 5750, 5}},
+     5751,
+     true},
+    {"one lost answer of the store does not help a lost leader",
+     {{sight::Row, 0, 5}, {sight::Silence, 100}, {sight::Unreadable, 500}, {sight::Row, 800, 5}},
+     801,
+     true},
     {"without any look at the row nothing is taken over", {{sight::Silence, 5}}, 5000, false},
 };
 
@@ -110,8 +131,10 @@
             else if (one.kind == sight::Beat)
                 watch.leaderAnswered(1, milliseconds(one.commitAgeMs), one.revision, at(one.sentMs),
                                      at(one.ms));
-            else
+            else if (one.kind == sight::Silence)
                 watch.leaderSilent(at(one.ms));
+            else
+                watch.rowUnreadable(at(one.ms));
         }
         CHECK(watch.mayTakeOver(at(row.askedMs)) == row.mayTakeOver);
     }
--- a/tests/cell/memory_ports.h
+++ b/tests/cell/memory_ports.h
@@ -23,6 +23,8 @@
         Refuses,
         // Does what is asked and does not answer.
         LosesAnswers,
+        // Neither does anything nor answers.
+        Silent,
     };
 
     explicit memory_store(asio::io_context &context)
@@ -30,10 +32,16 @@
     { }
 
     cell::awaitable<cell::outcome<cell::transaction_result>> commit(cell::transaction changes,
-                                                                    time_point) override
+                                                                    time_point deadline) override
     {
         co_await pause(milliseconds(1));
         ++commits;
+        if (now == mood::Silent) {
+            ++unanswered;
+            co_await pause(std::chrono::duration_cast<milliseconds>(deadline - clock::now()));
+            --unanswered;
+            co_return cell::call_failure::Unknown;
+        }
         if (now == mood::Refuses)
             co_return cell::call_failure::Refused;
         auto result = apply(changes);
@@ -66,6 +74,8 @@
         co_return page;
     }
 
+    void renewConnections() override { }
+
     cell::transaction_result apply(const cell::transaction &changes)
     {
         cell::transaction_result result;
@@ -92,6 +102,8 @@
     std::map<cell::row_key, cell::stored_row> rows;
     std::uint64_t revision = 0;
     int commits = 0;
+    // Writes that wait for an answer in vain.
+    int unanswered = 0;
 
 private:
     cell::awaitable<void> pause(milliseconds span)
