Look at the leader's row beside heartbeats; pass no requests to a silent leader

Change: looks each 0.1 s beside heartbeats each 0.2 s, row still for 0.5 s; requests that meet a broken connection or an instance that does not lead start the look; an attempt to pass a request on lasts 0.7 s and is not made while the leader is silent.

--- a/src/cell/cell_instance.cpp
+++ b/src/cell/cell_instance.cpp
@@ -24,12 +24,10 @@
 
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 
-constexpr milliseconds beatEvery {300};
-constexpr milliseconds beatPatience {400};
-// A leader that is silent already holds up the look at its row no longer than this.
-constexpr milliseconds suspiciousPatience {250};
+constexpr milliseconds beatEvery {200};
+constexpr milliseconds beatPatience {250};
 // Between looks at the leader's row while the leader is silent.
-constexpr milliseconds rowEvery {150};
+constexpr milliseconds rowEvery {100};
 constexpr milliseconds rowPatience {800};
 constexpr milliseconds takeOverPatience {1000};
 // Instances far from the store wait this many of its answers longer before they take over, so that
@@ -42,8 +40,9 @@
 constexpr milliseconds longestDeadline {60'000};
 // Kept back from a caller's deadline for the answer's way.
 constexpr milliseconds answerWay {100};
-// One attempt to pass a request on; the leader may have changed meanwhile.
-constexpr milliseconds relayPatience {1500};
+// One attempt to pass a request on; the leader may have changed meanwhile. A second attempt finds
+// what the first one did.
+constexpr milliseconds relayPatience {700};
 constexpr milliseconds relayRetry {60};
 // Without any leader a request that was passed to nobody is refused after this.
 constexpr milliseconds leaderPatience {1200};
@@ -113,6 +112,7 @@
               [this](support::http_request request, const support::http_peer &) {
                   return serveReady(std::move(request));
               })
+    , m_followWake(context)
     , m_watch(m_options.instance, m_options.leader.leadership)
 { }
 
@@ -214,42 +214,57 @@
     }
 }
 
-// Follows the leader until its row may be taken over.
+// Follows the leader until its row may be taken over. Heartbeats go on beside the looks at the row,
+// which a silent leader must not hold up.
 awaitable<void> cell_instance::follow()
 {
     while (true) {
-        const auto now = bootNow();
-        if (m_watch.suspicious(now)) {
-            const bool read = co_await readRow();
+        if (m_watch.suspicious(bootNow())) {
+            co_await readRow();
             if (m_watch.mayTakeOver(bootNow()))
                 co_return;
-            if (!read)
-                co_await pause(rowEvery);
         }
         const auto &row = m_watch.row();
-        if (row && !row->resigned && row->holder != m_options.instance) {
-            const auto address = row->address;
-            const auto term = row->term;
-            // Named: GCC 12 destroys aggregate temporaries of an awaited call twice.
-            follower_beat own {m_options.instance, m_options.peerListen, support::wallNow()};
-            const auto patience = m_watch.suspicious(now) ? suspiciousPatience : beatPatience;
-            auto told = co_await m_peers.beat(address, std::move(own), clock::now() + patience);
-            const auto *answered = std::get_if<leader_beat>(&told);
-            if (answered && answered->leads && answered->term >= term) {
-                if (!m_watch.hasLeader(bootNow()))
-                    log_event(log_level::Info, "leader.regained").field("term", answered->term);
-                m_watch.leaderAnswered(answered->term, answered->commitAge, answered->rowRevision,
-                                       now, bootNow());
-            } else {
-                if (m_watch.hasLeader(bootNow()))
-                    log_event(log_level::Warning, "leader.silent").field("term", term);
-                m_watch.leaderSilent(bootNow());
-                if (!answered)
-                    m_peers.reconnect(address);
-            }
-        }
-        co_await pause(m_watch.suspicious(bootNow()) ? rowEvery : beatEvery);
+        if (row && !m_beating && !row->resigned && row->holder != m_options.instance)
+            asio::co_spawn(m_context, beat(row->address, row->term), asio::detached);
+        m_followWake.expires_after(m_watch.suspicious(bootNow()) ? rowEvery : beatEvery);
+        co_await m_followWake.async_wait(asTuple);
+    }
+}
+
+// Requests notice a lost leader, or one that gives way, before heartbeats do.
+void cell_instance::doubtLeader()
+{
+    if (m_watch.silent())
+        return;
+    m_watch.leaderSilent(bootNow());
+    m_followWake.cancel();
+}
+
+awaitable<void> cell_instance::beat(std::string address, std::uint64_t term)
+{
+    m_beating = true;
+    const auto sentAt = bootNow();
+    // Named: GCC 12 destroys aggregate temporaries of an awaited call twice.
+    follower_beat own {m_options.instance, m_options.peerListen, support::wallNow()};
+    auto told = co_await m_peers.beat(address, std::move(own), clock::now() + beatPatience);
+    m_beating = false;
+    // The answer is about a leader that has been replaced meanwhile.
+    if (m_watch.row() && m_watch.row()->term > term)
+        co_return;
+    const auto *answered = std::get_if<leader_beat>(&told);
+    if (answered && answered->leads && answered->term >= term) {
+        if (!m_watch.hasLeader(bootNow()))
+            log_event(log_level::Info, "leader.regained").field("term", answered->term);
+        m_watch.leaderAnswered(answered->term, answered->commitAge, answered->rowRevision, sentAt,
+                               bootNow());
+        co_return;
     }
+    if (m_watch.hasLeader(bootNow()) && !m_watch.silent())
+        log_event(log_level::Warning, "leader.silent").field("term", term);
+    m_watch.leaderSilent(bootNow());
+    if (!answered)
+        m_peers.reconnect(address);
 }
 
 // Callers.
@@ -272,18 +287,23 @@
             if (given.leads)
                 co_return given;
             ambiguous = ambiguous || given.uncertain;
-        } else if (m_watch.row() && !m_watch.row()->resigned
+        } else if (m_watch.row() && !m_watch.row()->resigned && !m_watch.silent()
                    && m_watch.row()->holder != m_options.instance) {
             attempt.deadline = std::min(giveUp, now + relayPatience);
+            const auto attemptEnd = attempt.deadline;
             auto given = co_await m_peers.relay(m_watch.row()->address, std::move(attempt));
             const auto *answered = std::get_if<caller_answer>(&given);
             if (answered && answered->leads)
                 co_return *answered;
+            if (answered)
+                doubtLeader();
             ambiguous = ambiguous || (answered && answered->uncertain);
             if (!answered) {
                 ++m_relayFailures;
                 ambiguous = true;
-                m_watch.leaderSilent(bootNow());
+                // A slow store makes for slow answers; a broken connection is a lost leader.
+                if (clock::now() < attemptEnd)
+                    doubtLeader();
             }
         }
         co_await pause(relayRetry);
--- a/src/cell/cell_instance.h
+++ b/src/cell/cell_instance.h
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <string>
@@ -53,6 +54,8 @@
     awaitable<void> lead(leader_row row, std::uint64_t revision);
     awaitable<void> live();
     awaitable<void> follow();
+    awaitable<void> beat(std::string address, std::uint64_t term);
+    void doubtLeader();
     awaitable<bool> readRow();
     awaitable<bool> takeOver();
     awaitable<void> finishStop(std::function<void()> stopped);
@@ -70,10 +73,14 @@
     cell_ports m_ports;
     support::http_server m_callers;
     support::http_server m_ready;
+    // Cut short when there is reason to look at the leader's row.
+    boost::asio::steady_timer m_followWake;
     leadership_watch m_watch;
     std::shared_ptr<leader> m_leader;
     // How long the store took to answer the last read of the leader's row.
     std::chrono::milliseconds m_storeDelay {20};
+    // A heartbeat has no answer yet.
+    bool m_beating = false;
     bool m_stopping = false;
     std::uint64_t m_callerRequests = 0;
     std::uint64_t m_relayFailures = 0;
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -64,6 +64,8 @@
         m_stillSince = now;
     m_unreadableSince.reset();
     m_lastSeen = now;
+    if (!row || !m_row || row->term != m_row->term)
+        m_silent = false;
     m_row = std::move(row);
     m_revision = revision;
 }
@@ -78,6 +80,7 @@
         m_toldAt = sentAt;
     }
     m_answeredAt = now;
+    m_silent = false;
     m_suspicious = commitAge > m_options.suspectAge;
 }
 
@@ -90,6 +93,7 @@
 void leadership_watch::leaderSilent(time_point)
 {
     m_suspicious = true;
+    m_silent = true;
 }
 
 bool leadership_watch::suspicious(time_point now) const
--- a/src/cell/leadership.h
+++ b/src/cell/leadership.h
@@ -35,7 +35,7 @@
     // A leader writes at least this often, also when there is nothing to store.
     std::chrono::milliseconds writeEvery {250};
     // A row that stands still this long, as one that looks at it sees it, has lost its leader.
-    std::chrono::milliseconds stillFor {700};
+    std::chrono::milliseconds stillFor {500};
     // Writes of the leader older than this make its followers look at the row themselves.
     std::chrono::milliseconds suspectAge {800};
 };
@@ -60,6 +60,8 @@
     bool suspicious(time_point now) const;
     // The row may be taken over, expecting the revision that was seen last.
     bool mayTakeOver(time_point now) const;
+    // The leader did not answer when it was last asked, and no other is known.
+    bool silent() const { return m_silent; }
     // The leader answered lately.
     bool hasLeader(time_point now) const;
 
@@ -84,6 +86,7 @@
     // The first of the reads that failed since the row was last seen.
     std::optional<time_point> m_unreadableSince;
     bool m_suspicious = true;
+    bool m_silent = false;
     time_point m_answeredAt {};
 };
 
