Answer at once while there is neither a leader nor a store to make one by

Cause: instances held requests for 1.2 s, and those that a lost leader may have taken until the end of their time, also while the store was away and nobody could lead. Change: a request that nobody took is refused at once with a time to return; one that may have been taken is answered after 1.2 s that this is unknown.

--- a/src/cell/cell_instance.cpp
+++ b/src/cell/cell_instance.cpp
@@ -277,8 +277,11 @@
     bool ambiguous = false;
     while (true) {
         const auto now = clock::now();
+        // Without a leader and a store to make one by, waiting is of no use.
+        const bool hopeless = !m_leader && m_watch.silent() && m_watch.storeAway(bootNow());
+        const auto patience = hopeless && !ambiguous ? milliseconds(0) : leaderPatience;
         // A request that a silent leader may have taken waits for what the next one knows of it.
-        if (now >= giveUp || (!ambiguous && now - start >= leaderPatience))
+        if (now >= giveUp || ((hopeless || !ambiguous) && now - start >= patience))
             break;
         auto attempt = call;
         if (const auto leading = m_leader) {
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -60,7 +60,7 @@
         m_seen = true;
     }
     // While the store was away the leader could not write either; it gets its time anew.
-    if (m_unreadableSince && now - *m_unreadableSince >= outage)
+    if (storeAway(now))
         m_stillSince = now;
     m_unreadableSince.reset();
     m_lastSeen = now;
@@ -115,6 +115,11 @@
     return m_lastSeen - m_stillSince >= still;
 }
 
+bool leadership_watch::storeAway(time_point now) const
+{
+    return m_unreadableSince && now - *m_unreadableSince >= outage;
+}
+
 bool leadership_watch::hasLeader(time_point now) const
 {
     return m_row && !m_row->resigned && now - m_answeredAt <= answerValidity;
--- a/src/cell/leadership.h
+++ b/src/cell/leadership.h
@@ -62,6 +62,8 @@
     bool mayTakeOver(time_point now) const;
     // The leader did not answer when it was last asked, and no other is known.
     bool silent() const { return m_silent; }
+    // Reads of the row have failed for a while: nobody can take over, as far as is seen here.
+    bool storeAway(time_point now) const;
     // The leader answered lately.
     bool hasLeader(time_point now) const;
 
--- a/tests/cell/leadership_test.cpp
+++ b/tests/cell/leadership_test.cpp
@@ -161,3 +161,34 @@
     for (const char *text : {"", "{}", "[]", R"({"holder":1})", "\xff"})
         CHECK_FALSE(decodeLeaderRow(text).has_value());
 }
+
+TEST_CASE("The store counts as away while reads of the row fail, and no longer")
+{
+    leadership_watch watch("two", {});
+    watch.rowSeen(rowOf(3), 8, milliseconds(5), at(0));
+    CHECK_FALSE(watch.storeAway(at(5000)));
+    watch.rowUnreadable(at(5000));
+    CHECK_FALSE(watch.storeAway(at(5100)));
+    watch.rowUnreadable(at(5300));
+    CHECK(watch.storeAway(at(5500)));
+    watch.rowSeen(rowOf(3), 8, milliseconds(5), at(5600));
+    CHECK_FALSE(watch.storeAway(at(5700)));
+}
+
+TEST_CASE("A silent leader is asked again when it answers or another leads")
+{
+    leadership_watch watch("two", {});
+    watch.rowSeen(rowOf(3), 8, milliseconds(5), at(0));
+    CHECK_FALSE(watch.silent());
+    watch.leaderSilent(at(10));
+    CHECK(watch.silent());
+    watch.rowSeen(rowOf(3), 9, milliseconds(5), at(20));
+    CHECK(watch.silent());
+    watch.leaderAnswered(3, milliseconds(10), 9, at(25), at(30));
+    CHECK_FALSE(watch.silent());
+    watch.leaderSilent(at(40));
+    auto next = rowOf(0);
+    next.term = 2;
+    watch.rowSeen(next, 10, milliseconds(5), at(50));
+    CHECK_FALSE(watch.silent());
+}
