Name each worker once in a call for a gang's tickets; split the planning of gangs

Cause: a spare place could be one of the planned places, and was named twice in the call; found reading the change. Sorting by pointers made equal ends differ from run to run. Change: spares are other workers; openings() apart from planGang(); one copy of what a task takes. Test: jobs/gang_test, which failed first.

--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -60,12 +60,14 @@
     void serveGang(const candidate &one);
     bool placeGang(const candidate &one);
     void planGang(const candidate &one);
+    std::vector<opening> openings(const candidate &one) const;
     void addOpenings(const candidate &one, worker &at, std::vector<opening> &found) const;
     // Places and how many members each is to hold.
     using gang_places = std::vector<std::pair<worker *, std::uint32_t>>;
     void reserve(const candidate &one, const gang_places &places);
     void dropReservation(const step_run &step);
-    bool mayReserveMore(std::int64_t milliCores = 0) const;
+    // So much more room may be kept for gangs.
+    bool mayReserveMore(std::int64_t milliCores) const;
 
     // Advice.
     bool mayAsk(const candidate &one) const;
--- a/src/jobs/dispatcher_advice.cpp
+++ b/src/jobs/dispatcher_advice.cpp
@@ -154,7 +154,7 @@
     for (const auto &each : prospects(one, true, room_kind::Later))
         reach += each.tasks;
     // More workers help no gang while all room that may be kept is kept.
-    const bool widely = reach >= firstReach * tasks && mayReserveMore();
+    const bool widely = reach >= firstReach * tasks && mayReserveMore(0);
     const auto target = (widely ? widestReach : firstReach) * tasks;
     if (reach >= target)
         return;
--- a/src/jobs/dispatcher_gangs.cpp
+++ b/src/jobs/dispatcher_gangs.cpp
@@ -100,7 +100,7 @@
         if (!run->step->definition->lasting)
             ends.emplace_back(std::max(end, m_now + overrun), run);
     }
-    std::ranges::sort(ends);
+    std::ranges::stable_sort(ends, {}, &std::pair<time_point, const task_run *>::first);
     auto free = at.free();
     for (const auto &[end, run] : ends) {
         if (count >= most)
@@ -113,58 +113,59 @@
     }
 }
 
+// Room on the workers known to be allowed that no other gang waits for, in order of time.
+std::vector<dispatcher::opening> dispatcher::openings(const candidate &one) const
+{
+    std::vector<opening> found;
+    for (auto *at : m_usable) {
+        const bool good = !one.queue->advisor || one.step->advice.good.contains(at->entry.id);
+        if (good && eligible(one, *at) && !at->reservedFor && !at->speed.slow())
+            addOpenings(one, *at, found);
+    }
+    std::ranges::stable_sort(found, {}, &opening::from);
+    return found;
+}
+
 // Finds the earliest moment at which the workers known to be allowed have room for all, and keeps
-// others off those workers.
+// others off that room when it is near.
 void dispatcher::planGang(const candidate &one)
 {
     auto &step = *one.step;
     auto &plan = step.gang;
-    plan.reviewAt = m_now + reviewEvery;
-    plan.startAt.reset();
-    plan.places.clear();
-    plan.spares.clear();
     dropReservation(step);
-    plan.reserved = false;
-    std::vector<opening> openings;
-    for (auto *at : m_usable) {
-        const bool good = !one.queue->advisor || step.advice.good.contains(at->entry.id);
-        if (good && eligible(one, *at) && !at->reservedFor && !at->speed.slow())
-            addOpenings(one, *at, openings);
-    }
-    std::ranges::stable_sort(openings, {}, &opening::from);
+    plan = {std::nullopt, m_now + reviewEvery, plan.discoverAt, {}, {}, false};
     gang_places places;
     auto missing = static_cast<std::uint32_t>(step.tasks.size());
     auto spare = static_cast<std::uint32_t>(static_cast<double>(missing) * spareShare);
-    for (const auto &each : openings) {
-        const auto &id = each.at->entry.id;
+    time_point startAt {};
+    for (const auto &each : openings(one)) {
         if (missing == 0 && spare == 0)
             break;
+        const auto known = std::ranges::find(places, each.at, &gang_places::value_type::first);
         if (missing == 0) {
             spare -= std::min(each.tasks, spare);
-            if (std::ranges::find(plan.spares, id) == plan.spares.end())
+            const auto &id = each.at->entry.id;
+            if (known == places.end() && std::ranges::find(plan.spares, id) == plan.spares.end())
                 plan.spares.push_back(id);
             continue;
         }
         const auto taken = std::min(each.tasks, missing);
         missing -= taken;
-        plan.startAt = each.from;
-        const auto known = std::ranges::find(places, each.at, &gang_places::value_type::first);
+        startAt = each.from;
         if (known == places.end())
             places.emplace_back(each.at, taken);
         else
             known->second += taken;
     }
-    if (missing > 0) {
-        plan.startAt.reset();
+    if (missing > 0)
         return;
-    }
+    plan.startAt = startAt;
     for (const auto &[at, members] : places)
         plan.places.push_back(at->entry.id);
-    const bool onTime = *plan.startAt + step.chainLeft <= step.onTime;
-    if (*plan.startAt <= m_now + longestReserved
-        && (onTime || (one.band <= 1 && m_reservedRoom.milliCores == 0))) {
+    const bool onTime = startAt + step.chainLeft <= step.onTime;
+    const bool alone = one.band <= 1 && m_reservedRoom.milliCores == 0;
+    if (startAt <= m_now + longestReserved && (onTime || alone))
         reserve(one, places);
-    }
 }
 
 // One gang may always wait, however small the fleet.
--- a/src/jobs/job_runs.cpp
+++ b/src/jobs/job_runs.cpp
@@ -1,4 +1,5 @@
 #include "jobs/job_scheduler.h"
+#include "jobs/task_room.h"
 
 #include <algorithm>
 
@@ -10,20 +11,14 @@
     task.at = &at;
     --task.step->waiting;
     ++task.step->occurrence->job->occupying;
-    resources need = task.step->definition->need;
-    if (task.step->definition->filler)
-        need.milliCores = 0;
-    at.used += need;
+    at.used += effectiveNeed(*task.step->definition);
     at.runs.push_back(&task);
 }
 
 void job_scheduler::release(task_run &task)
 {
     auto &at = *task.at;
-    resources need = task.step->definition->need;
-    if (task.step->definition->filler)
-        need.milliCores = 0;
-    at.used -= need;
+    at.used -= effectiveNeed(*task.step->definition);
     std::erase(at.runs, &task);
     task.at = nullptr;
     task.settled.reset();
--- a/tests/jobs/gang_test.cpp
+++ b/tests/jobs/gang_test.cpp
@@ -208,3 +208,20 @@
     CHECK(step.onTime - before == milliseconds(6000));
     CHECK(step.lateUntil - lateBefore == milliseconds(18'000));
 }
+
+// A gang that waits for two places a worker, of which one comes free late: that worker is a place
+// and could be a spare one too.
+TEST_CASE("A call for a gang's tickets names each worker once")
+{
+    scheduler_world world(4, {16'000, 32'768, 0}, advisorCost);
+    fillWithSingles(world);
+    world.submit(id, "large", {gangOf(5, 8000)});
+    world.settle();
+    for (int i = 0; i < 16; ++i) {
+        world.passed += milliseconds(125);
+        world.lookAll();
+        world.settle();
+    }
+    CHECK(world.advised > 4);
+    CHECK(world.namedTwice == 0);
+}
--- a/tests/jobs/scheduler_world.h
+++ b/tests/jobs/scheduler_world.h
@@ -200,6 +200,8 @@
     {
         for (const auto &request : requests) {
             advised += static_cast<int>(request.workers.size());
+            const std::set<std::string> named(request.workers.begin(), request.workers.end());
+            namedTwice += static_cast<int>(request.workers.size() - named.size());
             std::map<std::string, std::string> tickets;
             for (const auto &id : request.workers) {
                 if (!notAllowed.contains(id))
@@ -309,6 +311,8 @@
     int starts = 0;
     int stops = 0;
     int advised = 0;
+    // Workers that calls for advice named a second time.
+    int namedTwice = 0;
 };
 
 } // namespace plantaingap::tests
