--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -534,9 +534,11 @@
             break;
         if (auto *report = std::get_if<jobs::worker_report>(&told)) {
             if (report->staleTerm) {
-                log_event(log_level::Warning, "leader.superseded")
-                    .field("term", m_row.term)
-                    .field("worker", id);
+                if (!m_superseded) {
+                    log_event(log_level::Warning, "leader.superseded")
+                        .field("term", m_row.term)
+                        .field("worker", id);
+                }
                 m_superseded = true;
                 m_scheduler.lookFailed(id, bootNow());
                 break;
--- a/src/cell/leadership.h
+++ b/src/cell/leadership.h
@@ -36,8 +36,9 @@
     std::chrono::milliseconds writeEvery {250};
     // A row that stands still this long, as one that looks at it sees it, has lost its leader.
     std::chrono::milliseconds stillFor {500};
-    // Writes of the leader older than this make its followers look at the row themselves.
-    std::chrono::milliseconds suspectAge {800};
+    // Writes of the leader older than this make its followers look at the row themselves: its pause
+    // between writes, and several answers of a healthy store.
+    std::chrono::milliseconds suspectAge {450};
 };
 
 // What a follower has seen of the leader and of its row, and what follows from it.
