Encode the progress of a job in a fraction of the bytes

Cause: each end of a task writes its job's whole progress again, some 33 bytes for each of up to 240 tasks, on links of 2 Mbit/s in the small twin; and each report of a worker summed up the whole fleet. Change: a task takes what its state needs, workers are named once a row; rows of the first version are still read. The share of cores in use is kept from the last placement pass.

--- a/src/jobs/job_health.cpp
+++ b/src/jobs/job_health.cpp
@@ -78,10 +78,7 @@
 // Stops runs that hang, or that are too slow on a slow worker, so that they restart elsewhere.
 void job_scheduler::checkProgress(worker &worker, time_point now)
 {
-    const auto used = m_fleet.used();
-    const auto capacity = m_fleet.capacity();
-    const bool capacityElsewhere = static_cast<double>(used.milliCores)
-                                   < maxLoadForMove * static_cast<double>(capacity.milliCores);
+    const bool capacityElsewhere = m_fleetLoad < maxLoadForMove;
     std::vector<task_run *> movingRuns;
     for (auto *task : worker.runs) {
         const auto &definition = *task->step->definition;
--- a/src/jobs/job_record.cpp
+++ b/src/jobs/job_record.cpp
@@ -5,6 +5,7 @@
 #include <array>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
+#include <map>
 
 namespace plantaingap::jobs {
 
@@ -84,16 +85,76 @@
     return step;
 }
 
-json::array encodeTask(const task_run &task)
+// The workers that a row names, each once; tasks refer to them by index.
+class worker_index
 {
-    std::string worker;
-    if (task.assignedWorker)
-        worker = workerName(*task.assignedWorker);
-    return {task.phase == task_phase::Done ? 1 : 0, task.attempt,
-            encodeNumbers(task.failedAttempts), worker, task.checkpoint};
+public:
+    int add(const std::string &worker)
+    {
+        const auto [entry, added] = m_indexes.try_emplace(worker, m_names.size());
+        if (added)
+            m_names.emplace_back(worker);
+        return static_cast<int>(entry->second);
+    }
+    json::array take() { return std::move(m_names); }
+
+private:
+    std::map<std::string, std::size_t> m_indexes;
+    json::array m_names;
+};
+
+constexpr int noWorker = -1;
+
+// A row is written again with each change of any task of its job, so a task takes as few bytes as
+// its state needs: a done task its attempt, a task that never started 0, and any other
+// [attempt, worker, failed attempts, checkpoint] without the trailing elements that are empty.
+json::value encodeTask(const task_run &task, worker_index &workers)
+{
+    if (task.phase == task_phase::Done && task.failedAttempts.empty() && task.attempt > 0)
+        return task.attempt;
+    if (task.phase == task_phase::Waiting && task.attempt == 0)
+        return 0;
+    const bool done = task.phase == task_phase::Done;
+    json::array row {task.attempt};
+    const bool checkpoint = !done && !task.checkpoint.empty();
+    const bool failures = !task.failedAttempts.empty();
+    if (task.assignedWorker || failures || checkpoint || done)
+        row.emplace_back(task.assignedWorker ? workers.add(workerName(*task.assignedWorker))
+                                             : noWorker);
+    if (failures || checkpoint || done)
+        row.emplace_back(encodeNumbers(task.failedAttempts));
+    if (checkpoint)
+        row.emplace_back(task.checkpoint);
+    else if (done)
+        row.emplace_back(true);
+    return row;
 }
 
-recorded_task decodeTask(const json::array &row)
+recorded_task decodeTask(const json::value &value, const json::array &workers)
+{
+    recorded_task task;
+    if (!value.is_array()) {
+        task.attempt = value.to_number<std::uint32_t>();
+        task.done = task.attempt > 0;
+        return task;
+    }
+    const auto &row = value.get_array();
+    task.attempt = row.at(0).to_number<std::uint32_t>();
+    const auto worker = row.size() > 1 ? row.at(1).to_number<int>() : noWorker;
+    if (worker != noWorker)
+        task.worker = workers.at(static_cast<std::size_t>(worker)).as_string().c_str();
+    if (row.size() > 2)
+        task.failedAttempts = decodeNumbers(row.at(2));
+    if (row.size() > 3) {
+        task.done = row.at(3).is_bool();
+        if (!task.done)
+            task.checkpoint = row.at(3).as_string().c_str();
+    }
+    return task;
+}
+
+// A task as the first version of the program wrote it.
+recorded_task decodeFirstVersionTask(const json::array &row)
 {
     recorded_task task;
     task.done = row.at(0).to_number<int>() == 1;
@@ -104,12 +165,15 @@
     return task;
 }
 
-recorded_step decodeStepProgress(const json::object &row)
+// `workers` are those that the row names, nullptr in a row of the first version.
+recorded_step decodeStepProgress(const json::object &row, const json::array *workers)
 {
     recorded_step step;
     step.failedAttempts = decodeNumbers(row.at("g"));
-    for (const auto &task : row.at("t").as_array())
-        step.tasks.push_back(decodeTask(task.as_array()));
+    for (const auto &task : row.at("t").as_array()) {
+        step.tasks.push_back(workers ? decodeTask(task, *workers)
+                                     : decodeFirstVersionTask(task.as_array()));
+    }
     return step;
 }
 
@@ -167,12 +231,13 @@
 std::string encodeProgress(const job_run &job)
 {
     json::object live;
+    worker_index workers;
     for (const auto &[number, occurrence] : job.occurrences) {
         json::array steps;
         for (const auto &step : occurrence.steps) {
             json::array tasks;
             for (const auto &task : step.tasks)
-                tasks.push_back(encodeTask(task));
+                tasks.push_back(encodeTask(task, workers));
             steps.push_back(
                 json::object {{"g", encodeNumbers(step.failedAttempts)}, {"t", std::move(tasks)}});
         }
@@ -181,6 +246,7 @@
     return json::serialize(json::object {{"made", job.occurrencesCreated},
                                          {"done", job.occurrencesDone},
                                          {"started", job.everStarted},
+                                         {"workers", workers.take()},
                                          {"live", std::move(live)}});
 }
 
@@ -192,10 +258,12 @@
         progress.occurrencesCreated = row.at("made").to_number<std::uint32_t>();
         progress.occurrencesDone = row.at("done").to_number<std::uint32_t>();
         progress.everStarted = row.at("started").as_bool();
+        const auto *workers = row.if_contains("workers");
+        const auto *names = workers ? &workers->as_array() : nullptr;
         for (const auto &[number, steps] : row.at("live").as_object()) {
             auto &into = progress.live[static_cast<std::uint32_t>(std::stoul(number))];
             for (const auto &step : steps.as_array())
-                into.push_back(decodeStepProgress(step.as_object()));
+                into.push_back(decodeStepProgress(step.as_object(), names));
         }
         return progress;
     });
--- /dev/null
+++ b/tests/jobs/job_record_test.cpp
@@ -0,0 +1,122 @@
+#include "jobs/fleet.h"
+#include "jobs/job_record.h"
+
+#include <doctest/doctest.h>
+
+using namespace plantaingap;
+using namespace plantaingap::jobs;
+
+namespace {
+
+struct task_row
+{
+    const char *name;
+    task_phase phase;
+    std::uint32_t attempt;
+    std::vector<std::uint32_t> failedAttempts;
+    bool onWorker;
+    const char *checkpoint;
+    // What a new leader reads.
+    recorded_task expected;
+};
+
+const task_row tasks[] = {
+    {"never started", task_phase::Waiting, 0, {}, false, "", {}},
+    {"waiting after a lost run", task_phase::Waiting, 2, {}, false, "", {false, 2, {}, "", ""}},
+    {"waiting after a failure, with a checkpoint",
+     task_phase::Waiting,
+     3,
+     {1, 3},
+     false,
+     "00ff",
+     {false, 3, {1, 3}, "", "00ff"}},
+    {"running", task_phase::Running, 1, {}, true, "", {false, 1, {}, "w1", ""}},
+    {"running after a failure", task_phase::Running, 2, {1}, true, "", {false, 2, {1}, "w1", ""}},
+    {"running with a checkpoint", task_phase::Running, 1, {}, true, "a", {false, 1, {}, "w1", "a"}},
+    {"done", task_phase::Done, 1, {}, false, "ignored", {true, 1, {}, "", ""}},
+    {"done after a failure", task_phase::Done, 2, {1}, false, "", {true, 2, {1}, "", ""}},
+    {"done by another member of its gang before it started",
+     task_phase::Done,
+     0,
+     {},
+     false,
+     "",
+     {true, 0, {}, "", ""}},
+};
+
+// A job of one step with `count` copies of a task.
+struct job_fixture
+{
+    job_fixture(const task_row &row, std::size_t count)
+    {
+        host.entry.id = "w1";
+        auto &occurrence = job.occurrences[0];
+        occurrence.job = &job;
+        auto &step = occurrence.steps.emplace_back();
+        step.occurrence = &occurrence;
+        step.failedAttempts = {4};
+        for (std::size_t i = 0; i < count; ++i) {
+            auto &task = step.tasks.emplace_back();
+            task.phase = row.phase;
+            task.attempt = row.attempt;
+            task.failedAttempts = row.failedAttempts;
+            task.checkpoint = row.checkpoint;
+            task.assignedWorker = row.onWorker ? &host : nullptr;
+        }
+    }
+
+    worker host;
+    job_run job;
+};
+
+} // namespace
+
+TEST_CASE("Progress of a job as read by the next leader")
+{
+    for (const auto &row : tasks) {
+        CAPTURE(std::string(row.name));
+        const job_fixture fixture(row, 2);
+        const auto decoded = decodeProgress(encodeProgress(fixture.job));
+        REQUIRE(decoded.has_value());
+        REQUIRE(decoded->live.at(0).size() == 1);
+        CHECK(decoded->live.at(0)[0].failedAttempts == std::vector<std::uint32_t> {4});
+        CHECK(decoded->live.at(0)[0].tasks
+              == std::vector<recorded_task> {row.expected, row.expected});
+    }
+}
+
+TEST_CASE("Progress that the first version of the program stored is read")
+{
+    const auto decoded = decodeProgress(
+        R"({"made":1,"done":0,"started":true,"live":{"0":[{"g":[2],"t":[[1,1,[],"",""],)"
+        R"([0,2,[1],"w1","ff"],[0,0,[],"",""]]}]}})");
+    REQUIRE(decoded.has_value());
+    const std::vector<recorded_task> expected {
+        {true, 1, {}, "", ""}, {false, 2, {1}, "w1", "ff"}, {false, 0, {}, "", ""}};
+    CHECK(decoded->live.at(0).at(0).tasks == expected);
+}
+
+TEST_CASE("Malformed progress is not read")
+{
+    for (const auto *text : {"", "{}",
+                             R"({"made":1,"done":0,"started":true,"workers":[],)"
+                             R"("live":{"0":[{"g":[],"t":[[1,0]]}]}})"}) {
+        CAPTURE(std::string(text));
+        CHECK_FALSE(decodeProgress(text).has_value());
+    }
+}
+
+// Load: steps of hundreds of tasks that end one by one, each end a write of the whole row over a
+// link of 2 Mbit/s.
+TEST_CASE("A task on its first run or done takes a few bytes of its job's row")
+{
+    for (const auto &row : tasks) {
+        if (row.attempt > 1 || !std::string_view(row.checkpoint).empty()
+            || (row.phase == task_phase::Done && row.attempt == 0))
+            continue;
+        CAPTURE(std::string(row.name));
+        const auto one = encodeProgress(job_fixture(row, 1).job).size();
+        const auto many = encodeProgress(job_fixture(row, 101).job).size();
+        CHECK((many - one) / 100 <= 12);
+    }
+}
