--- a/src/cell/cell_instance.cpp
+++ b/src/cell/cell_instance.cpp
@@ -37,8 +37,12 @@
 // an interval of their reports, or after maxLayoutDelay.
 constexpr milliseconds workerListSettleTime {1700};
 constexpr milliseconds maxLayoutDelay {6000};
-// Instances that would lead last leave the layout to others for this multiple of their delay.
+constexpr milliseconds workerCountInterval {800};
+// Only a few instances should read the list of workers: those that would lead last and those far
+// from the store wait for these multiples of their takeover delay and of a read's duration.
 constexpr int layoutDelayFactor = 6;
+constexpr int layoutDelayReads = 80;
+constexpr milliseconds maxLayoutDistanceDelay {3000};
 
 constexpr std::size_t jobIdLength = 16;
 constexpr unsigned statusUnavailable = 503;
@@ -208,12 +212,13 @@
 awaitable<void> cell_instance::joinCell()
 {
     const auto startedAt = bootNow();
-    const auto firstCountAt = startedAt + m_options.takeoverDelay * layoutDelayFactor;
+    std::optional<time_point> countAt;
     std::size_t workers = 0;
-    auto workersGrewAt = firstCountAt;
+    time_point workersGrewAt {};
     while (true) {
         bool storeRead = false;
         bool cellExists = false;
+        const auto readAt = bootNow();
         const auto stored = co_await readLayout(storeRead, cellExists);
         if (stored) {
             startPartitions(*stored);
@@ -223,7 +228,13 @@
             co_await storeLayout(cell_layout {});
             continue;
         }
-        if (storeRead && bootNow() >= firstCountAt) {
+        if (storeRead && !countAt) {
+            const auto distanceDelay = std::min<duration>((bootNow() - readAt) * layoutDelayReads,
+                                                          maxLayoutDistanceDelay);
+            countAt = startedAt + m_options.takeoverDelay * layoutDelayFactor + distanceDelay;
+        }
+        if (storeRead && bootNow() >= *countAt) {
+            countAt = bootNow() + workerCountInterval;
             const auto count = co_await countWorkers();
             if (count && *count > workers) {
                 workers = *count;
--- /dev/null
+++ b/tests/cell/cell_instance_test.cpp
@@ -0,0 +1,206 @@
+#include "cell/cell_instance.h"
+#include "cell/memory_ports.h"
+#include "free_port.h"
+#include "support/http_client.h"
+#include "support/http_message.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <doctest/doctest.h>
+#include <functional>
+
+using namespace plantaingap;
+using namespace plantaingap::cell;
+using plantaingap::tests::memory_store;
+using plantaingap::tests::milliseconds;
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+const row_key layoutKey {"cell", "layout", {}};
+constexpr std::chrono::seconds patience {20};
+
+struct reply
+{
+    unsigned status = 0;
+    std::string body;
+};
+
+// Instances of one cell on loopback, on a store that the test prepares.
+struct cell_fixture
+{
+    explicit cell_fixture(const std::vector<std::pair<row_key, std::string>> &rows, int listed)
+    {
+        codec.host = "127.0.0.1";
+        transaction first;
+        first.puts = rows;
+        first.puts.emplace_back(row_key {"op", "config", {}}, "any");
+        for (int i = 0; i < listed; ++i)
+            first.puts.emplace_back(row_key {"servers", "w" + std::to_string(i), {}}, "any");
+        store.apply(first);
+    }
+
+    // Instances that lead few workers each, so that a small fleet is divided.
+    void start(const std::string &name)
+    {
+        instance_options options;
+        const auto loopback = asio::ip::make_address("127.0.0.1");
+        options.instance = name;
+        options.callerListen = {loopback, tests::freePort()};
+        options.readyListen = {loopback, tests::freePort()};
+        options.peerListen = "127.0.0.1:" + std::to_string(tests::freePort());
+        options.leader.instance = name;
+        options.capacity = {100, 0};
+        options.stopAcceptDelay = milliseconds(1);
+        callers.push_back(options.callerListen);
+        instances.push_back(std::make_unique<cell_instance>(
+            context, options, store, workers, advisor, codec,
+            platform_tables {{"op", "config", {}}, "servers"}));
+        REQUIRE_FALSE(instances.back()->start());
+    }
+
+    bool runUntil(const std::function<bool()> &done)
+    {
+        const auto end = clock::now() + patience;
+        while (!done() && clock::now() < end)
+            context.run_one_for(milliseconds(20));
+        return done();
+    }
+
+    std::optional<leader_row> leaderOf(partition_id partition) const
+    {
+        const auto found = store.rows.find({"cell", "leader", partition.storePart()});
+        return found == store.rows.end() ? std::nullopt : decodeLeaderRow(found->second.value);
+    }
+
+    bool allLed(std::uint32_t partitions) const
+    {
+        for (std::uint32_t index = 0; index < partitions; ++index) {
+            const auto row = leaderOf({index, partitions});
+            if (!row || row->resigned || row->sequence == 0)
+                return false;
+        }
+        return true;
+    }
+
+    // Sends a caller's request to one of the instances.
+    reply request(std::size_t instance, http::verb method, const std::string &target)
+    {
+        std::optional<reply> received;
+        asio::co_spawn(
+            context,
+            [&]() -> awaitable<void> {
+                support::http_client client(context, callers[instance], 1);
+                auto message = support::makeRequest(method, target, "{}");
+                const auto outcome =
+                    co_await client.fetch(std::move(message), clock::now() + patience);
+                received = outcome ? reply {outcome->result_int(), outcome->body()} : reply {};
+            },
+            asio::detached);
+        runUntil([&] { return received.has_value(); });
+        return received.value_or(reply {});
+    }
+
+    asio::io_context context {1};
+    memory_store store {context};
+    tests::unresponsive_workers workers;
+    tests::unresponsive_advisor advisor;
+    tests::fixed_codec codec;
+    std::vector<asio::ip::tcp::endpoint> callers;
+    std::vector<std::unique_ptr<cell_instance>> instances;
+};
+
+struct join_row
+{
+    const char *name;
+    // Rows present before the instance starts.
+    std::vector<std::pair<row_key, std::string>> rows;
+    int workers;
+    std::uint32_t partitions;
+};
+
+const join_row joins[] = {
+    {"a stored layout is followed", {{layoutKey, R"({"partitions":2})"}}, 10, 2},
+    {"a cell of an earlier version has one partition",
+     {{{"cell", "leader", {}}, encodeLeaderRow({"two", "127.0.0.1:1", 3, 9, true})}},
+     1000,
+     1},
+    {"a new cell is divided by its fleet", {}, 200, 3},
+};
+
+} // namespace
+
+TEST_CASE("An instance joins a cell and leads its partitions when nobody else does")
+{
+    for (const auto &row : joins) {
+        CAPTURE(std::string(row.name));
+        cell_fixture fixture(row.rows, row.workers);
+        fixture.start("one");
+        CHECK(fixture.runUntil([&] { return fixture.allLed(row.partitions); }));
+        REQUIRE(fixture.store.rows.contains(layoutKey));
+        CHECK(decodeLayout(fixture.store.rows.at(layoutKey).value)
+              == cell_layout {row.partitions});
+        for (std::uint32_t index = 0; index < row.partitions; ++index)
+            CHECK(fixture.leaderOf({index, row.partitions})->holder == "one");
+    }
+}
+
+TEST_CASE("A layout that cannot be read is neither replaced nor guessed")
+{
+    cell_fixture fixture({{layoutKey, "of a later version"}}, 10);
+    fixture.start("one");
+    const auto until = clock::now() + std::chrono::seconds(1);
+    fixture.runUntil([&] { return clock::now() >= until; });
+    CHECK(fixture.store.rows.at(layoutKey).value == "of a later version");
+    CHECK(fixture.request(0, http::verb::get, "/q/00000000000000f1").status == 503);
+}
+
+TEST_CASE("Jobs of all partitions are found at any instance")
+{
+    constexpr std::uint32_t partitions = 3;
+    cell_fixture fixture({{layoutKey, R"({"partitions":3})"}}, 0);
+    fixture.start("one");
+    fixture.start("two");
+    REQUIRE(fixture.runUntil([&] { return fixture.allLed(partitions); }));
+    const std::vector<std::string> jobs {"00000000000000f1", "00000000000000f2", "00000000000000f3",
+                                         "00000000000000f4", "00000000000000f5"};
+    for (std::size_t i = 0; i < jobs.size(); ++i) {
+        CAPTURE(jobs[i]);
+        CHECK(fixture.request(i % 2, http::verb::post, "/q/" + jobs[i]).status == 200);
+        // Handed in again at the other instance, it remains one job.
+        CHECK(fixture.request(1 - i % 2, http::verb::post, "/q/" + jobs[i]).status == 200);
+        const partition_id partition {partitionOfJob(jobs[i], partitions), partitions};
+        CHECK(fixture.store.rows.contains({"jobs", jobs[i], partition.storePart()}));
+    }
+    for (std::size_t instance = 0; instance < 2; ++instance) {
+        for (const auto &job : jobs) {
+            CHECK(fixture.request(instance, http::verb::get, "/q/" + job).status == 200);
+        }
+        CHECK(fixture.request(instance, http::verb::get, "/q/0000000000000abc").status == 410);
+        const auto waiting = fixture.request(instance, http::verb::get, "/q/");
+        CHECK(waiting.status == 200);
+        CHECK(waiting.body == std::to_string(jobs.size()));
+    }
+}
+
+TEST_CASE("Jobs stay in their partitions when an instance stops")
+{
+    constexpr std::uint32_t partitions = 2;
+    cell_fixture fixture({{layoutKey, R"({"partitions":2})"}}, 0);
+    fixture.start("one");
+    REQUIRE(fixture.runUntil([&] { return fixture.allLed(partitions); }));
+    fixture.start("two");
+    const std::vector<std::string> jobs {"00000000000000f1", "00000000000000f2", "00000000000000f3"};
+    for (const auto &job : jobs)
+        CHECK(fixture.request(0, http::verb::post, "/q/" + job).status == 200);
+    fixture.instances[0]->stop([] {});
+    const auto ledByTwo = [&] {
+        return fixture.allLed(partitions) && fixture.leaderOf({0, partitions})->holder == "two"
+               && fixture.leaderOf({1, partitions})->holder == "two";
+    };
+    REQUIRE(fixture.runUntil(ledByTwo));
+    for (const auto &job : jobs)
+        CHECK(fixture.request(1, http::verb::get, "/q/" + job).status == 200);
+}
--- a/tests/cell/cell_layout_test.cpp
+++ b/tests/cell/cell_layout_test.cpp
@@ -1,23 +1,17 @@
-#include "cell/cell_instance.h"
+#include "cell/cell_layout.h"
 #include "cell/follower_table.h"
-#include "cell/memory_ports.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <doctest/doctest.h>
-#include <set>
+#include <map>
+#include <string>
+#include <vector>
 
 using namespace plantaingap;
 using namespace plantaingap::cell;
-using plantaingap::tests::memory_store;
-using plantaingap::tests::milliseconds;
+using std::chrono::milliseconds;
 
 namespace {
 
-namespace asio = boost::asio;
-
-const row_key layoutKey {"cell", "layout", {}};
-
 jobs::worker_entry workerIn(const std::string &id, const std::string &rack)
 {
     jobs::worker_entry entry;
@@ -139,95 +133,3 @@
         CHECK(followers.address("unknown").empty());
     }
 }
-
-namespace {
-
-// An instance on loopback, on a store that the test prepares.
-struct instance_fixture
-{
-    void run(std::chrono::seconds limit, const std::function<bool()> &done)
-    {
-        const auto end = clock::now() + limit;
-        while (!done() && clock::now() < end)
-            context.run_one_for(milliseconds(20));
-    }
-
-    instance_options options() const
-    {
-        instance_options made;
-        const auto loopback = asio::ip::make_address("127.0.0.1");
-        made.instance = "one";
-        made.callerListen = {loopback, 0};
-        made.readyListen = {loopback, 0};
-        made.peerListen = "127.0.0.1:0";
-        made.leader.instance = "one";
-        made.capacity = {100, 0};
-        return made;
-    }
-
-    asio::io_context context {1};
-    memory_store store {context};
-    tests::unresponsive_workers workers;
-    tests::unresponsive_advisor advisor;
-    tests::fixed_codec codec;
-};
-
-struct join_row
-{
-    const char *name;
-    // Rows present before the instance starts.
-    std::vector<std::pair<row_key, std::string>> rows;
-    int workers;
-    std::uint32_t partitions;
-};
-
-const join_row joins[] = {
-    {"a stored layout is followed", {{layoutKey, R"({"partitions":2})"}}, 10, 2},
-    {"a cell of an earlier version has one partition",
-     {{{"cell", "leader", {}}, encodeLeaderRow({"two", "10.0.0.1:7000", 3, 9, true})}},
-     1000,
-     1},
-    {"a new cell is divided by its fleet", {}, 200, 3},
-};
-
-} // namespace
-
-TEST_CASE("An instance joins a cell and leads its partitions when nobody else does")
-{
-    for (const auto &row : joins) {
-        CAPTURE(std::string(row.name));
-        instance_fixture fixture;
-        transaction first;
-        first.puts = row.rows;
-        first.puts.emplace_back(row_key {"op", "config", {}}, "any");
-        for (int i = 0; i < row.workers; ++i)
-            first.puts.emplace_back(row_key {"servers", "w" + std::to_string(i), {}}, "any");
-        REQUIRE(fixture.store.apply(first).applied);
-        cell_instance instance(fixture.context, fixture.options(), fixture.store, fixture.workers,
-                               fixture.advisor, fixture.codec, {{"op", "config", {}}, "servers"});
-        REQUIRE_FALSE(instance.start());
-        const auto leaderIn = [&](std::uint32_t index) -> std::optional<leader_row> {
-            const row_key key {"cell", "leader", partition_id {index, row.partitions}.storePart()};
-            const auto found = fixture.store.rows.find(key);
-            return found == fixture.store.rows.end() ? std::nullopt
-                                                     : decodeLeaderRow(found->second.value);
-        };
-        const auto ledByOne = [&](std::uint32_t index) {
-            const auto leads = leaderIn(index);
-            return leads && leads->holder == "one";
-        };
-        fixture.run(std::chrono::seconds(20), [&] {
-            for (std::uint32_t i = 0; i < row.partitions; ++i) {
-                if (!ledByOne(i))
-                    return false;
-            }
-            return true;
-        });
-        REQUIRE(fixture.store.rows.contains(layoutKey));
-        CHECK(decodeLayout(fixture.store.rows.at(layoutKey).value) == cell_layout {row.partitions});
-        for (std::uint32_t i = 0; i < row.partitions; ++i)
-            CHECK(ledByOne(i));
-        instance.stop([] {});
-        fixture.run(std::chrono::seconds(5), [&] { return leaderIn(0) && leaderIn(0)->resigned; });
-    }
-}
--- a/tests/cell/memory_ports.h
+++ b/tests/cell/memory_ports.h
@@ -176,7 +176,7 @@
     {
         jobs::cell_configuration configuration;
         configuration.version = 1;
-        configuration.queues.push_back({"queue", "host", "/q/", "service", 0, 1, 1.0, {}, {}});
+        configuration.queues.push_back({"queue", host, "/q/", "service", 0, 1, 1.0, {}, {}});
         return configuration;
     }
     std::optional<jobs::worker_entry> parseWorkerEntry(const std::string &,
@@ -184,6 +184,9 @@
     {
         return std::nullopt;
     }
+
+    // The Host header of requests for the queue.
+    std::string host = "host";
 };
 
 } // namespace plantaingap::tests
--- a/tests/process/test_cluster.cpp
+++ b/tests/process/test_cluster.cpp
@@ -1,3 +1,4 @@
+#include "free_port.h"
 #include "process/test_cluster.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -23,25 +24,6 @@
 constexpr const char *loopback = "127.0.0.1:";
 constexpr unsigned workersPerRack = 2;
 
-// A port that is free now: instances must know each other's before they start. It lies below the
-// range from which outgoing connections take theirs, which may be any minute's.
-std::uint16_t freePort()
-{
-    constexpr std::uint16_t first = 20000;
-    constexpr std::uint16_t span = 12000;
-    static auto next = static_cast<unsigned>(getpid()) * 64;
-    asio::io_context context;
-    while (true) {
-        const auto port = static_cast<std::uint16_t>(first + next++ % span);
-        tcp::acceptor acceptor(context);
-        boost::system::error_code error;
-        acceptor.open(tcp::v4(), error);
-        acceptor.bind({asio::ip::address_v4::loopback(), port}, error);
-        if (!error)
-            return port;
-    }
-}
-
 json::object listedWorker(unsigned index, const child_process &process)
 {
     return {{"name", "worker-" + std::to_string(index)},
