Refuse gangs that cannot fit their partition; size the layout for the strongest

Instances of all sizes saw the list settle at the same moment. The expected share of allowed workers counted renewals, which are always allowed. A write holds the entries that its changes need instead of three for each.

--- a/src/cell/cell_instance.cpp
+++ b/src/cell/cell_instance.cpp
@@ -38,12 +38,18 @@
 constexpr milliseconds workerListSettleTime {1700};
 constexpr milliseconds maxLayoutDelay {6000};
 constexpr milliseconds workerCountInterval {800};
-// Only a few instances should read the list of workers: those that would lead last and those far
-// from the store wait for these multiples of their takeover delay and of a read's duration.
-constexpr int layoutDelayFactor = 6;
+// The layout is sized for the instance that stores it, so instances that would lead last store it
+// later by this multiple of their takeover delay, more than an interval between counts.
+constexpr int layoutDelayFactor = 5;
+// Instances far from the store count workers later by this multiple of a read's duration, so that
+// few read the whole list.
 constexpr int layoutDelayReads = 80;
 constexpr milliseconds maxLayoutDistanceDelay {3000};
 
+// A gang may need this share of the capacity that its partition is expected to allow it. A wider
+// one could wait for ever while the rest of the cell has room.
+constexpr double maxGangShareOfPartition = 0.8;
+
 constexpr std::size_t jobIdLength = 16;
 constexpr unsigned statusUnavailable = 503;
 constexpr std::uint32_t joiningRetrySeconds = 1;
@@ -211,10 +217,11 @@
 
 awaitable<void> cell_instance::joinCell()
 {
-    const auto startedAt = bootNow();
+    const auto ownDelay = m_options.takeoverDelay * layoutDelayFactor;
+    const auto storeLayoutBy = bootNow() + maxLayoutDelay + ownDelay;
     std::optional<time_point> countAt;
     std::size_t workers = 0;
-    time_point workersGrewAt {};
+    time_point settledAt {};
     while (true) {
         bool storeRead = false;
         bool cellExists = false;
@@ -229,19 +236,19 @@
             continue;
         }
         if (storeRead && !countAt) {
-            const auto distanceDelay = std::min<duration>((bootNow() - readAt) * layoutDelayReads,
-                                                          maxLayoutDistanceDelay);
-            countAt = startedAt + m_options.takeoverDelay * layoutDelayFactor + distanceDelay;
+            const auto distanceDelay =
+                std::min<duration>((bootNow() - readAt) * layoutDelayReads, maxLayoutDistanceDelay);
+            countAt = bootNow() + distanceDelay;
         }
         if (storeRead && bootNow() >= *countAt) {
             countAt = bootNow() + workerCountInterval;
             const auto count = co_await countWorkers();
             if (count && *count > workers) {
                 workers = *count;
-                workersGrewAt = bootNow();
+                settledAt = bootNow() + workerListSettleTime + ownDelay;
             }
-            const bool settled = workers > 0 && bootNow() - workersGrewAt >= workerListSettleTime;
-            if (count && (settled || bootNow() - startedAt >= maxLayoutDelay)) {
+            const bool settled = workers > 0 && bootNow() >= settledAt;
+            if (count && (settled || bootNow() >= storeLayoutBy)) {
                 co_await storeLayout(layoutFor(workers, m_options.capacity));
                 continue;
             }
@@ -259,6 +266,8 @@
         options.leader.partition = {index, layout.partitions};
         auto &waitingCalls = options.leader.scheduler.maxWaitingAdviceCalls;
         waitingCalls = std::max<std::uint32_t>(waitingCalls / layout.partitions, 1);
+        if (layout.partitions > 1)
+            options.leader.scheduler.maxGangShare = maxGangShareOfPartition;
         m_partitions.push_back(std::make_unique<partition_member>(
             m_context, std::move(options), m_ports, [this, index] {
                 const bool leadsThis = m_partitions[index]->leads();
--- a/src/cell/cell_layout.cpp
+++ b/src/cell/cell_layout.cpp
@@ -17,7 +17,7 @@
 // Workers for each core of their leader and for each Mbit/s of its link.
 constexpr std::int64_t workersPerCore = 800;
 constexpr std::int64_t workersPerMbps = 50;
-constexpr std::int64_t maxPartitions = 16;
+constexpr std::int64_t maxPartitions = 64;
 
 // CRC-32 is the same in every version of the program; stored layouts depend on it.
 std::uint32_t checksum(std::string_view text)
--- a/src/jobs/admission.cpp
+++ b/src/jobs/admission.cpp
@@ -1,5 +1,7 @@
 #include "jobs/admission.h"
 
+#include "jobs/task_capacity.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -13,9 +15,6 @@
 // Range of the retry delay of refused jobs, in seconds.
 constexpr double minRetrySeconds = 1;
 constexpr double maxRetrySeconds = 8;
-// Retry delay, in seconds, for a job with a task that fits on no worker; only a change of the fleet
-// helps.
-constexpr std::uint32_t unsatisfiableRetrySeconds = 10;
 
 using core_milliseconds = double;
 
@@ -74,8 +73,31 @@
     return longest;
 }
 
+// Number of tasks of a step that the listed workers hold when they are empty.
+double totalSlots(const step_definition &step, const fleet &workers)
+{
+    double slots = 0;
+    for (const auto &[id, worker] : workers.all()) {
+        if (!worker->listed || worker->entry.draining || !worker->hasLabel(step.label))
+            continue;
+        const auto fitting = tasksThatFit(effectiveDemand(step), worker->entry.capacity);
+        slots += step.maxPerWorker > 0 ? std::min(fitting, step.maxPerWorker) : fitting;
+    }
+    return slots;
+}
+
 } // namespace
 
+bool gangsFit(const job_definition &job, const fleet &workers, double share)
+{
+    // Without any worker nothing is known about the fleet.
+    if (workers.capacity().milliCores == 0)
+        return true;
+    return std::ranges::none_of(job.steps, [&](const step_definition &step) {
+        return step.gang && step.tasks > totalSlots(step, workers) * std::min(share, 1.0);
+    });
+}
+
 std::optional<std::uint32_t>
 admissionRetryDelay(const job_definition &job, const queue_definition &queue,
                     const std::set<std::string> &topPriorityQueues, const job_map &jobs,
--- a/src/jobs/job_changes.cpp
+++ b/src/jobs/job_changes.cpp
@@ -7,12 +7,25 @@
 
 namespace {
 
-// Max table entries that one change of a job writes, for ended jobs and for all others.
-constexpr std::size_t maxEntriesPerEnd = 3;
-constexpr std::size_t maxEntriesPerChange = 3;
+// Table entries of a change: the state of an ended job and the deletion of its other rows; the
+// definition of a new job with the condition that it has not ended before; its progress.
+constexpr std::size_t entriesPerEnd = 3;
+constexpr std::size_t entriesPerDefinition = 2;
+constexpr std::size_t entriesPerProgress = 1;
 
 } // namespace
 
+// Counting what each change needs, rather than the most that any may need, lets a write hold some
+// three times as many running jobs. A slow store takes few writes, and jobs wait for theirs.
+std::size_t job_scheduler::entriesOfChange(const job_run &job)
+{
+    if (job.state > job_state::Running)
+        return entriesPerEnd;
+    if (job.stored)
+        return entriesPerProgress;
+    return entriesPerDefinition + (job.occupying > 0 ? entriesPerProgress : 0);
+}
+
 std::vector<job_change> job_scheduler::takeChanges(std::size_t maxEntries)
 {
     std::vector<job_change> batch;
@@ -20,7 +33,7 @@
     std::size_t taken = 0;
     while (taken < m_dirty.size()) {
         auto &job = *m_jobs.at(m_dirty[taken]);
-        const auto needed = job.state > job_state::Running ? maxEntriesPerEnd : maxEntriesPerChange;
+        const auto needed = entriesOfChange(job);
         if (entries + needed > maxEntries)
             break;
         batch.push_back(makeChange(job));
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -19,6 +19,9 @@
 // Weight of the newest call in the average; about 20 calls count.
 constexpr double allowedShareSmoothing = 0.05;
 
+// Workers asked about before gangs are refused by the observed share; about 20 calls for gangs.
+constexpr std::int64_t minWorkersObserved = 1000;
+
 milliseconds adviceDuration(const queue_definition &queue)
 {
     if (!queue.advisor)
@@ -240,6 +243,8 @@
     const auto *queue = m_configuration.byName(definition.queue);
     if (!queue)
         return {submit_status::Refused, 1};
+    if (!gangsFit(definition, m_fleet, admittedGangShare(*queue)))
+        return {submit_status::Refused, unsatisfiableRetrySeconds};
     if (const auto retryDelay = admissionRetryDelay(definition, *queue, m_topPriorityQueues, m_jobs,
                                                     m_fleet, m_durations, now))
         return {submit_status::Refused, *retryDelay};
@@ -388,12 +393,19 @@
     // Plan the gang now; otherwise individual tasks would take the capacity before its next review.
     task->step->gang.nextReviewAt = now;
     const auto expires = now + validity - m_options.ticketMargin;
-    if (!request.workers.empty()) {
-        const auto share =
-            static_cast<double>(tickets.size()) / static_cast<double>(request.workers.size());
-        auto &smoothedShare =
-            m_allowedShares.try_emplace(request.queue, initialAllowedShare).first->second;
-        smoothedShare += (share - smoothedShare) * allowedShareSmoothing;
+    // Renewals tell nothing about the share: the workers that they name are allowed.
+    const auto isNew = [&advice](const std::string &id) { return !advice.allowed.contains(id); };
+    const auto asked = std::ranges::count_if(request.workers, isNew);
+    if (asked > 0) {
+        const auto allowed = std::ranges::count_if(request.workers, [&](const std::string &id) {
+            return isNew(id) && tickets.contains(id);
+        });
+        const auto share = static_cast<double>(allowed) / static_cast<double>(asked);
+        auto &observed =
+            m_allowedShares.try_emplace(request.queue, observed_share {initialAllowedShare, 0})
+                .first->second;
+        observed.smoothed += (share - observed.smoothed) * allowedShareSmoothing;
+        observed.asked += asked;
     }
     for (const auto &id : request.workers) {
         const auto ticket = tickets.find(id);
@@ -407,10 +419,19 @@
 double job_scheduler::allowedShare(const std::string &queue) const
 {
     const auto found = m_allowedShares.find(queue);
-    return std::max(found == m_allowedShares.end() ? initialAllowedShare : found->second,
+    return std::max(found == m_allowedShares.end() ? initialAllowedShare : found->second.smoothed,
                     allowedShareSmoothing);
 }
 
+double job_scheduler::admittedGangShare(const queue_definition &queue) const
+{
+    const auto found = m_allowedShares.find(queue.name);
+    if (!queue.advisor || found == m_allowedShares.end()
+        || found->second.asked < minWorkersObserved)
+        return 1;
+    return allowedShare(queue.name) * m_options.maxGangShare;
+}
+
 void job_scheduler::adviceFailed(const advice_request &request, advice_failure failure,
                                  time_point now)
 {
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -47,6 +47,9 @@
     // Calls that may wait at the advisor behind others; leaders of several partitions share the
     // advisor's queue.
     std::uint32_t maxWaitingAdviceCalls = advisor_call_router::defaultWaitingCalls;
+    // A gang that needs more than this share of the capacity that it is expected to be allowed is
+    // refused. Above 1 only those are that could run in no state of the fleet.
+    double maxGangShare = 1.2;
     // Slowdown of a task whose data is on another rack, or of a gang on several racks.
     double crossRackFactor = 2.0;
 };
@@ -240,6 +243,7 @@
     void closeJob(const std::string &id, job_state state, time_point now);
     void removeClosedJobs();
     job_change makeChange(job_run &job);
+    static std::size_t entriesOfChange(const job_run &job);
     void dropUnstoredState(job_run &job);
     static void countWaiting(const step_run &step, time_point now, scheduler_load &load);
     job_run *findJob(const std::string &id);
@@ -276,6 +280,9 @@
     bool shouldMove(const worker &worker, const task_run &task, time_point now) const;
     // Average share of requested workers that the advisor allowed in recent calls for the queue.
     double allowedShare(const std::string &queue) const;
+    // Share of all workers that a gang of the queue may need to be accepted; 1 until enough calls
+    // are observed.
+    double admittedGangShare(const queue_definition &queue) const;
     void recordEvent(std::string_view event, const task_run &task, std::string_view reason);
     start_order makeStartOrder(const task_run &task, time_point now) const;
     const queue_definition &queueOf(const job_run &job) const;
@@ -307,7 +314,13 @@
     // Stop orders for reported runs that do not match any assignment.
     std::vector<stop_order> m_strayStops;
     std::vector<scheduler_event> m_events;
-    std::map<std::string, double> m_allowedShares;
+    struct observed_share
+    {
+        double smoothed = 0;
+        // Workers that were asked about.
+        std::int64_t asked = 0;
+    };
+    std::map<std::string, observed_share> m_allowedShares;
     declared_duration_errors m_durationErrors;
     decision::kind_failures m_failureRates;
     std::map<std::string, std::uint32_t> m_queueKinds;
--- a/tests/jobs/admission_test.cpp
+++ b/tests/jobs/admission_test.cpp
@@ -1,3 +1,4 @@
+#include "jobs/admission.h"
 #include "jobs/scheduler_world.h"
 
 #include <doctest/doctest.h>
@@ -90,3 +91,57 @@
     labelled.label = "no-such-kind";
     CHECK(world.submit(identifier(2), "quick", {labelled}).status == submit_status::Refused);
 }
+
+struct wide_gang_row
+{
+    const char *name;
+    // Tasks of a whole worker each, on 60 workers of which the advisor allows 20.
+    std::uint32_t tasks;
+    double maxGangShare;
+    submit_status status;
+};
+
+const wide_gang_row wideGangs[] = {
+    {"a gang that fits the allowed workers is accepted", 8, 0.8, submit_status::AwaitingStore},
+    {"a gang that is wider than the allowed workers is refused", 40, 0.8, submit_status::Refused},
+    {"a gang that may be too wide is refused where the rest of the cell could hold it", 19, 0.8,
+     submit_status::Refused},
+    {"a gang that may be too wide is accepted where nothing else could hold it", 19, 1.2,
+     submit_status::AwaitingStore},
+    {"a gang that is wider than all workers is refused", 61, 1.2, submit_status::Refused},
+};
+
+// Load: gangs of up to 240 tasks in a partition whose policy allows a fraction of its workers. An
+// accepted gang that never fits waits for ever beside idle workers (found on scale-1 of
+// ctrs-sched-large, seed 139859104).
+TEST_CASE("A gang that cannot fit the workers it is allowed is refused immediately")
+{
+    constexpr int workers = 60;
+    const jobs::advisor_cost cost {std::chrono::microseconds(4'000), std::chrono::microseconds(10),
+                                   milliseconds(1500)};
+    for (const auto &row : wideGangs) {
+        CAPTURE(std::string(row.name));
+        jobs::scheduler_options options;
+        options.maxGangShare = row.maxGangShare;
+        scheduler_world world(workers, {16'000, 32'768, 0}, cost, options);
+        for (int i = 0; i < workers; ++i) {
+            if (i % 3 != 0)
+                world.notAllowed.insert("w" + std::to_string(i));
+        }
+        world.begin();
+        // Gangs from which the scheduler learns the share of allowed workers.
+        auto gang = scheduler_world::step(4, 16'000, 200);
+        gang.gang = true;
+        for (int i = 0; i < 80; ++i) {
+            world.submit(identifier(i), "large", {gang});
+            world.settle();
+            world.endRuns({}, jobs::run_outcome::Done);
+            world.advance(milliseconds(500));
+        }
+        gang.tasks = row.tasks;
+        const auto submission = world.submit(identifier(900), "large", {gang});
+        CHECK(submission.status == row.status);
+        if (row.status == submit_status::Refused)
+            CHECK(submission.retryAfterSeconds == jobs::unsatisfiableRetrySeconds);
+    }
+}
--- a/tests/process/test_cluster.cpp
+++ b/tests/process/test_cluster.cpp
@@ -1,5 +1,5 @@
-#include "free_port.h"
 #include "process/test_cluster.h"
+#include "free_port.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
