Reserve capacity for late gangs while much of the fleet is free

Tickets take 0.7 s; a gang past its objective gets no reservation, and other work took the capacity each time. Change: below 70% use of the cores any gang may reserve. Measured: the new test of jobs/gang_test fails without the change and passes with it.

--- a/src/jobs/dispatcher_gangs.cpp
+++ b/src/jobs/dispatcher_gangs.cpp
@@ -16,6 +16,8 @@
 // Capacity is reserved only for gangs that start within this time, because the part that is free
 // first idles until then.
 constexpr std::chrono::milliseconds maxReservationLead {1200};
+// Share of used cores below which capacity is reserved for gangs that will be late, too.
+constexpr double maxLoadForLateReservations = 0.7;
 // A reservation expires after this time, a few review intervals, unless planning renews it.
 constexpr std::chrono::milliseconds reservationDuration {400};
 constexpr std::chrono::milliseconds reviewInterval {100};
@@ -172,7 +174,10 @@
         plan.workers.push_back(worker->entry.id);
     const bool onTime = startAt + step.remainingChain <= step.onTimeUntil;
     const bool onlyReservation = ready.lateness <= 1 && m_reservedCapacity.milliCores == 0;
-    if (startAt <= m_now + maxReservationLead && (onTime || onlyReservation))
+    // While much of the fleet is free, others lose little by a reservation, and without one they
+    // take the capacity of a late gang again and again.
+    const bool fleetHasRoom = m_scheduler.m_fleetLoad < maxLoadForLateReservations;
+    if (startAt <= m_now + maxReservationLead && (onTime || onlyReservation || fleetHasRoom))
         reserve(ready, assignment);
 }
 
--- a/tests/jobs/gang_test.cpp
+++ b/tests/jobs/gang_test.cpp
@@ -228,3 +228,44 @@
     CHECK(world.workersNamed > 4);
     CHECK(world.duplicateNames == 0);
 }
+
+// Load: the end of a burst. A gang is past its objective, and short tasks keep coming that use a
+// quarter of the fleet, always on the workers that the gang needs (found on scale-1 of
+// ctrs-sched-large, seed 139859104: gangs waited until the end of the day).
+TEST_CASE("A late gang gets its capacity while much of the fleet is free")
+{
+    scheduler_world world(8);
+    for (int i = 0; i < 4; ++i)
+        world.fleet["w" + std::to_string(i)].entry.labels.emplace_back("large-memory");
+    world.begin();
+    auto gang = gangOf(8, 8000);
+    gang.label = "large-memory";
+    const auto name = [](int number) {
+        return std::string(12, '0') + std::to_string(1000 + number);
+    };
+    // Tasks whose end is far off keep the gang from its capacity until it is late.
+    for (int i = 0; i < 4; ++i)
+        world.submit(name(i), "middle", {scheduler_world::step(1, 8000, 90'000)});
+    world.settle();
+    world.percent = 1;
+    world.submit(id, "large", {gang});
+    for (int pass = 0; pass < 160; ++pass) {
+        world.elapsed += milliseconds(200);
+        world.percent = 1 + static_cast<std::uint32_t>(pass) / 4;
+        world.renewAllLeases();
+        world.settle();
+    }
+    REQUIRE(world.running(id) == 0);
+    world.percent = 99;
+    // From now on a task ends and another comes each second.
+    for (int finished = 0; finished < 60 && world.running(id) == 0; ++finished) {
+        world.endRuns(name(finished), run_outcome::Done);
+        world.submit(name(4 + finished), "middle", {scheduler_world::step(1, 8000)});
+        for (int pass = 0; pass < 5; ++pass) {
+            world.elapsed += milliseconds(200);
+            world.renewAllLeases();
+            world.settle();
+        }
+    }
+    CHECK(world.running(id) == 8);
+}
