Let a badly placed leader yield to a follower that can bear the load

Change: heartbeats tell whether the sender could lead; a leader on a small instance, or of a second partition that is not its home, resigns after 3 s when such a follower is there, at most each 30 s, and leaves the row alone for 3 s.

--- a/src/cell/follower_table.cpp
+++ b/src/cell/follower_table.cpp
@@ -38,11 +38,10 @@
         m_successors.insert(std::get<std::string>(order[i]));
 }
 
-milliseconds follower_table::heartbeatReceived(const std::string &instance,
-                                               const std::string &address,
-                                               milliseconds takeoverDelay, time_point now)
+milliseconds follower_table::heartbeatReceived(const heartbeat_request &request, time_point now)
 {
-    m_followers[instance] = {address, takeoverDelay, now};
+    const auto &instance = request.instance;
+    m_followers[instance] = {request.address, request.takeoverDelay, request.canLead, now};
     if (m_reviewedAt == time_point {} || now - m_reviewedAt >= reviewInterval)
         review(now);
     if (m_successors.contains(instance) || m_followers.size() <= successorCount)
@@ -51,6 +50,13 @@
     return std::clamp(milliseconds(others * 1000 / sharedRate), fastInterval, slowestInterval);
 }
 
+bool follower_table::hasCapableFollower(time_point now) const
+{
+    return std::ranges::any_of(m_followers, [now](const auto &entry) {
+        return entry.second.canLead && now - entry.second.lastHeartbeat <= slowestInterval;
+    });
+}
+
 std::string follower_table::address(const std::string &instance) const
 {
     const auto found = m_followers.find(instance);
--- a/src/cell/follower_table.h
+++ b/src/cell/follower_table.h
@@ -1,6 +1,8 @@
 #ifndef PLANTAINGAP_CELL_FOLLOWER_TABLE_H
 #define PLANTAINGAP_CELL_FOLLOWER_TABLE_H
 
+#include "cell/peer_transport.h"
+
 #include <chrono>
 #include <map>
 #include <plantaingap/time.h>
@@ -17,10 +19,9 @@
 {
 public:
     // Records a heartbeat and returns the time until the follower's next one.
-    std::chrono::milliseconds heartbeatReceived(const std::string &instance,
-                                                const std::string &address,
-                                                std::chrono::milliseconds takeoverDelay,
-                                                time_point now);
+    std::chrono::milliseconds heartbeatReceived(const heartbeat_request &request, time_point now);
+    // A follower that could lead has sent a heartbeat recently.
+    bool hasCapableFollower(time_point now) const;
     // The peer address of a follower, empty if it is unknown.
     std::string address(const std::string &instance) const;
 
@@ -29,6 +30,7 @@
     {
         std::string address;
         std::chrono::milliseconds takeoverDelay {0};
+        bool canLead = false;
         time_point lastHeartbeat {};
     };
 
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -12,6 +12,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -34,6 +35,8 @@
 {
     std::string instance;
     partition_id partition;
+    // Whether this instance should leave the partition to a follower that could lead; empty: never.
+    std::function<bool()> shouldYield;
     leadership_options leadership;
     jobs::scheduler_options scheduler;
     // A leader without a committed write for this long renews no leases, because another instance
@@ -55,6 +58,8 @@
     // Stops accepting new jobs; run() returns once pending changes and the resignation are stored.
     void resign() { m_resigning = true; }
 
+    // The leader resigned in favour of a follower.
+    bool yielded() const { return m_yielded; }
     // The state is loaded and requests can be served.
     bool ready() const { return m_ready && !m_ended; }
     awaitable<caller_response> handleRequest(caller_request request);
@@ -140,6 +145,7 @@
     bool m_ready = false;
     bool m_ended = false;
     bool m_resigning = false;
+    bool m_yielded = false;
     // A worker has received orders of a later term.
     bool m_superseded = false;
     // When the last committed write was sent.
--- a/src/cell/leader_orders.cpp
+++ b/src/cell/leader_orders.cpp
@@ -87,6 +87,14 @@
         if (m_ended)
             co_return;
         const auto now = bootNow();
+        if (!m_resigning && m_options.shouldYield && m_options.shouldYield()
+            && m_followers.hasCapableFollower(now)) {
+            log_event(log_level::Info, "leader.yielding")
+                .field("partition", m_options.partition.index)
+                .field("term", m_row.term);
+            m_yielded = true;
+            resign();
+        }
         const auto load = m_scheduler.load(now);
         const auto openAdviceCalls = m_scheduler.advisorCallRouter().openCalls();
         log_event(log_level::Info, "leader.load")
@@ -229,8 +237,7 @@
 heartbeat_reply leader::handleHeartbeat(const heartbeat_request &request)
 {
     const auto now = bootNow();
-    const auto interval = m_followers.heartbeatReceived(request.instance, request.address,
-                                                        request.takeoverDelay, now);
+    const auto interval = m_followers.heartbeatReceived(request, now);
     if (request.takesAdviceCalls)
         m_scheduler.advisorCallRouter().heartbeatReceived(request.instance, interval, now);
     m_wallClock.addReading(request.instance, request.wall, now);
--- a/src/cell/partition_member.cpp
+++ b/src/cell/partition_member.cpp
@@ -41,6 +41,12 @@
 constexpr milliseconds otherHomeDelay {120};
 constexpr milliseconds leadsElsewhereDelay {500};
 
+// A leader yields no earlier than this after it took over, and no more often than this. For
+// yieldTime afterwards it leaves the partition to others.
+constexpr milliseconds minTermBeforeYield {3000};
+constexpr milliseconds minYieldInterval {30'000};
+constexpr milliseconds yieldTime {3000};
+
 // Reserved from a caller's timeout for sending the response.
 constexpr milliseconds responseMargin {100};
 // Timeout of one attempt to forward a request, so that it is retried if the leader has changed. A
@@ -68,7 +74,9 @@
     , m_leaderKey {"cell", "leader", m_options.leader.partition.storePart()}
     , m_followTimer(context)
     , m_monitor(m_options.instance, m_options.leader.leadership)
-{ }
+{
+    m_options.leader.shouldYield = [this] { return shouldYield(); };
+}
 
 void partition_member::start()
 {
@@ -166,11 +174,25 @@
     m_leader = std::make_shared<leader>(m_context, m_ports, m_options.leader, row, revision);
     if (m_stopping)
         m_leader->resign();
+    m_yieldAfter = std::max(m_yieldAfter, bootNow() + minTermBeforeYield);
     co_await m_leader->run();
+    if (m_leader->yielded()) {
+        m_takeOverAfter = bootNow() + yieldTime;
+        m_yieldAfter = bootNow() + minYieldInterval;
+    }
     log_event(log_level::Info, "leadership.lost").field("partition", index).field("term", row.term);
     m_leader.reset();
 }
 
+bool partition_member::shouldYield() const
+{
+    const auto &partition = m_options.leader.partition;
+    const bool leadsTooMany =
+        m_leadsElsewhere() > 0
+        && homePartition(m_options.instance, partition.count) != partition.index;
+    return bootNow() >= m_yieldAfter && (m_options.takeoverDelay > milliseconds(0) || leadsTooMany);
+}
+
 milliseconds partition_member::takeoverDelay() const
 {
     const auto &partition = m_options.leader.partition;
@@ -185,7 +207,7 @@
 {
     while (true) {
         co_await followLeader();
-        if (m_stopping) {
+        if (m_stopping || bootNow() < m_takeOverAfter) {
             co_await sleepFor(defaultHeartbeatInterval);
             continue;
         }
@@ -247,9 +269,16 @@
     const bool takesAdviceCalls =
         homePartition(m_options.instance, partition.count) == partition.index
         && m_leadsElsewhere() == 0;
+    const bool canLead =
+        m_options.takeoverDelay == milliseconds(0) && m_leadsElsewhere() == 0 && !m_stopping;
     // Not a temporary: GCC 12 destroys aggregate temporaries of an awaited call twice.
-    heartbeat_request request {m_options.instance, m_options.peerListen, support::wallNow(),
-                               partition.index,    takesAdviceCalls,     takeoverDelay()};
+    heartbeat_request request {m_options.instance,
+                               m_options.peerListen,
+                               support::wallNow(),
+                               partition.index,
+                               takesAdviceCalls,
+                               takeoverDelay(),
+                               canLead};
     auto result = co_await m_ports.peers.sendHeartbeat(address, std::move(request),
                                                        clock::now() + heartbeatTimeout);
     m_heartbeatPending = false;
--- a/src/cell/partition_member.h
+++ b/src/cell/partition_member.h
@@ -64,6 +64,8 @@
     awaitable<bool> readLeaderRow();
     // Writes the leader row and runs the term; false if the write was not applied.
     awaitable<bool> takeOver();
+    // Another instance would be a better leader, and this one has not yielded recently.
+    bool shouldYield() const;
     // How long this instance leaves the partition to others that are better placed.
     std::chrono::milliseconds takeoverDelay() const;
     // Sends the request to the current leader; empty if none is known.
@@ -89,6 +91,9 @@
     std::chrono::milliseconds m_heartbeatInterval {0};
     time_point m_heartbeatDueAt {};
     bool m_stopping = false;
+    // After yielding: when this instance may take over again, and when it may yield again.
+    time_point m_takeOverAfter {};
+    time_point m_yieldAfter {};
     std::uint64_t m_forwardFailures = 0;
     std::uint64_t m_requestsNotAnswered = 0;
 };
--- a/src/cell/peer_transport.cpp
+++ b/src/cell/peer_transport.cpp
@@ -95,7 +95,8 @@
                                    wall_time(milliseconds(wireRequest->wall_ms())),
                                    wireRequest->partition(),
                                    wireRequest->takes_advice_calls(),
-                                   milliseconds(wireRequest->takeover_delay_ms())};
+                                   milliseconds(wireRequest->takeover_delay_ms()),
+                                   wireRequest->can_lead()};
         asio::post(m_context, [this, reactor, wireReply, request = std::move(request)] {
             const auto reply = m_handlers.heartbeat(request);
             wireReply->set_leads(reply.leads);
@@ -271,6 +272,7 @@
     call->request.set_partition(request.partition);
     call->request.set_takes_advice_calls(request.takesAdviceCalls);
     call->request.set_takeover_delay_ms(static_cast<std::uint32_t>(request.takeoverDelay.count()));
+    call->request.set_can_lead(request.canLead);
     call->context.set_deadline(wallDeadline(deadline));
     auto *async = self->stubFor(address).async();
     const bool succeeded = co_await awaitCall(
--- a/src/cell/peer_transport.h
+++ b/src/cell/peer_transport.h
@@ -26,6 +26,8 @@
     bool takesAdviceCalls = true;
     // How long the follower would wait before it takes the partition over.
     std::chrono::milliseconds takeoverDelay {0};
+    // The follower has the processor that a leader needs, and leads no partition.
+    bool canLead = true;
 };
 
 struct heartbeat_reply
--- a/tests/cell/cell_instance_test.cpp
+++ b/tests/cell/cell_instance_test.cpp
@@ -43,7 +43,7 @@
     }
 
     // Instances that lead few workers each, so that a small fleet is divided.
-    void start(const std::string &name)
+    void start(const std::string &name, milliseconds takeoverDelay = milliseconds(0))
     {
         instance_options options;
         const auto loopback = asio::ip::make_address("127.0.0.1");
@@ -53,6 +53,7 @@
         options.peerListen = "127.0.0.1:" + std::to_string(tests::freePort());
         options.leader.instance = name;
         options.capacity = {100, 0};
+        options.takeoverDelay = takeoverDelay;
         options.stopAcceptDelay = milliseconds(1);
         callers.push_back(options.callerListen);
         instances.push_back(
@@ -204,3 +205,53 @@
     for (const auto &job : jobs)
         CHECK(fixture.request(1, http::verb::get, "/q/" + job).status == 200);
 }
+
+struct yield_row
+{
+    const char *name;
+    std::uint32_t partitions;
+    milliseconds firstDelay;
+    milliseconds secondDelay;
+    // The most partitions that one instance leads in the end.
+    std::uint32_t mostLed;
+    bool secondLeads;
+};
+
+const yield_row yields[] = {
+    {"a small instance yields to one that can bear it", 1, milliseconds(400), milliseconds(0), 1,
+     true},
+    {"a small instance leads on when there is no better one", 1, milliseconds(400),
+     milliseconds(400), 1, false},
+    {"leaders of several partitions move to different instances", 2, milliseconds(0),
+     milliseconds(0), 1, true},
+};
+
+// Load: after a loss of many instances the first that could take over led; it is short of processor
+// time when the load returns.
+TEST_CASE("A leader that is not well placed yields")
+{
+    for (const auto &row : yields) {
+        CAPTURE(std::string(row.name));
+        cell_fixture fixture({{layoutKey, encodeLayout(cell_layout {row.partitions})}}, 0);
+        fixture.start("one", row.firstDelay);
+        REQUIRE(fixture.runUntil([&] { return fixture.allLed(row.partitions); }));
+        fixture.start("two", row.secondDelay);
+        const auto ledBy = [&](const std::string &instance) {
+            std::uint32_t count = 0;
+            for (std::uint32_t index = 0; index < row.partitions; ++index) {
+                const auto leads = fixture.leaderOf({index, row.partitions});
+                count += leads && leads->holder == instance ? 1 : 0;
+            }
+            return count;
+        };
+        const auto until = clock::now() + std::chrono::seconds(8);
+        fixture.runUntil([&] {
+            return clock::now() >= until
+                   || (row.secondLeads && fixture.allLed(row.partitions) && ledBy("two") > 0
+                       && ledBy("one") <= row.mostLed && ledBy("two") <= row.mostLed);
+        });
+        CHECK((ledBy("two") > 0) == row.secondLeads);
+        CHECK(ledBy("one") <= row.mostLed);
+        CHECK(ledBy("two") <= row.mostLed);
+    }
+}
--- a/tests/cell/cell_layout_test.cpp
+++ b/tests/cell/cell_layout_test.cpp
@@ -120,9 +120,12 @@
             perSecond = 0;
             intervals.clear();
             for (int i = 0; i < row.followers; ++i) {
+                heartbeat_request request;
+                request.instance = "e" + std::to_string(i);
+                request.address = "address";
+                request.takeoverDelay = milliseconds(i);
                 const auto interval =
-                    followers.heartbeatReceived("e" + std::to_string(i), "address", milliseconds(i),
-                                                now + std::chrono::seconds(round));
+                    followers.heartbeatReceived(request, now + std::chrono::seconds(round));
                 intervals.push_back(interval);
                 perSecond += 1000.0 / static_cast<double>(interval.count());
             }
