--- a/src/jobs/dispatcher_gangs.cpp
+++ b/src/jobs/dispatcher_gangs.cpp
@@ -11,13 +11,13 @@
 namespace {
 
 // Max share of all cores that may be reserved for waiting gangs of a busy fleet; a larger share
-// leaves too many cores idle. Up to the share that is idle anyway may always be reserved.
+// leaves too many cores idle. Of a fleet that is not busy the idle share may be reserved.
 constexpr double maxReservedShare = 0.25;
 // Capacity is reserved only for gangs that start within this time, because the part that is free
 // first idles until then.
 constexpr std::chrono::milliseconds maxReservationLead {1200};
 // Share of used cores below which capacity is reserved for gangs that will be late, too.
-constexpr double maxLoadForLateReservations = 0.8;
+constexpr double maxLoadForLateReservations = 0.65;
 // A reservation expires after this time, a few review intervals, unless planning renews it.
 constexpr std::chrono::milliseconds reservationDuration {400};
 constexpr std::chrono::milliseconds reviewInterval {100};
@@ -184,7 +184,8 @@
 // One reservation is always allowed, however small the fleet.
 bool dispatcher::canReserveMore(std::int64_t milliCores) const
 {
-    const auto share = std::max(maxReservedShare, 1.0 - m_scheduler.m_fleetLoad);
+    const auto load = m_scheduler.m_fleetLoad;
+    const auto share = load < maxLoadForLateReservations ? 1.0 - load : maxReservedShare;
     const auto bound = share * static_cast<double>(m_usableCapacity.milliCores);
     return m_reservedCapacity.milliCores == 0
            || static_cast<double>(m_reservedCapacity.milliCores + milliCores) <= bound;
--- a/tests/process/test_cluster.cpp
+++ b/tests/process/test_cluster.cpp
@@ -87,8 +87,8 @@
     json::array instances;
     for (unsigned index = 0; index < entries; ++index) {
         instances.push_back({{"name", "entry-" + std::to_string(index)}, {"leaving", false}});
-        m_peerPorts.push_back(freePort());
-        m_callerPorts.push_back(freePort());
+        m_peerPorts.push_back(tests::freePort());
+        m_callerPorts.push_back(tests::freePort());
     }
     m_list = {{"revision", 1}, {"instances", instances}, {"workers", listed}};
     m_files.push_back(std::make_unique<temporary_file>(json::serialize(m_list)));
