Tell why a job is refused; print whole decimals in the page of keys

Cause: the log named "cannot finish within its objective" for gangs that no set of allowed workers can hold; the page of keys printed 0 Mbit/s as 0E0, and operator.settings_test failed on it. Change: the scheduler names the reason; the writer treats both decimal units alike.

--- a/src/cell/leader_requests.cpp
+++ b/src/cell/leader_requests.cpp
@@ -161,7 +161,7 @@
         log_event(log_level::Info, "job.rejected")
             .field("job", id)
             .field("queue", queue)
-            .field("reason", "cannot finish within its objective")
+            .field("reason", result.reason)
             .field("retry_after_s", result.retryAfterSeconds);
         co_return makeResponse(statusTooMany, {}, result.retryAfterSeconds);
     }
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -237,17 +237,19 @@
 {
     if (const auto *existing = findJob(definition.id))
         return {existing->stored ? submit_status::AlreadyAccepted : submit_status::AwaitingStore,
-                0};
+                0,
+                {}};
     if (m_endedJobs.contains(definition.id))
-        return {submit_status::AlreadyAccepted, 0};
+        return {submit_status::AlreadyAccepted, 0, {}};
     const auto *queue = m_configuration.byName(definition.queue);
     if (!queue)
-        return {submit_status::Refused, 1};
+        return {submit_status::Refused, 1, "its queue is not configured"};
     if (!gangsFit(definition, m_fleet, admittedGangShare(*queue)))
-        return {submit_status::Refused, unsatisfiableRetrySeconds};
+        return {submit_status::Refused, unsatisfiableRetrySeconds,
+                "a gang is wider than the workers it is expected to be allowed"};
     if (const auto retryDelay = admissionRetryDelay(definition, *queue, m_topPriorityQueues, m_jobs,
                                                     m_fleet, m_durations, now))
-        return {submit_status::Refused, *retryDelay};
+        return {submit_status::Refused, *retryDelay, "cannot finish within its objective"};
     auto newJob = std::make_unique<job_run>();
     auto &job = *newJob;
     job.definition = std::move(definition);
@@ -256,7 +258,7 @@
     if (job.definition.occurrences == 0)
         createOccurrence(job, 0, now);
     markChanged(job);
-    return {submit_status::AwaitingStore, 0};
+    return {submit_status::AwaitingStore, 0, {}};
 }
 
 bool job_scheduler::discardUnstored(const std::string &id)
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -67,8 +67,9 @@
 struct submit_result
 {
     submit_status status = submit_status::Refused;
-    // When refused: seconds after which the caller should retry.
+    // When refused: seconds after which the caller should retry, and the reason for the log.
     std::uint32_t retryAfterSeconds = 0;
+    std::string_view reason;
 };
 
 // An action that is allowed once a change is stored.
--- a/src/operator/document_writer.h
+++ b/src/operator/document_writer.h
@@ -36,14 +36,14 @@
 
 inline boost::json::value writeValue(std::int64_t value, const value_rule &rule, defaults)
 {
-    constexpr std::int64_t milliCoresPerCore = 1000;
+    constexpr std::int64_t thousandths = 1000;
     if (rule.unit == value_unit::Memory)
         return boost::json::string(formatMemory(value));
-    if (rule.unit == value_unit::Cores && value % milliCoresPerCore == 0)
-        return value / milliCoresPerCore;
-    if (rule.unit == value_unit::Cores || rule.unit == value_unit::Megabits)
-        return static_cast<double>(value) / static_cast<double>(milliCoresPerCore);
-    return value;
+    if (rule.unit != value_unit::Cores && rule.unit != value_unit::Megabits)
+        return value;
+    if (value % thousandths == 0)
+        return value / thousandths;
+    return static_cast<double>(value) / static_cast<double>(thousandths);
 }
 
 inline boost::json::value writeValue(std::uint64_t value, const value_rule &, defaults)
