Tell crashes of workers apart from other losses of runs in logs and metrics

Cause: run.lost was written alike for a crash, a replaced worker and a lost lease, so the hypotheses of the incident could not be told apart.

Change: run.lost carries its cause and the age of the run; worker.crashed names the youngest run, what ran beside it and both incarnations; counters by cause. A worker that starts again under its id is seen as crashed too. Which runs start where is as before.

--- a/src/cell/leader_orders.cpp
+++ b/src/cell/leader_orders.cpp
@@ -67,11 +67,13 @@
 {
     const auto events = m_scheduler.takeEvents();
     for (std::size_t i = 0; i < std::min(events.size(), maxEventsPerPass); ++i) {
-        log_event(log_level::Info, events[i].event)
-            .field("task", events[i].task)
+        log_event line(log_level::Info, events[i].event);
+        line.field("task", events[i].task)
             .field("attempt", events[i].attempt)
             .field("worker", events[i].worker)
             .field("reason", events[i].reason);
+        for (const auto &[key, value] : events[i].fields)
+            line.field(key, value);
     }
     if (events.size() > maxEventsPerPass) {
         log_event(log_level::Info, "scheduler_events.dropped")
@@ -255,6 +257,11 @@
     for (const auto &[name, value] : m_counters)
         add(name + "_total", value);
     const auto load = m_scheduler.load(bootNow());
+    add("worker_crashes_total", m_scheduler.workerCrashes());
+    for (std::size_t cause = 0; cause < jobs::runLossCauses; ++cause) {
+        const auto name = jobs::runLossName(static_cast<jobs::run_loss_cause>(cause));
+        add("runs_lost_" + std::string(name) + "_total", m_scheduler.runLosses()[cause]);
+    }
     add("jobs", load.jobs);
     add("workers", m_workerEntries.size());
     add("waiting_tasks", load.waitingTasks);
--- a/src/jobs/fleet.h
+++ b/src/jobs/fleet.h
@@ -28,6 +28,8 @@
     bool listed = false;
     // The last lease renewal succeeded.
     bool responsive = false;
+    // When the first lease renewal after the last report failed.
+    std::optional<time_point> unresponsiveSince;
     // Number of reports received in this leader's term.
     std::uint64_t reports = 0;
     // Resources of runs that may exist on the worker.
--- a/src/jobs/job_changes.cpp
+++ b/src/jobs/job_changes.cpp
@@ -77,6 +77,7 @@
                 if (task.phase != task_phase::Recording || task.attempt != effect.attempt)
                     continue;
                 task.phase = task_phase::Ordered;
+                task.orderedAt = now;
                 starts.push_back(makeStartOrder(task, now));
                 task.assignedWorker->leaseEndMs =
                     std::max(task.assignedWorker->leaseEndMs, starts.back().leaseEndMs);
--- a/src/jobs/job_progress.h
+++ b/src/jobs/job_progress.h
@@ -45,6 +45,8 @@
     // When the worker last acknowledged an order for this attempt. A report requested later that
     // lacks the run proves that the run has ended. None before the first acknowledgement.
     std::optional<time_point> acknowledgedAt;
+    // When this leader sent the start order of this attempt.
+    time_point orderedAt {};
     // Earliest time for the next stop order.
     time_point nextStopAt {};
     // Checkpoint from which another run can resume; empty for none.
--- a/src/jobs/job_runs.cpp
+++ b/src/jobs/job_runs.cpp
@@ -27,6 +27,7 @@
     task.percent = 0;
     task.firstReportAt = {};
     task.speedObserved = false;
+    task.orderedAt = {};
     task.phase = task_phase::Waiting;
     ++task.step->waiting;
     --task.step->occurrence->job->occupying;
@@ -35,12 +36,18 @@
 void job_scheduler::recordEvent(std::string_view event, const task_run &task,
                                 std::string_view reason)
 {
-    const auto &step = *task.step;
-    const task_name name {step.occurrence->job->definition.id, step.occurrence->number, step.number,
-                          task.index};
-    m_events.push_back({event, name.text(), task.attempt,
+    m_events.push_back({event,
+                        nameOf(task).text(),
+                        task.attempt,
                         task.assignedWorker ? task.assignedWorker->entry.id : std::string(),
-                        reason});
+                        reason,
+                        {}});
+}
+
+task_name job_scheduler::nameOf(const task_run &task)
+{
+    const auto &step = *task.step;
+    return {step.occurrence->job->definition.id, step.occurrence->number, step.number, task.index};
 }
 
 void job_scheduler::returnToWaiting(task_run &task)
@@ -308,13 +315,17 @@
     if (!worker)
         return;
     if (report.otherIncarnation) {
-        releaseAllRuns(*worker, "another incarnation of the worker responded");
+        loseRunsOfReplacedWorker(*worker, now);
         worker->responsive = false;
         return;
     }
-    worker->responsive = true;
-    if (worker->reports == 0 || report.incarnationMs != worker->incarnationMs)
+    const bool restarted = worker->reports > 0 && report.incarnationMs != worker->incarnationMs;
+    if (restarted)
+        recordCrash(*worker, report.incarnationMs, now);
+    if (restarted || worker->reports == 0)
         onWorkerRestarted(*worker, report.incarnationMs);
+    worker->responsive = true;
+    worker->unresponsiveSince.reset();
     ++worker->reports;
     worker->clockMs = report.clockMs;
     worker->clockAt = now;
@@ -323,65 +334,12 @@
         processEnd(*worker, end, now);
     for (const auto &run : report.active)
         processActiveRun(*worker, run, now);
-    releaseMissingRuns(*worker, report, askedAt, now);
+    releaseMissingRuns(*worker, report, askedAt,
+                       restarted ? run_loss_cause::WorkerCrashed : run_loss_cause::NotReported,
+                       now);
     checkProgress(*worker, now);
 }
 
-void job_scheduler::releaseMissingRuns(worker &worker, const worker_report &report,
-                                       time_point askedAt, time_point now)
-{
-    std::vector<task_run *> missing;
-    for (auto *task : worker.runs) {
-        if (!task->acknowledgedAt || *task->acknowledgedAt >= askedAt
-            || task->phase == task_phase::Recording)
-            continue;
-        const auto &step = *task->step;
-        const task_name name {step.occurrence->job->definition.id, step.occurrence->number,
-                              step.number, task->index};
-        const auto text = name.text();
-        const bool active = std::ranges::any_of(report.active, [&](const active_run &run) {
-            return run.attempt == task->attempt && run.task == text;
-        });
-        if (!active)
-            missing.push_back(task);
-    }
-    for (auto *task : missing) {
-        if (!task->assignedWorker)
-            continue;
-        auto &step = *task->step;
-        if (task->phase != task_phase::Stopping)
-            recordEvent("run.lost", *task, "missing from the worker report");
-        returnToWaiting(*task);
-        if (step.definition->gang)
-            stopStep(step, now);
-    }
-}
-
-void job_scheduler::releaseAllRuns(worker &worker, std::string_view reason)
-{
-    const auto runs = worker.runs;
-    for (auto *task : runs) {
-        if (task->assignedWorker != &worker)
-            continue;
-        recordEvent("run.lost", *task, reason);
-        returnToWaiting(*task);
-    }
-}
-
-void job_scheduler::leaseRenewalFailed(const std::string &id, time_point)
-{
-    if (auto *worker = m_fleet.find(id))
-        worker->responsive = false;
-}
-
-void job_scheduler::expireLeases(time_point now)
-{
-    for (auto &[id, worker] : m_fleet.all()) {
-        if (!worker->responsive && !worker->runs.empty() && worker->leasesEnded(now))
-            releaseAllRuns(*worker, "worker lease expired");
-    }
-}
-
 void job_scheduler::onStartReply(const start_order &order, start_result result,
                                  std::optional<std::int64_t> workerClockMs, time_point now)
 {
@@ -448,11 +406,8 @@
                 || task->nextStopAt > now)
                 continue;
             task->nextStopAt = now + m_options.stopRetryInterval;
-            const auto &step = *task->step;
-            const task_name name {step.occurrence->job->definition.id, step.occurrence->number,
-                                  step.number, task->index};
             orders.stops.push_back(
-                {{id, worker->entry.address}, name.text(), task->attempt, m_term});
+                {{id, worker->entry.address}, nameOf(*task).text(), task->attempt, m_term});
         }
     }
 }
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -500,8 +500,7 @@
     const auto &job = *step.occurrence->job;
     start_order order;
     order.worker = {task.assignedWorker->entry.id, task.assignedWorker->entry.address};
-    order.task =
-        task_name {job.definition.id, step.occurrence->number, step.number, task.index}.text();
+    order.task = nameOf(task).text();
     order.attempt = task.attempt;
     order.payload = job.definition.payload;
     order.leaseEndMs = task.assignedWorker->estimatedClock(now) + m_options.lease.count();
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -6,6 +6,7 @@
 #include "jobs/fleet.h"
 #include "jobs/job_record.h"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -118,8 +119,24 @@
     std::uint32_t attempt = 0;
     std::string worker;
     std::string_view reason;
+    // Further fields of the log line.
+    std::vector<std::pair<std::string_view, std::string>> fields;
 };
 
+// Why a run ended without a report of its end.
+enum class run_loss_cause : std::uint8_t {
+    // Another incarnation of the worker responded, and the worker was not draining.
+    WorkerCrashed,
+    WorkerLeft,
+    LeaseExpired,
+    // The worker responds and does not know the run.
+    NotReported,
+};
+inline constexpr std::size_t runLossCauses = 4;
+
+// The name of a cause in logs and metrics.
+std::string_view runLossName(run_loss_cause cause);
+
 // Orders that must be sent now.
 struct scheduler_orders
 {
@@ -221,6 +238,9 @@
     std::vector<scheduler_event> takeEvents() { return std::exchange(m_events, {}); }
 
     scheduler_load load(time_point now) const;
+    // Counts since the start of the term.
+    std::uint64_t workerCrashes() const { return m_workerCrashes; }
+    const std::array<std::uint64_t, runLossCauses> &runLosses() const { return m_runLosses; }
     // Explains why a job is not done: one line for each unfinished step whose dependencies are
     // done.
     std::vector<std::string> explain(const std::string &id, time_point now) const;
@@ -269,9 +289,11 @@
     void applyEnd(task_run &task, const ended_run &end, time_point now);
     void processActiveRun(worker &worker, const active_run &run, time_point now);
     void onWorkerRestarted(worker &worker, std::int64_t incarnationMs);
+    void loseRun(task_run &task, run_loss_cause cause, time_point now);
+    void loseRunsOfReplacedWorker(worker &worker, time_point now);
+    void recordCrash(const worker &worker, std::int64_t newIncarnationMs, time_point now);
     void releaseMissingRuns(worker &worker, const worker_report &report, time_point askedAt,
-                            time_point now);
-    void releaseAllRuns(worker &worker, std::string_view reason);
+                            run_loss_cause cause, time_point now);
     void expireLeases(time_point now);
     void retryStops(time_point now, scheduler_orders &orders);
     // Updates the health of a worker after a failed or successful run.
@@ -285,6 +307,7 @@
     // are observed.
     double admittedGangShare(const queue_definition &queue) const;
     void recordEvent(std::string_view event, const task_run &task, std::string_view reason);
+    static task_name nameOf(const task_run &task);
     start_order makeStartOrder(const task_run &task, time_point now) const;
     const queue_definition &queueOf(const job_run &job) const;
 
@@ -315,6 +338,8 @@
     // Stop orders for reported runs that do not match any assignment.
     std::vector<stop_order> m_strayStops;
     std::vector<scheduler_event> m_events;
+    std::uint64_t m_workerCrashes = 0;
+    std::array<std::uint64_t, runLossCauses> m_runLosses {};
     struct observed_share
     {
         double smoothed = 0;
--- a/tests/jobs/lost_worker_test.cpp
+++ b/tests/jobs/lost_worker_test.cpp
@@ -36,12 +36,7 @@
 
 void restart(scheduler_world &world, const std::string &worker)
 {
-    auto &fake = world.fleet[worker];
-    fake.incarnationMs += 1000;
-    fake.active.clear();
-    fake.ended.clear();
-    fake.lastNumber = 0;
-    fake.leaseEndMs = 0;
+    world.crash(worker);
 }
 
 const loss_row rows[] = {
--- a/tests/jobs/scheduler_world.h
+++ b/tests/jobs/scheduler_world.h
@@ -131,6 +131,17 @@
             endAll(worker, jobs::run_outcome::LeaseExpired);
     }
 
+    // Ends all runs of a worker unreported; it starts again under the same id.
+    void crash(const std::string &id)
+    {
+        auto &worker = fleet[id];
+        worker.incarnationMs += 1000;
+        worker.active.clear();
+        worker.ended.clear();
+        worker.lastNumber = 0;
+        worker.leaseEndMs = 0;
+    }
+
     void endAll(fake_worker &worker, jobs::run_outcome outcome)
     {
         while (!worker.active.empty())
