Add a failing test of tasks that crash worker after worker

The test plays a deadly task alone, beside others, in a gang, with workers that come back under their id or another one, and with a new leader after each crash. A third case guards the fix: crashes that no task causes must not fail a job.

--- a/tests/jobs/scheduler_world.h
+++ b/tests/jobs/scheduler_world.h
@@ -3,6 +3,7 @@
 
 #include "jobs/job_scheduler.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <set>
@@ -37,6 +38,10 @@
     std::map<std::string, fake_run> active;
     std::vector<jobs::ended_run> ended;
     std::uint64_t lastNumber = 0;
+    // Set while a crashed worker is down.
+    std::optional<duration> downUntil;
+    // Another worker has started at its address.
+    bool replaced = false;
 };
 
 class scheduler_world
@@ -110,6 +115,12 @@
             scheduler.leaseRenewalFailed(id, now());
             return;
         }
+        if (fake.replaced) {
+            jobs::worker_report other;
+            other.otherIncarnation = true;
+            scheduler.onReport(id, other, now(), now());
+            return;
+        }
         expire(fake);
         if (order.leaseEndMs)
             fake.leaseEndMs = std::max(fake.leaseEndMs, *order.leaseEndMs);
@@ -142,6 +153,41 @@
         worker.leaseEndMs = 0;
     }
 
+    // Ends all runs of a worker, which is down for restartTime.
+    void crashForAWhile(const std::string &id)
+    {
+        crash(id);
+        ++crashes;
+        fleet[id].reachable = false;
+        fleet[id].downUntil = elapsed + restartTime;
+    }
+
+    // Brings back the workers whose restart time is over, under their id or under a new one.
+    void restartWorkers()
+    {
+        std::vector<std::string> due;
+        for (const auto &[id, worker] : fleet) {
+            if (worker.downUntil && *worker.downUntil <= elapsed)
+                due.push_back(id);
+        }
+        for (const auto &id : due) {
+            auto &worker = fleet[id];
+            worker.downUntil.reset();
+            worker.reachable = true;
+            if (!newIdAfterCrash)
+                continue;
+            worker.replaced = true;
+            worker.listed = false;
+            auto created = worker;
+            created.replaced = false;
+            created.listed = true;
+            created.entry.id = id + "+";
+            fleet[created.entry.id] = created;
+        }
+        if (!due.empty())
+            list();
+    }
+
     void endAll(fake_worker &worker, jobs::run_outcome outcome)
     {
         while (!worker.active.empty())
@@ -238,8 +284,18 @@
             if (other.active.contains(order.task))
                 startedTwice.push_back(order.task);
         }
+        ++startsOf[order.task];
         worker.active[order.task] = {order.attempt, order.checkpoint};
         checkpoints[order.task] = order.checkpoint;
+        if (isDeadly(order.task)) {
+            for (const auto &[task, run] : worker.active)
+                ++crashesUnder[task];
+            besideDeadly += worker.active.size() - 1;
+            crashForAWhile(order.worker.id);
+            scheduler.leaseRenewalFailed(order.worker.id, now());
+            scheduler.onStartReply(order, jobs::start_result::Unknown, std::nullopt, now());
+            return;
+        }
         scheduler.onStartReply(order, jobs::start_result::Accepted, workerClock(), now());
     }
 
@@ -255,12 +311,18 @@
         scheduler.onStopReply(order, true, now());
     }
 
-    // Advances the clock in steps of at most 500 ms and renews all leases after each step.
+    bool isDeadly(const std::string &task) const
+    {
+        return std::ranges::any_of(deadly,
+                                   [&](const auto &name) { return task.starts_with(name); });
+    }
+
+    // Advances the clock in steps of at most advanceStep and renews all leases after each step.
     void advance(milliseconds span)
     {
-        const auto step = milliseconds(500);
-        for (auto left = span; left.count() > 0; left -= step) {
-            elapsed += std::min(left, step);
+        for (auto left = span; left.count() > 0; left -= advanceStep) {
+            elapsed += std::min(left, advanceStep);
+            restartWorkers();
             renewAllLeases();
             settle();
         }
@@ -319,6 +381,16 @@
     std::map<std::string, jobs::job_state> finished;
     std::map<std::string, std::string> checkpoints;
     std::vector<std::string> startedTwice;
+    milliseconds advanceStep {500};
+    // Tasks whose names start so crash each worker that starts them.
+    std::vector<std::string> deadly;
+    milliseconds restartTime {3500};
+    bool newIdAfterCrash = true;
+    int crashes = 0;
+    std::map<std::string, int> startsOf;
+    // Crashes of workers while each task was at work there, and runs lost beside a deadly one.
+    std::map<std::string, int> crashesUnder;
+    std::size_t besideDeadly = 0;
     // Progress that all workers report for their runs.
     std::uint32_t percent = 100;
     int starts = 0;
--- a/tests/jobs/takeover_test.cpp
+++ b/tests/jobs/takeover_test.cpp
@@ -1,4 +1,5 @@
 #include "jobs/scheduler_world.h"
+#include "jobs/take_over.h"
 
 #include <doctest/doctest.h>
 
@@ -7,29 +8,12 @@
 using plantaingap::jobs::run_outcome;
 using plantaingap::tests::milliseconds;
 using plantaingap::tests::scheduler_world;
+using plantaingap::tests::takeOver;
 
 namespace {
 
 const std::string id = "00000000000000b1";
 
-// Starts a new leader from the stored rows and the current workers.
-void takeOver(scheduler_world &world, scheduler_world &next)
-{
-    next.elapsed = world.elapsed;
-    next.fleet = world.fleet;
-    next.term = world.term + 1;
-    next.scheduler.startTerm(next.term, next.now());
-    for (const auto &[job, definition] : world.definitions) {
-        std::optional<jobs::recorded_progress> progress;
-        if (world.progress.contains(job))
-            progress = *jobs::decodeProgress(world.progress.at(job));
-        next.scheduler.restore(*jobs::decodeJob(definition), progress, next.now(), next.wall());
-    }
-    next.definitions = world.definitions;
-    next.progress = world.progress;
-    next.begin();
-}
-
 struct takeover_row
 {
     const char *name;
