Count the crashes under each task, start suspects alone and give up on them

Cause: a run that ended with its worker went back to waiting, uncounted. The class of the fault: an end that no report tells has no memory, in the leader or in the store.

Change: each crash under a task is stored with the task, with how strongly it speaks against it: what was started right before the loss is suspected, what had run for a while is a bystander, a start without a reply is not confirmed. A suspect starts alone on an empty worker, few at a time; when that crashes too the job fails at once and nothing of it is started again. A run that survives its probation clears the task. Strong suspects (alone in being fresh) start together when they are more than the sites for them. Rows carry the incarnations of workers, so that a new leader sees a crash that happened while nobody led. A start whose connection broke says nothing about the health of its worker. The start time of an earlier attempt no longer stays with the task.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -618,10 +618,11 @@
         }
         auto order = m_scheduler.renewLease(*worker, now);
         order.wait = worker->reports == 0 || !worker->unstoredEnds.empty() ? milliseconds(0)
-                                                                           : leaseRenewalHold;
+                     : worker->isolating() ? m_options.scheduler.probation
+                                           : leaseRenewalHold;
         ++m_counters["looks"];
-        auto result = co_await m_ports.workers.renewLease(order, clock::now() + order.wait
-                                                                     + leaseRenewalTimeout);
+        const auto deadline = clock::now() + order.wait + leaseRenewalTimeout;
+        auto result = co_await m_ports.workers.renewLease(order, deadline);
         if (m_ended)
             break;
         if (auto *report = std::get_if<jobs::worker_report>(&result)) {
@@ -632,7 +633,7 @@
                         .field("worker", id);
                 }
                 m_superseded = true;
-                m_scheduler.leaseRenewalFailed(id, bootNow());
+                m_scheduler.leaseRenewalFailed(id, jobs::renewal_failure::NoReply, bootNow());
                 break;
             }
             const bool wasUnresponsive = !worker->responsive;
@@ -656,7 +657,11 @@
         worker = m_scheduler.workers().find(id);
         if (worker && worker->responsive)
             log_event(log_level::Warning, "worker.unresponsive").field("worker", id);
-        m_scheduler.leaseRenewalFailed(id, bootNow());
+        const bool broken =
+            clock::now() < deadline && std::get<call_failure>(result) == call_failure::Unknown;
+        m_scheduler.leaseRenewalFailed(
+            id, broken ? jobs::renewal_failure::ConnectionBroken : jobs::renewal_failure::NoReply,
+            bootNow());
         co_await sleepFor(leaseRenewalRetryInterval);
     }
     m_leaseTimers.erase(id);
--- a/src/cell/leader_orders.cpp
+++ b/src/cell/leader_orders.cpp
@@ -177,10 +177,11 @@
     using jobs::start_result;
     const auto self = shared_from_this();
     ++m_counters["starts"];
-    const auto reply = co_await m_ports.workers.start(order, clock::now() + orderTimeout);
+    const auto deadline = clock::now() + orderTimeout;
+    const auto reply = co_await m_ports.workers.start(order, deadline);
     if (m_ended)
         co_return;
-    auto result = start_result::Unknown;
+    auto result = clock::now() < deadline ? start_result::ConnectionBroken : start_result::Unknown;
     switch (reply.status) {
     case order_status::Accepted:
         result = start_result::Accepted;
@@ -258,6 +259,7 @@
         add(name + "_total", value);
     const auto load = m_scheduler.load(bootNow());
     add("worker_crashes_total", m_scheduler.workerCrashes());
+    add("tasks_given_up_total", m_scheduler.tasksGivenUp());
     for (std::size_t cause = 0; cause < jobs::runLossCauses; ++cause) {
         const auto name = jobs::runLossName(static_cast<jobs::run_loss_cause>(cause));
         add("runs_lost_" + std::string(name) + "_total", m_scheduler.runLosses()[cause]);
--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -50,8 +50,10 @@
             m_usableCapacity += worker->entry.capacity;
         }
     }
-    for (const auto &ready : readySteps())
-        schedule(ready);
+    const auto ready = readySteps();
+    prepareIsolation(ready);
+    for (const auto &step : ready)
+        schedule(step);
 }
 
 std::vector<dispatcher::ready_step> dispatcher::readySteps()
@@ -66,15 +68,23 @@
                     continue;
                 if (step.definition->gang && step.waiting < step.tasks.size())
                     continue;
-                found.push_back({&step, &m_scheduler.queueOf(*job), latenessOf(step, m_now)});
+                const auto allWaiting = [&step](bool (crash_history::*property)() const) {
+                    return std::ranges::all_of(step.tasks, [property](const task_run &task) {
+                        return task.phase != task_phase::Waiting || (task.crashes.*property)();
+                    });
+                };
+                found.push_back({&step, &m_scheduler.queueOf(*job), latenessOf(step, m_now),
+                                 step.definition->gang ? isolatedGang(step)
+                                                       : allWaiting(&crash_history::suspected),
+                                 allWaiting(&crash_history::stronglySuspected)});
             }
         }
     }
     std::ranges::sort(found, [](const ready_step &left, const ready_step &right) {
         const auto rank = [](const ready_step &ready) {
             const auto latestStart = ready.step->onTimeUntil - ready.step->remainingChain;
-            return std::make_tuple(!ready.step->definition->longRunning, ready.lateness,
-                                   ready.queue->priority == 0 ? 0 : 1, latestStart);
+            return std::make_tuple(ready.stronglySuspected, !ready.step->definition->longRunning,
+                                   ready.lateness, ready.queue->priority == 0 ? 0 : 1, latestStart);
         };
         return rank(left) < rank(right);
     });
@@ -88,7 +98,7 @@
         return;
     }
     placeIndividually(ready);
-    if (ready.step->waiting > 0)
+    if (ready.step->waiting > 0 && (!ready.isolated || mayRequestIsolation(ready)))
         requestAdviceForTasks(ready);
 }
 
@@ -105,6 +115,9 @@
     const auto &definition = *ready.step->definition;
     if (worker.entry.service != ready.queue->service || !worker.hasLabel(definition.label))
         return false;
+    if (ready.isolated ? !suitsIsolation(ready, worker)
+                       : worker.setAsideUntil > m_now || worker.isolating())
+        return false;
     // A quarantined worker gets a single run as a probe.
     if (worker.health.quarantined() && (definition.gang || !worker.runs.empty()))
         return false;
@@ -222,6 +235,10 @@
     for (auto &task : step.tasks) {
         if (task.phase != task_phase::Waiting)
             continue;
+        if (task.crashes.suspected()) {
+            placeIsolated(ready, task, workers);
+            continue;
+        }
         auto *worker = chooseWorker(ready, workers);
         if (!worker)
             return;
--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -24,6 +24,10 @@
         step_run *step = nullptr;
         const queue_definition *queue = nullptr;
         int lateness = 0;
+        // All tasks that wait may only start alone on a worker.
+        bool isolated = false;
+        // All of them are strongly suspected, so they come last.
+        bool stronglySuspected = false;
     };
 
     // Slots for gang members on one worker.
@@ -70,6 +74,21 @@
     // Whether the total reserved for gangs may grow by that much.
     bool canReserveMore(std::int64_t milliCores) const;
 
+    // Suspected tasks.
+    void prepareIsolation(const std::vector<ready_step> &ready);
+    // Whether one more suspected step may use one of the sites for which no other step has advice.
+    bool mayRequestIsolation(const ready_step &ready);
+    bool isolatedGang(step_run &step) const;
+    std::size_t isolationSitesNeeded(const ready_step &ready) const;
+    void setAside(const std::vector<const ready_step *> &suspects, std::size_t wanted,
+                  std::size_t mostEmptying);
+    void placeIsolated(const ready_step &ready, task_run &task,
+                       const std::vector<worker *> &workers);
+    worker *isolationSite(const ready_step &ready, const std::vector<worker *> &workers) const;
+    bool startTogether(const ready_step &ready) const;
+    // Whether a suspected task of the step may start there once the worker is empty.
+    bool suitsIsolation(const ready_step &ready, const worker &worker) const;
+
     // Advice.
     bool canRequestAdvice(const ready_step &ready) const;
     void requestAdviceForTasks(const ready_step &ready);
@@ -106,6 +125,14 @@
     std::array<bool, advisor_call_router::callClassCount> m_callClassBusy {};
     std::vector<worker *> m_usableWorkers;
     resources m_usableCapacity;
+    // Workers on which suspected tasks are at work or which they took down, and their limit.
+    std::size_t m_isolationSites = 0;
+    std::size_t m_maxIsolationSites = 0;
+    // Suspected steps that hold or await advice for a site.
+    std::size_t m_isolationAdvice = 0;
+    // Strongly suspected tasks that wait, and those placed in this pass on each worker.
+    std::size_t m_waitingStrongSuspects = 0;
+    std::map<const worker *, std::size_t> m_strongSuspectsPlaced;
     resources m_reservedCapacity;
 };
 
--- a/src/jobs/dispatcher_gangs.cpp
+++ b/src/jobs/dispatcher_gangs.cpp
@@ -46,7 +46,7 @@
     std::uint32_t total = 0;
     for (auto *worker : allowedWorkers(ready)) {
         const auto count = freeTaskSlots(ready, *worker);
-        if (count == 0)
+        if (count == 0 || (ready.isolated && !worker->runs.empty()))
             continue;
         // A gang is as slow as its slowest member, and a failed member ends it.
         const bool leastPreferred = worker->speed.slow() || stepFailedOn(ready, *worker);
@@ -55,6 +55,11 @@
     }
     if (total < step.tasks.size())
         return false;
+    if (ready.isolated) {
+        if (m_isolationSites >= m_maxIsolationSites)
+            return false;
+        m_isolationSites += isolationSitesNeeded(ready);
+    }
     std::ranges::stable_sort(slots, [](const gang_slot &a, const gang_slot &b) {
         return std::make_pair(a.leastPreferred, -std::int64_t {a.count})
                < std::make_pair(b.leastPreferred, -std::int64_t {b.count});
@@ -72,10 +77,14 @@
             auto &task = step.tasks[next++];
             task.checkpoint = checkpoint;
             assign(task, *worker, attempt + 1);
+            task.isolated = ready.isolated;
+            if (ready.isolated)
+                task.crashes.startAlone(task.attempt);
         }
     }
     dropReservation(step);
     step.gang = {};
+    step.isolationEnd.reset();
     return true;
 }
 
@@ -200,7 +209,7 @@
         return;
     for (const auto &[worker, members] : assignment) {
         worker->reservedFor = ready.step;
-        worker->reservedCapacity = demand * members;
+        worker->reservedCapacity = ready.isolated ? worker->entry.capacity : demand * members;
         worker->reservedUntil = m_now + reservationDuration;
         worker->reservedStart = *plan.startAt;
         m_reservedCapacity += worker->reservedCapacity;
--- a/src/jobs/fleet.cpp
+++ b/src/jobs/fleet.cpp
@@ -38,9 +38,9 @@
     return label.empty() || std::ranges::find(entry.labels, label) != entry.labels.end();
 }
 
-const std::string &workerName(const worker &worker)
+bool worker::isolating() const
 {
-    return worker.entry.id;
+    return std::ranges::any_of(runs, [](const task_run *run) { return run->isolated; });
 }
 
 std::vector<std::string> fleet::updateList(const std::vector<worker_entry> &entries,
@@ -82,8 +82,8 @@
     std::vector<std::string> removed;
     for (auto it = m_workers.begin(); it != m_workers.end();) {
         const auto &worker = *it->second;
-        if (!worker.listed && worker.runs.empty()
-            && (!worker.responsive || worker.leasesEnded(now))) {
+        if (!worker.listed && worker.runs.empty() && (!worker.responsive || worker.leasesEnded(now))
+            && (worker.unresolvedLosses.empty() || worker.unresolvedUntil <= now)) {
             removed.push_back(it->first);
             it = m_workers.erase(it);
         } else {
--- a/src/jobs/fleet.h
+++ b/src/jobs/fleet.h
@@ -28,8 +28,20 @@
     bool listed = false;
     // The last lease renewal succeeded.
     bool responsive = false;
-    // When the first lease renewal after the last report failed.
+    // When the first lease renewal after the last report failed, and whether it was by a broken
+    // connection, as when the process of the worker has ended, rather than by silence.
     std::optional<time_point> unresponsiveSince;
+    bool connectionBroken = false;
+    // Runs that were lost with their lease; a new incarnation of the worker proves later that it
+    // crashed under them.
+    struct lost_run
+    {
+        task_name task;
+        std::uint32_t attempt = 0;
+        crash_evidence evidence = crash_evidence::Beside;
+    };
+    std::vector<lost_run> unresolvedLosses;
+    time_point unresolvedUntil {};
     // Number of reports received in this leader's term.
     std::uint64_t reports = 0;
     // Resources of runs that may exist on the worker.
@@ -57,6 +69,8 @@
     // Failure statistics; with enough evidence the worker is quarantined and probed.
     decision::worker_health health;
     worker_speed speed;
+    // Only suspected tasks are placed here until then.
+    time_point setAsideUntil {};
     // Gang for which capacity is reserved here; other steps must leave it free.
     const step_run *reservedFor = nullptr;
     resources reservedCapacity;
@@ -72,10 +86,10 @@
     bool leasesEnded(time_point now) const;
     bool usable(time_point now) const;
     bool hasLabel(std::string_view label) const;
+    // A run that may crash the worker is at work, so nothing else is placed.
+    bool isolating() const;
 };
 
-const std::string &workerName(const worker &worker);
-
 // The rack among the labels of a worker, empty if none names one.
 std::string rackOf(const std::vector<std::string> &labels);
 
--- a/src/jobs/job_losses.cpp
+++ b/src/jobs/job_losses.cpp
@@ -33,6 +33,13 @@
     return std::to_string(std::chrono::duration_cast<milliseconds>(span).count());
 }
 
+bool runsOneJob(const worker &worker)
+{
+    const auto jobOf = [](const task_run *run) { return run->step->occurrence->job; };
+    return std::ranges::all_of(
+        worker.runs, [&](const task_run *run) { return jobOf(run) == jobOf(worker.runs.front()); });
+}
+
 // The start order may have reached the worker, and the run has not been reported as ended.
 bool mayBeAtWork(const task_run &task)
 {
@@ -75,36 +82,116 @@
     }
 }
 
-// `newIncarnationMs` is 0 if the response of the new incarnation did not tell.
-void job_scheduler::recordCrash(const worker &worker, std::int64_t newIncarnationMs, time_point now)
+// How strongly the loss of its worker speaks against a run. `freshRuns`: the runs that had been
+// started there right before.
+crash_evidence job_scheduler::crashEvidence(const worker &worker, const task_run &task,
+                                            std::int64_t freshRuns) const
+{
+    const bool started = task.startedAt != time_point {};
+    // A run of a previous leader may have been started right before, too.
+    if (task.orderedAt == time_point {}) {
+        if (task.isolated && runsOneJob(worker))
+            return crash_evidence::Alone;
+        return runsOneJob(worker) ? crash_evidence::Beside : crash_evidence::Bystander;
+    }
+    if (!isFresh(worker, task)) {
+        if (!started)
+            return crash_evidence::Unconfirmed;
+        return freshRuns > 0 ? crash_evidence::Bystander : crash_evidence::Beside;
+    }
+    // One member of a gang is enough to end it.
+    const bool isolatedGang = task.isolated && task.step->definition->gang;
+    if (!started && freshRuns > 1 && !isolatedGang)
+        return crash_evidence::Unconfirmed;
+    if (task.isolated)
+        return crash_evidence::Alone;
+    return freshRuns > 1 ? crash_evidence::Fresh : crash_evidence::OnlyFresh;
+}
+
+// The worker was lost at once after it started the run, or after the start was ordered.
+bool job_scheduler::isFresh(const worker &worker, const task_run &task) const
+{
+    if (!worker.connectionBroken || !worker.unresponsiveSince || task.orderedAt == time_point {})
+        return false;
+    return task.startedAt == time_point {}
+           || *worker.unresponsiveSince - task.startedAt <= m_options.freshRunAge;
+}
+
+// Counts a crash against all runs of the previous incarnation. `newIncarnationMs` is 0 if the
+// response of the new one did not tell.
+void job_scheduler::recordCrash(worker &worker, std::int64_t newIncarnationMs, time_point now)
 {
     const auto lostAt = worker.unresponsiveSince.value_or(now);
-    const task_run *youngest = nullptr;
-    std::uint64_t runs = 0;
+    std::vector<worker::lost_run> lost = std::exchange(worker.unresolvedLosses, {});
+    const auto freshRuns = std::ranges::count_if(
+        worker.runs, [&](const task_run *run) { return isFresh(worker, *run); });
     for (const auto *run : worker.runs) {
         // A run ordered later was ordered from the new incarnation.
         if (!mayBeAtWork(*run) || run->orderedAt > lostAt)
             continue;
-        ++runs;
-        if (!youngest || run->orderedAt > youngest->orderedAt)
-            youngest = run;
+        if (worker.reports == 0 && newIncarnationMs != 0
+            && (run->recordedIncarnationMs == 0 || run->recordedIncarnationMs == newIncarnationMs))
+            continue;
+        lost.push_back({nameOf(*run), run->attempt, crashEvidence(worker, *run, freshRuns)});
     }
-    if (!youngest)
+    if (lost.empty())
         return;
     ++m_workerCrashes;
     scheduler_event event {"worker.crashed",
-                           nameOf(*youngest).text(),
-                           youngest->attempt,
+                           {},
+                           0,
                            worker.entry.id,
                            "another incarnation responded while runs were at work",
                            {}};
-    event.fields.emplace_back("runs", std::to_string(runs));
+    event.fields.emplace_back("runs", std::to_string(lost.size()));
+    event.fields.emplace_back("fresh_runs", std::to_string(freshRuns));
     event.fields.emplace_back("incarnation", std::to_string(worker.incarnationMs));
     event.fields.emplace_back("new_incarnation", std::to_string(newIncarnationMs));
     event.fields.emplace_back("unresponsive_ms", formatMilliseconds(now - lostAt));
-    if (youngest->orderedAt != time_point {})
-        event.fields.emplace_back("age_ms", formatMilliseconds(lostAt - youngest->orderedAt));
     m_events.push_back(std::move(event));
+    for (const auto &run : lost)
+        countCrash(run, worker, now);
+}
+
+void job_scheduler::countCrash(const worker::lost_run &lost, const worker &worker, time_point now)
+{
+    auto *task = find(lost.task);
+    if (!task || task->phase == task_phase::Done)
+        return;
+    auto &step = *task->step;
+    auto &job = *step.occurrence->job;
+    if (job.state > job_state::Running || !task->crashes.add(lost.attempt, lost.evidence))
+        return;
+    markChanged(job);
+    if (lost.evidence >= crash_evidence::Fresh)
+        step.crashedAt.push_back(worker.entry.address);
+    if (task->crashes.givenUp()) {
+        ++m_tasksGivenUp;
+        recordEvent("task.given_up", *task, "workers crash when they start it");
+        m_events.back().fields.emplace_back("crashes",
+                                            std::to_string(task->crashes.records().size()));
+        finish(job, job_state::Failed);
+        stopAll(job, now);
+    } else if (task->crashes.suspected()) {
+        recordEvent("task.suspected", *task, "its worker crashed right after the start, or twice");
+        m_events.back().fields.emplace_back("crashes",
+                                            std::to_string(task->crashes.records().size()));
+    }
+}
+
+// A run that is at work for the probation time does not crash workers at its start.
+void job_scheduler::endProbation(task_run &task, time_point now)
+{
+    if (task.startedAt == time_point {} || now - task.startedAt < m_options.probation)
+        return;
+    task.isolated = false;
+    if (!task.crashes.suspected())
+        return;
+    task.crashes.clear(task.attempt);
+    // A task that lasts outlives crashes that others cause.
+    if (task.step->definition->longRunning)
+        task.crashes = {};
+    recordEvent("task.cleared", task, "the worker outlived the probation of the run");
 }
 
 void job_scheduler::releaseMissingRuns(worker &worker, const worker_report &report,
@@ -135,14 +222,17 @@
     }
 }
 
-void job_scheduler::leaseRenewalFailed(const std::string &id, time_point now)
+void job_scheduler::leaseRenewalFailed(const std::string &id, renewal_failure failure,
+                                       time_point now)
 {
     auto *worker = m_fleet.find(id);
     if (!worker)
         return;
     worker->responsive = false;
-    if (!worker->unresponsiveSince)
+    if (!worker->unresponsiveSince) {
         worker->unresponsiveSince = now;
+        worker->connectionBroken = failure == renewal_failure::ConnectionBroken;
+    }
 }
 
 void job_scheduler::expireLeases(time_point now)
@@ -150,12 +240,36 @@
     for (auto &[id, worker] : m_fleet.all()) {
         if (worker->responsive || worker->runs.empty() || !worker->leasesEnded(now))
             continue;
-        const auto runs = worker->runs;
-        for (auto *task : runs) {
-            if (task->assignedWorker == worker.get())
-                loseRun(*task, run_loss_cause::LeaseExpired, now);
+        loseLeasedRuns(*worker, now);
+    }
+}
+
+// The leases of a worker have expired. A new incarnation may prove later that it crashed; until
+// then runs that were started right before are suspected.
+void job_scheduler::loseLeasedRuns(worker &worker, time_point now)
+{
+    // A worker that left the list under a previous leader will not prove that it crashed.
+    const bool neverProved = worker.reports == 0 && !worker.listed;
+    const auto runs = worker.runs;
+    const auto freshRuns =
+        std::ranges::count_if(runs, [&](const task_run *run) { return isFresh(worker, *run); });
+    for (auto *task : runs) {
+        if (task->assignedWorker != &worker)
+            continue;
+        if (mayBeAtWork(*task)) {
+            const worker::lost_run lost {nameOf(*task), task->attempt,
+                                         crashEvidence(worker, *task, freshRuns)};
+            if (neverProved)
+                countCrash(lost, worker, now);
+            else
+                worker.unresolvedLosses.push_back(lost);
+            if (!neverProved && isFresh(worker, *task))
+                countCrash({lost.task, lost.attempt, crash_evidence::Unconfirmed}, worker, now);
         }
+        if (task->assignedWorker == &worker)
+            loseRun(*task, run_loss_cause::LeaseExpired, now);
     }
+    worker.unresolvedUntil = now + m_options.unresolvedLossRetention;
 }
 
 } // namespace plantaingap::jobs
--- a/src/jobs/job_progress.cpp
+++ b/src/jobs/job_progress.cpp
@@ -12,6 +12,13 @@
 
 } // namespace
 
+bool step_run::suspectedGang() const
+{
+    return definition->gang && std::ranges::any_of(tasks, [](const task_run &task) {
+               return task.crashes.suspected();
+           });
+}
+
 time_point expectedEnd(const task_run &task)
 {
     const auto done = task.percent - std::min(task.firstPercent, task.percent);
--- a/src/jobs/job_progress.h
+++ b/src/jobs/job_progress.h
@@ -1,6 +1,7 @@
 #ifndef PLANTAINGAP_JOBS_JOB_PROGRESS_H
 #define PLANTAINGAP_JOBS_JOB_PROGRESS_H
 
+#include "jobs/crash_history.h"
 #include "jobs/job.h"
 
 #include <cstdint>
@@ -40,6 +41,10 @@
     std::uint32_t attempt = 0;
     // Attempts counted as failed; a worker may report the same failure again to the next leader.
     std::vector<std::uint32_t> failedAttempts;
+    crash_history crashes;
+    // The run was started on a worker without other runs, and none is placed there, until the run
+    // has survived its probation. Members of one gang share their workers.
+    bool isolated = false;
     // Set in all phases except Waiting and Done.
     worker *assignedWorker = nullptr;
     // When the worker last acknowledged an order for this attempt. A report requested later that
@@ -47,6 +52,9 @@
     std::optional<time_point> acknowledgedAt;
     // When this leader sent the start order of this attempt.
     time_point orderedAt {};
+    // For a run of a previous leader: the incarnation of its worker that was ordered to start it; 0
+    // when unknown.
+    std::int64_t recordedIncarnationMs = 0;
     // Earliest time for the next stop order.
     time_point nextStopAt {};
     // Checkpoint from which another run can resume; empty for none.
@@ -153,7 +161,14 @@
     // step.
     milliseconds remainingChain {0};
 
+    // Machines, by address, that crashed right after they started a task of the step in this term.
+    std::vector<std::string> crashedAt;
+
+    // A suspected gang waits until then for workers on which nothing else is at work.
+    std::optional<time_point> isolationEnd;
+
     bool finished() const { return done == tasks.size(); }
+    bool suspectedGang() const;
 };
 
 struct job_run
--- a/src/jobs/job_record.cpp
+++ b/src/jobs/job_record.cpp
@@ -89,25 +89,57 @@
 class worker_index
 {
 public:
-    int add(const std::string &worker)
+    int add(const task_run &task)
     {
-        const auto [entry, added] = m_indexes.try_emplace(worker, m_names.size());
-        if (added)
-            m_names.emplace_back(worker);
+        const auto &worker = *task.assignedWorker;
+        const auto [entry, added] = m_indexes.try_emplace(worker.entry.id, m_names.size());
+        if (added) {
+            m_names.emplace_back(worker.entry.id);
+            m_incarnations.emplace_back(worker.reports > 0 ? worker.incarnationMs
+                                                           : task.recordedIncarnationMs);
+        }
         return static_cast<int>(entry->second);
     }
-    json::array take() { return std::move(m_names); }
+    json::array takeNames() { return std::move(m_names); }
+    json::array takeIncarnations() { return std::move(m_incarnations); }
 
 private:
     std::map<std::string, std::size_t> m_indexes;
     json::array m_names;
+    json::array m_incarnations;
 };
 
+// The cleared attempt, the one that was started alone, then attempt and evidence of each crash.
+json::array encodeCrashes(const crash_history &crashes)
+{
+    json::array row {crashes.clearedAttempt(), crashes.aloneAttempt()};
+    for (const auto &[attempt, evidence] : crashes.records()) {
+        row.emplace_back(attempt);
+        row.emplace_back(static_cast<std::uint32_t>(evidence));
+    }
+    return row;
+}
+
+crash_history decodeCrashes(const json::value &value)
+{
+    const auto numbers = decodeNumbers(value);
+    crash_history crashes;
+    crashes.clear(numbers.at(0));
+    crashes.startAlone(numbers.at(1));
+    for (std::size_t i = 2; i < numbers.size(); i += 2) {
+        const auto evidence =
+            std::min(numbers.at(i + 1), static_cast<std::uint32_t>(crash_evidence::Alone));
+        crashes.add(numbers[i], static_cast<crash_evidence>(evidence));
+    }
+    return crashes;
+}
+
 constexpr int noWorker = -1;
 
 // A row is written again with each change of any task of its job, so a task takes as few bytes as
 // its state needs: a done task its attempt, a task that never started 0, and any other
-// [attempt, worker, failed attempts, checkpoint] without the trailing elements that are empty.
+// [attempt, worker, failed attempts, checkpoint, crashes] without the trailing elements that are
+// empty.
 json::value encodeTask(const task_run &task, worker_index &workers)
 {
     if (task.phase == task_phase::Done && task.failedAttempts.empty() && task.attempt > 0)
@@ -117,20 +149,29 @@
     const bool done = task.phase == task_phase::Done;
     json::array row {task.attempt};
     const bool checkpoint = !done && !task.checkpoint.empty();
+    const bool crashes = !done && !task.crashes.records().empty();
     const bool failures = !task.failedAttempts.empty();
-    if (task.assignedWorker || failures || checkpoint || done)
-        row.emplace_back(task.assignedWorker ? workers.add(workerName(*task.assignedWorker))
-                                             : noWorker);
-    if (failures || checkpoint || done)
+    if (task.assignedWorker || failures || checkpoint || done || crashes)
+        row.emplace_back(task.assignedWorker ? workers.add(task) : noWorker);
+    if (failures || checkpoint || done || crashes)
         row.emplace_back(encodeNumbers(task.failedAttempts));
-    if (checkpoint)
-        row.emplace_back(task.checkpoint);
-    else if (done)
+    if (done)
         row.emplace_back(true);
+    else if (checkpoint || crashes)
+        row.emplace_back(task.checkpoint);
+    if (crashes)
+        row.emplace_back(encodeCrashes(task.crashes));
     return row;
 }
 
-recorded_task decodeTask(const json::value &value, const json::array &workers)
+// The workers that a row names, and their incarnations if it has them.
+struct recorded_workers
+{
+    const json::array *names = nullptr;
+    const json::array *incarnations = nullptr;
+};
+
+recorded_task decodeTask(const json::value &value, const recorded_workers &workers)
 {
     recorded_task task;
     if (!value.is_array()) {
@@ -141,8 +182,12 @@
     const auto &row = value.get_array();
     task.attempt = row.at(0).to_number<std::uint32_t>();
     const auto worker = row.size() > 1 ? row.at(1).to_number<int>() : noWorker;
-    if (worker != noWorker)
-        task.worker = workers.at(static_cast<std::size_t>(worker)).as_string().c_str();
+    if (worker != noWorker) {
+        const auto index = static_cast<std::size_t>(worker);
+        task.worker = workers.names->at(index).as_string().c_str();
+        if (workers.incarnations)
+            task.incarnationMs = workers.incarnations->at(index).to_number<std::int64_t>();
+    }
     if (row.size() > 2)
         task.failedAttempts = decodeNumbers(row.at(2));
     if (row.size() > 3) {
@@ -150,6 +195,8 @@
         if (!task.done)
             task.checkpoint = row.at(3).as_string().c_str();
     }
+    if (row.size() > 4)
+        task.crashes = decodeCrashes(row.at(4));
     return task;
 }
 
@@ -165,14 +212,14 @@
     return task;
 }
 
-// `workers` are those that the row names, nullptr in a row of the first version.
-recorded_step decodeStepProgress(const json::object &row, const json::array *workers)
+// A row of the first version of the program names the worker with each task.
+recorded_step decodeStepProgress(const json::object &row, const recorded_workers &workers)
 {
     recorded_step step;
     step.failedAttempts = decodeNumbers(row.at("g"));
     for (const auto &task : row.at("t").as_array()) {
-        step.tasks.push_back(workers ? decodeTask(task, *workers)
-                                     : decodeFirstVersionTask(task.as_array()));
+        step.tasks.push_back(workers.names ? decodeTask(task, workers)
+                                           : decodeFirstVersionTask(task.as_array()));
     }
     return step;
 }
@@ -246,7 +293,8 @@
     return json::serialize(json::object {{"made", job.occurrencesCreated},
                                          {"done", job.occurrencesDone},
                                          {"started", job.everStarted},
-                                         {"workers", workers.take()},
+                                         {"workers", workers.takeNames()},
+                                         {"incarnations", workers.takeIncarnations()},
                                          {"live", std::move(live)}});
 }
 
@@ -258,12 +306,15 @@
         progress.occurrencesCreated = row.at("made").to_number<std::uint32_t>();
         progress.occurrencesDone = row.at("done").to_number<std::uint32_t>();
         progress.everStarted = row.at("started").as_bool();
-        const auto *workers = row.if_contains("workers");
-        const auto *names = workers ? &workers->as_array() : nullptr;
+        recorded_workers workers;
+        if (const auto *names = row.if_contains("workers"))
+            workers.names = &names->as_array();
+        if (const auto *incarnations = row.if_contains("incarnations"))
+            workers.incarnations = &incarnations->as_array();
         for (const auto &[number, steps] : row.at("live").as_object()) {
             auto &into = progress.live[static_cast<std::uint32_t>(std::stoul(number))];
             for (const auto &step : steps.as_array())
-                into.push_back(decodeStepProgress(step.as_object(), names));
+                into.push_back(decodeStepProgress(step.as_object(), workers));
         }
         return progress;
     });
--- a/src/jobs/job_record.h
+++ b/src/jobs/job_record.h
@@ -19,6 +19,9 @@
     // Worker on which the task may be running; empty for none.
     std::string worker;
     std::string checkpoint;
+    crash_history crashes {};
+    // The incarnation of `worker` when it was chosen; 0 when unknown.
+    std::int64_t incarnationMs = 0;
 
     bool operator==(const recorded_task &) const = default;
 };
--- a/src/jobs/job_runs.cpp
+++ b/src/jobs/job_runs.cpp
@@ -28,6 +28,9 @@
     task.firstReportAt = {};
     task.speedObserved = false;
     task.orderedAt = {};
+    task.startedAt = {};
+    task.recordedIncarnationMs = 0;
+    task.isolated = false;
     task.phase = task_phase::Waiting;
     ++task.step->waiting;
     --task.step->occurrence->job->occupying;
@@ -296,6 +299,7 @@
         task->progressAt = now;
     task->percent = run.percent;
     task->reportedAt = now;
+    endProbation(*task, now);
     task->measure = run.measure;
     auto &job = *step.occurrence->job;
     if (!job.everStarted) {
@@ -320,12 +324,13 @@
         return;
     }
     const bool restarted = worker->reports > 0 && report.incarnationMs != worker->incarnationMs;
-    if (restarted)
+    if (restarted || worker->reports == 0)
         recordCrash(*worker, report.incarnationMs, now);
     if (restarted || worker->reports == 0)
         onWorkerRestarted(*worker, report.incarnationMs);
     worker->responsive = true;
     worker->unresponsiveSince.reset();
+    worker->connectionBroken = false;
     ++worker->reports;
     worker->clockMs = report.clockMs;
     worker->clockAt = now;
@@ -383,6 +388,9 @@
             updateHealth(*task->assignedWorker, *task, true, now);
         stopRun(*task, now);
         break;
+    case start_result::ConnectionBroken:
+        stopRun(*task, now);
+        break;
     }
     if (step.definition->gang)
         stopStep(step, now);
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -196,6 +196,7 @@
     task.attempt = from.attempt;
     task.failedAttempts = from.failedAttempts;
     task.checkpoint = from.checkpoint;
+    task.crashes = from.crashes;
     if (from.done) {
         task.phase = task_phase::Done;
         --task.step->waiting;
@@ -204,6 +205,8 @@
         auto &worker = m_fleet.require(from.worker, m_previousLeaderLeaseEnd);
         allocate(task, worker);
         task.phase = task_phase::Doubtful;
+        task.recordedIncarnationMs = from.incarnationMs;
+        task.isolated = from.crashes.aloneAttempt() == from.attempt;
         // A worker that has reported in this term rejects orders of previous leaders.
         task.acknowledgedAt = time_point {};
     }
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -35,6 +35,13 @@
     milliseconds stopRetryInterval {300};
     // Delay before a failed advisor call is retried.
     milliseconds adviceRetryInterval {150};
+    // A run that its worker started at most this long before it was lost is suspected to have
+    // crashed it.
+    milliseconds freshRunAge {100};
+    // A run that is reported this long after its start has not crashed its worker by starting.
+    milliseconds probation {250};
+    // How long a worker that was lost may take to start again and prove that it crashed.
+    milliseconds unresolvedLossRetention {30'000};
     // Subtracted from the validity of a ticket for the latency of the advisor response and of the
     // start order.
     milliseconds ticketMargin {200};
@@ -152,9 +159,14 @@
     NoTicket,
     Ended,
     Unknown,
-    OtherIncarnation
+    OtherIncarnation,
+    // The connection broke before the response; the run may have started.
+    ConnectionBroken
 };
 
+// How a lease renewal got no report.
+enum class renewal_failure : std::uint8_t { ConnectionBroken, NoReply };
+
 // Figures for metrics and the load log.
 struct scheduler_load
 {
@@ -210,7 +222,7 @@
     lease_renewal renewLease(worker &worker, time_point now);
     void onReport(const std::string &id, const worker_report &report, time_point askedAt,
                   time_point now);
-    void leaseRenewalFailed(const std::string &id, time_point now);
+    void leaseRenewalFailed(const std::string &id, renewal_failure failure, time_point now);
     void onStartReply(const start_order &order, start_result result,
                       std::optional<std::int64_t> workerClockMs, time_point now);
     void onStopReply(const stop_order &order, bool accepted, time_point now);
@@ -241,6 +253,7 @@
     // Counts since the start of the term.
     std::uint64_t workerCrashes() const { return m_workerCrashes; }
     const std::array<std::uint64_t, runLossCauses> &runLosses() const { return m_runLosses; }
+    std::uint64_t tasksGivenUp() const { return m_tasksGivenUp; }
     // Explains why a job is not done: one line for each unfinished step whose dependencies are
     // done.
     std::vector<std::string> explain(const std::string &id, time_point now) const;
@@ -291,7 +304,13 @@
     void onWorkerRestarted(worker &worker, std::int64_t incarnationMs);
     void loseRun(task_run &task, run_loss_cause cause, time_point now);
     void loseRunsOfReplacedWorker(worker &worker, time_point now);
-    void recordCrash(const worker &worker, std::int64_t newIncarnationMs, time_point now);
+    crash_evidence crashEvidence(const worker &worker, const task_run &task,
+                                 std::int64_t freshRuns) const;
+    bool isFresh(const worker &worker, const task_run &task) const;
+    void loseLeasedRuns(worker &worker, time_point now);
+    void recordCrash(worker &worker, std::int64_t newIncarnationMs, time_point now);
+    void countCrash(const worker::lost_run &lost, const worker &worker, time_point now);
+    void endProbation(task_run &task, time_point now);
     void releaseMissingRuns(worker &worker, const worker_report &report, time_point askedAt,
                             run_loss_cause cause, time_point now);
     void expireLeases(time_point now);
@@ -339,6 +358,7 @@
     std::vector<stop_order> m_strayStops;
     std::vector<scheduler_event> m_events;
     std::uint64_t m_workerCrashes = 0;
+    std::uint64_t m_tasksGivenUp = 0;
     std::array<std::uint64_t, runLossCauses> m_runLosses {};
     struct observed_share
     {
--- a/tests/jobs/job_record_test.cpp
+++ b/tests/jobs/job_record_test.cpp
@@ -96,11 +96,52 @@
     CHECK(decoded->live.at(0).at(0).tasks == expected);
 }
 
+TEST_CASE("The crashes under a task and the incarnation of its worker are read by the next leader")
+{
+    for (const auto evidence :
+         {crash_evidence::Beside, crash_evidence::Fresh, crash_evidence::Alone}) {
+        for (const bool onWorker : {false, true}) {
+            CAPTURE(onWorker);
+            job_fixture fixture({"crashed",
+                                 onWorker ? task_phase::Running : task_phase::Waiting,
+                                 4,
+                                 {},
+                                 onWorker,
+                                 "",
+                                 {}},
+                                1);
+            fixture.host.reports = 1;
+            fixture.host.incarnationMs = 1'773'226'129'617;
+            auto &crashes = fixture.job.occurrences.at(0).steps[0].tasks[0].crashes;
+            crashes.add(1, evidence);
+            crashes.clear(2);
+            crashes.add(3, crash_evidence::Beside);
+            const auto decoded = decodeProgress(encodeProgress(fixture.job));
+            REQUIRE(decoded.has_value());
+            const auto &task = decoded->live.at(0)[0].tasks.at(0);
+            CHECK(task.crashes == crashes);
+            CHECK(task.incarnationMs == (onWorker ? fixture.host.incarnationMs : 0));
+        }
+    }
+}
+
+TEST_CASE("Progress without crashes and incarnations, as an earlier version stored it, is read")
+{
+    const auto decoded = decodeProgress(R"({"made":1,"done":0,"started":true,"workers":["w1"],)"
+                                        R"("live":{"0":[{"g":[],"t":[[2,0,[1],"ff"],[1,0]]}]}})");
+    REQUIRE(decoded.has_value());
+    const std::vector<recorded_task> expected {{false, 2, {1}, "w1", "ff"},
+                                               {false, 1, {}, "w1", ""}};
+    CHECK(decoded->live.at(0).at(0).tasks == expected);
+}
+
 TEST_CASE("Malformed progress is not read")
 {
     for (const auto *text : {"", "{}",
                              R"({"made":1,"done":0,"started":true,"workers":[],)"
-                             R"("live":{"0":[{"g":[],"t":[[1,0]]}]}})"}) {
+                             R"("live":{"0":[{"g":[],"t":[[1,0]]}]}})",
+                             R"({"made":1,"done":0,"started":true,"workers":[],)"
+                             R"("live":{"0":[{"g":[],"t":[[1,-1,[],"",[0,0,1]]]}]}})"}) {
         CAPTURE(std::string(text));
         CHECK_FALSE(decodeProgress(text).has_value());
     }
--- a/tests/jobs/scheduler_world.h
+++ b/tests/jobs/scheduler_world.h
@@ -112,7 +112,10 @@
         const auto order = scheduler.renewLease(*worker, now());
         auto &fake = fleet[id];
         if (!fake.reachable) {
-            scheduler.leaseRenewalFailed(id, now());
+            scheduler.leaseRenewalFailed(id,
+                                         fake.downUntil ? jobs::renewal_failure::ConnectionBroken
+                                                        : jobs::renewal_failure::NoReply,
+                                         now());
             return;
         }
         if (fake.replaced) {
@@ -292,8 +295,9 @@
                 ++crashesUnder[task];
             besideDeadly += worker.active.size() - 1;
             crashForAWhile(order.worker.id);
-            scheduler.leaseRenewalFailed(order.worker.id, now());
-            scheduler.onStartReply(order, jobs::start_result::Unknown, std::nullopt, now());
+            renewLease(order.worker.id);
+            scheduler.onStartReply(order, jobs::start_result::ConnectionBroken, std::nullopt,
+                                   now());
             return;
         }
         scheduler.onStartReply(order, jobs::start_result::Accepted, workerClock(), now());
