--- a/src/cell/leader_orders.cpp
+++ b/src/cell/leader_orders.cpp
@@ -112,6 +112,8 @@
                    static_cast<std::uint64_t>(load.stepsNeedingAdvice))
             .field("steps_awaiting_advice", static_cast<std::uint64_t>(load.stepsAwaitingAdvice))
             .field("steps_without_capacity", static_cast<std::uint64_t>(load.stepsAwaitingCapacity))
+            .field("waiting_suspects", static_cast<std::uint64_t>(load.waitingSuspects))
+            .field("isolating_workers", static_cast<std::uint64_t>(load.isolatingWorkers))
             .field("advice_calls", openAdviceCalls)
             .field("advice_calls_sent", m_counters["advice_calls"])
             .field("advice_calls_failed", m_counters["advice_failures"])
@@ -268,6 +270,8 @@
     add("workers", m_workerEntries.size());
     add("waiting_tasks", load.waitingTasks);
     add("occupying_tasks", load.occupyingTasks);
+    add("waiting_suspects", load.waitingSuspects);
+    add("isolating_workers", load.isolatingWorkers);
     return out;
 }
 
--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -74,7 +74,7 @@
                     });
                 };
                 found.push_back({&step, &m_scheduler.queueOf(*job), latenessOf(step, m_now),
-                                 step.definition->gang ? isolatedGang(step)
+                                 step.definition->gang ? step.suspectedGang()
                                                        : allWaiting(&crash_history::suspected),
                                  allWaiting(&crash_history::stronglySuspected)});
             }
@@ -115,8 +115,7 @@
     const auto &definition = *ready.step->definition;
     if (worker.entry.service != ready.queue->service || !worker.hasLabel(definition.label))
         return false;
-    if (ready.isolated ? !suitsIsolation(ready, worker)
-                       : worker.setAsideUntil > m_now || worker.isolating())
+    if (ready.isolated ? !suitsIsolation(ready, worker) : worker.isolating())
         return false;
     // A quarantined worker gets a single run as a probe.
     if (worker.health.quarantined() && (definition.gang || !worker.runs.empty()))
--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -76,17 +76,17 @@
 
     // Suspected tasks.
     void prepareIsolation(const std::vector<ready_step> &ready);
+    bool mayIsolateGang(std::size_t workers) const;
+    // Core-microseconds of work that a crash of the worker would lose. A lost member loses its
+    // gang.
+    std::int64_t workAtRisk(const worker &worker) const;
     // Whether one more suspected step may use one of the sites for which no other step has advice.
     bool mayRequestIsolation(const ready_step &ready);
-    bool isolatedGang(step_run &step) const;
-    std::size_t isolationSitesNeeded(const ready_step &ready) const;
-    void setAside(const std::vector<const ready_step *> &suspects, std::size_t wanted,
-                  std::size_t mostEmptying);
     void placeIsolated(const ready_step &ready, task_run &task,
                        const std::vector<worker *> &workers);
     worker *isolationSite(const ready_step &ready, const std::vector<worker *> &workers) const;
     bool startTogether(const ready_step &ready) const;
-    // Whether a suspected task of the step may start there once the worker is empty.
+    // Whether a suspected task of the step may start there.
     bool suitsIsolation(const ready_step &ready, const worker &worker) const;
 
     // Advice.
--- a/src/jobs/dispatcher_gangs.cpp
+++ b/src/jobs/dispatcher_gangs.cpp
@@ -46,7 +46,7 @@
     std::uint32_t total = 0;
     for (auto *worker : allowedWorkers(ready)) {
         const auto count = freeTaskSlots(ready, *worker);
-        if (count == 0 || (ready.isolated && !worker->runs.empty()))
+        if (count == 0)
             continue;
         // A gang is as slow as its slowest member, and a failed member ends it.
         const bool leastPreferred = worker->speed.slow() || stepFailedOn(ready, *worker);
@@ -55,15 +55,21 @@
     }
     if (total < step.tasks.size())
         return false;
-    if (ready.isolated) {
-        if (m_isolationSites >= m_maxIsolationSites)
-            return false;
-        m_isolationSites += isolationSitesNeeded(ready);
-    }
     std::ranges::stable_sort(slots, [](const gang_slot &a, const gang_slot &b) {
         return std::make_pair(a.leastPreferred, -std::int64_t {a.count})
                < std::make_pair(b.leastPreferred, -std::int64_t {b.count});
     });
+    if (ready.isolated) {
+        std::uint32_t members = 0;
+        const auto last = std::ranges::find_if(slots, [&](const gang_slot &slot) {
+            members += slot.count;
+            return members >= step.tasks.size();
+        });
+        const auto workers = static_cast<std::size_t>(last - slots.begin()) + 1;
+        if (!mayIsolateGang(workers))
+            return false;
+        m_isolationSites += workers;
+    }
     std::uint32_t attempt = 0;
     std::string checkpoint;
     for (const auto &task : step.tasks) {
@@ -84,7 +90,6 @@
     }
     dropReservation(step);
     step.gang = {};
-    step.isolationEnd.reset();
     return true;
 }
 
@@ -209,7 +214,7 @@
         return;
     for (const auto &[worker, members] : assignment) {
         worker->reservedFor = ready.step;
-        worker->reservedCapacity = ready.isolated ? worker->entry.capacity : demand * members;
+        worker->reservedCapacity = demand * members;
         worker->reservedUntil = m_now + reservationDuration;
         worker->reservedStart = *plan.startAt;
         m_reservedCapacity += worker->reservedCapacity;
--- a/src/jobs/fleet.h
+++ b/src/jobs/fleet.h
@@ -69,8 +69,6 @@
     // Failure statistics; with enough evidence the worker is quarantined and probed.
     decision::worker_health health;
     worker_speed speed;
-    // Only suspected tasks are placed here until then.
-    time_point setAsideUntil {};
     // Gang for which capacity is reserved here; other steps must leave it free.
     const step_run *reservedFor = nullptr;
     resources reservedCapacity;
--- a/src/jobs/job_changes.cpp
+++ b/src/jobs/job_changes.cpp
@@ -114,6 +114,7 @@
                 worker->free().milliCores, 0, worker->reservedCapacity.milliCores);
         }
         load.occupyingTasks += worker->runs.size();
+        load.isolatingWorkers += worker->isolating() ? 1 : 0;
     }
     for (const auto &[id, job] : m_jobs) {
         if (job->state > job_state::Running)
@@ -131,6 +132,10 @@
 void job_scheduler::countWaiting(const step_run &step, time_point now, scheduler_load &load)
 {
     load.waitingTasks += step.waiting;
+    load.waitingSuspects +=
+        static_cast<std::size_t>(std::ranges::count_if(step.tasks, [](const task_run &task) {
+            return task.phase == task_phase::Waiting && task.crashes.suspected();
+        }));
     const bool ticket = std::ranges::any_of(
         step.advice.allowed, [now](const auto &entry) { return entry.second.expires > now; });
     if (step.advice.callPending)
--- a/src/jobs/job_losses.cpp
+++ b/src/jobs/job_losses.cpp
@@ -33,6 +33,9 @@
     return std::to_string(std::chrono::duration_cast<milliseconds>(span).count());
 }
 
+// Fewer lost workers are no reason to refuse jobs, however small the fleet.
+constexpr std::size_t minLostWorkers = 4;
+
 bool runsOneJob(const worker &worker)
 {
     const auto jobOf = [](const task_run *run) { return run->step->occurrence->job; };
@@ -179,6 +182,38 @@
     }
 }
 
+void job_scheduler::countLostByQueue()
+{
+    m_lostByQueue.clear();
+    for (const auto &[id, worker] : m_fleet.all()) {
+        if (worker->responsive || !worker->connectionBroken)
+            continue;
+        const std::string *queue = nullptr;
+        bool oneQueue = true;
+        for (const auto *run : worker->runs) {
+            if (run->isolated || !isFresh(*worker, *run))
+                continue;
+            const auto &name = run->step->occurrence->job->definition.queue;
+            oneQueue = oneQueue && (!queue || *queue == name);
+            queue = &name;
+        }
+        if (queue && oneQueue)
+            ++m_lostByQueue[*queue];
+    }
+}
+
+bool job_scheduler::takesDownFleet(std::string_view queue) const
+{
+    const auto lost = m_lostByQueue.find(queue);
+    if (lost == m_lostByQueue.end())
+        return false;
+    const auto listed = std::ranges::count_if(
+        m_fleet.all(), [](const auto &entry) { return entry.second->listed; });
+    return lost->second >= minLostWorkers
+           && static_cast<double>(lost->second)
+                  > m_options.maxLostShare * static_cast<double>(listed);
+}
+
 // A run that is at work for the probation time does not crash workers at its start.
 void job_scheduler::endProbation(task_run &task, time_point now)
 {
--- a/src/jobs/job_progress.h
+++ b/src/jobs/job_progress.h
@@ -42,8 +42,8 @@
     // Attempts counted as failed; a worker may report the same failure again to the next leader.
     std::vector<std::uint32_t> failedAttempts;
     crash_history crashes;
-    // The run was started on a worker without other runs, and none is placed there, until the run
-    // has survived its probation. Members of one gang share their workers.
+    // The run is suspected to crash its worker. Nothing else is placed there until it has survived
+    // its probation. Members of one gang share their workers.
     bool isolated = false;
     // Set in all phases except Waiting and Done.
     worker *assignedWorker = nullptr;
@@ -164,9 +164,6 @@
     // Machines, by address, that crashed right after they started a task of the step in this term.
     std::vector<std::string> crashedAt;
 
-    // A suspected gang waits until then for workers on which nothing else is at work.
-    std::optional<time_point> isolationEnd;
-
     bool finished() const { return done == tasks.size(); }
     bool suspectedGang() const;
 };
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -22,6 +22,9 @@
 // Workers asked about before gangs are refused by the observed share; about 20 calls for gangs.
 constexpr std::int64_t minWorkersObserved = 1000;
 
+// Workers that crashed are back within seconds.
+constexpr std::uint32_t lostWorkersRetrySeconds = 3;
+
 milliseconds adviceDuration(const queue_definition &queue)
 {
     if (!queue.advisor)
@@ -247,6 +250,9 @@
     const auto *queue = m_configuration.byName(definition.queue);
     if (!queue)
         return {submit_status::Refused, 1, "its queue is not configured"};
+    if (takesDownFleet(definition.queue))
+        return {submit_status::Refused, lostWorkersRetrySeconds,
+                "workers crash under tasks of its queue"};
     if (!gangsFit(definition, m_fleet, admittedGangShare(*queue)))
         return {submit_status::Refused, unsatisfiableRetrySeconds,
                 "a gang is wider than the workers it is expected to be allowed"};
@@ -481,6 +487,7 @@
     removeClosedJobs();
     createDueOccurrences(now, wallNow);
     expireLeases(now);
+    countLostByQueue();
     dispatcher(*this, now, orders).run();
     retryStops(now, orders);
     std::ranges::move(m_strayStops, std::back_inserter(orders.stops));
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -38,6 +38,9 @@
     // A run that its worker started at most this long before it was lost is suspected to have
     // crashed it.
     milliseconds freshRunAge {100};
+    // New jobs of a queue are refused while more than this share of the workers is lost right after
+    // they started tasks of the queue.
+    double maxLostShare = 0.2;
     // A run that is reported this long after its start has not crashed its worker by starting.
     milliseconds probation {250};
     // How long a worker that was lost may take to start again and prove that it crashed.
@@ -178,6 +181,10 @@
     std::size_t stepsAwaitingAdvice = 0;
     std::size_t stepsNeedingAdvice = 0;
     std::size_t stepsAwaitingCapacity = 0;
+    // Waiting tasks that are suspected to crash workers, and workers on which such tasks are at
+    // work or which they took down.
+    std::size_t waitingSuspects = 0;
+    std::size_t isolatingWorkers = 0;
     resources used;
     // Free cores that are reserved for gangs, in thousandths.
     std::int64_t reservedMilliCores = 0;
@@ -307,6 +314,8 @@
     crash_evidence crashEvidence(const worker &worker, const task_run &task,
                                  std::int64_t freshRuns) const;
     bool isFresh(const worker &worker, const task_run &task) const;
+    void countLostByQueue();
+    bool takesDownFleet(std::string_view queue) const;
     void loseLeasedRuns(worker &worker, time_point now);
     void recordCrash(worker &worker, std::int64_t newIncarnationMs, time_point now);
     void countCrash(const worker::lost_run &lost, const worker &worker, time_point now);
@@ -356,6 +365,9 @@
     std::map<std::string, std::vector<stored_effect>> m_effects;
     // Stop orders for reported runs that do not match any assignment.
     std::vector<stop_order> m_strayStops;
+    // Workers that were lost right after they started tasks of the queue and of no other, as of the
+    // last placement pass.
+    std::map<std::string, std::size_t, std::less<>> m_lostByQueue;
     std::vector<scheduler_event> m_events;
     std::uint64_t m_workerCrashes = 0;
     std::uint64_t m_tasksGivenUp = 0;
--- a/tests/jobs/crashing_task_test.cpp
+++ b/tests/jobs/crashing_task_test.cpp
@@ -123,6 +123,30 @@
         CHECK(world.scheduler.state("d00000000000000" + std::to_string(i)) == job_state::Failed);
 }
 
+// Load: a third of a queue's jobs crash a worker each, which takes the whole fleet down.
+TEST_CASE("New jobs of a queue that takes down much of the fleet are refused, those of others not")
+{
+    scheduler_world world(20);
+    world.advanceStep = milliseconds(100);
+    world.begin();
+    const auto submit = [&](const std::string &id, const std::string &queue) {
+        return world.submit(id, queue, {scheduler_world::step(1, 16'000)}).status;
+    };
+    CHECK(submit(soundJob(100), "quick") != jobs::submit_status::Refused);
+    for (int i = 0; i < 8; ++i) {
+        const auto id = "d00000000000000" + std::to_string(i);
+        world.deadly.push_back(id);
+        submit(id, "quick");
+    }
+    world.advance(milliseconds(200));
+    REQUIRE(world.crashes == 8);
+    CHECK(submit(soundJob(101), "quick") == jobs::submit_status::Refused);
+    CHECK(submit(soundJob(102), "middle") != jobs::submit_status::Refused);
+    // Eight suspects are left; the workers are back.
+    world.advance(milliseconds(10'000));
+    CHECK(submit(soundJob(103), "quick") != jobs::submit_status::Refused);
+}
+
 // Load: a tenth of the workers crash at once, again and again, under whatever they run.
 TEST_CASE("Crashes that no task causes do not fail a job")
 {
