Withdraw starts on workers that shrank while the start was stored

What callers saw: nothing yet.

Cause: a start is decided, stored and then ordered, and the order was sent without a second look at the capacity. Admission called a job unsatisfiable by the capacity of the moment, though a shrunk worker grows again.

Change: before a stored start is ordered, its worker must still hold all that is assigned there, else the start is withdrawn, with a member its whole gang; logged as start.withdrawn. What can never fit is judged by the greatest capacity that a worker has had.

Measured: jobs.shrunk_worker_test failed before (4 starts where 2, 3, 2 and 0 were allowed; jobs refused) and passes; the other jobs tests pass. The second case, a worker that shrinks below what it runs, passed before too, also with a new leader.

--- a/include/plantaingap/resources.h
+++ b/include/plantaingap/resources.h
@@ -40,6 +40,14 @@
     }
 };
 
+// The greater amount of each resource.
+constexpr resources greatest(const resources &left, const resources &right)
+{
+    return {left.milliCores > right.milliCores ? left.milliCores : right.milliCores,
+            left.memoryMib > right.memoryMib ? left.memoryMib : right.memoryMib,
+            left.accelerators > right.accelerators ? left.accelerators : right.accelerators};
+}
+
 constexpr resources operator+(resources left, const resources &right)
 {
     return left += right;
--- a/src/jobs/admission.cpp
+++ b/src/jobs/admission.cpp
@@ -53,7 +53,7 @@
     return std::ranges::any_of(workers.all(), [&](const auto &entry) {
         const auto &worker = *entry.second;
         return worker.listed && worker.hasLabel(step.label)
-               && step.demand.fitsIn(worker.entry.capacity);
+               && step.demand.fitsIn(worker.fullCapacity);
     });
 }
 
@@ -73,14 +73,14 @@
     return longest;
 }
 
-// Number of tasks of a step that the listed workers hold when they are empty.
+// Number of tasks of a step that the listed workers hold when they are empty and not shrunk.
 double totalSlots(const step_definition &step, const fleet &workers)
 {
     double slots = 0;
     for (const auto &[id, worker] : workers.all()) {
         if (!worker->listed || worker->entry.draining || !worker->hasLabel(step.label))
             continue;
-        const auto fitting = tasksThatFit(effectiveDemand(step), worker->entry.capacity);
+        const auto fitting = tasksThatFit(effectiveDemand(step), worker->fullCapacity);
         slots += step.maxPerWorker > 0 ? std::min(fitting, step.maxPerWorker) : fitting;
     }
     return slots;
--- a/src/jobs/fleet.cpp
+++ b/src/jobs/fleet.cpp
@@ -54,6 +54,7 @@
             added.push_back(entry.id);
         auto &worker = require(entry.id, previousLeaderLeaseEnd);
         worker.entry = entry;
+        worker.fullCapacity = greatest(worker.fullCapacity, entry.capacity);
         worker.rack = rackOf(entry.labels);
         worker.listed = true;
     }
--- a/src/jobs/fleet.h
+++ b/src/jobs/fleet.h
@@ -24,6 +24,8 @@
 {
     worker_entry entry;
     std::string rack;
+    // The greatest capacity that it has had; a worker may shrink for a time.
+    resources fullCapacity;
     // The worker is in the worker list of the platform.
     bool listed = false;
     // The last lease renewal succeeded.
@@ -76,6 +78,7 @@
     // Expected start of that gang; until then short tasks may use the capacity (backfill).
     time_point reservedStart {};
 
+    // Negative while the worker is smaller than what runs there.
     resources free() const { return entry.capacity - used; }
     // Estimate of the worker's clock at `now`: the last reading advanced at the rate of the local
     // clock. It ignores the latency of the report and the clock drift.
--- a/src/jobs/job_changes.cpp
+++ b/src/jobs/job_changes.cpp
@@ -65,9 +65,30 @@
     return change;
 }
 
+// Withdraws starts on workers that have shrunk since they were chosen, and with a member its gang.
+void job_scheduler::withdrawUnfitStarts(const std::vector<job_change> &batch, time_point now)
+{
+    for (const auto &change : batch) {
+        for (const auto &effect : change.effects) {
+            if (!effect.start || !findJob(change.id))
+                continue;
+            auto &task = *effect.start;
+            if (task.phase != task_phase::Recording || task.attempt != effect.attempt
+                || resources {}.fitsIn(task.assignedWorker->free()))
+                continue;
+            recordEvent("start.withdrawn", task, "the worker has shrunk since it was chosen");
+            if (task.step->definition->gang)
+                stopStep(*task.step, now);
+            else
+                stopRun(task, now);
+        }
+    }
+}
+
 std::vector<start_order> job_scheduler::onBatchStored(const std::vector<job_change> &batch,
                                                       time_point now)
 {
+    withdrawUnfitStarts(batch, now);
     std::vector<start_order> starts;
     for (const auto &change : batch) {
         auto *job = findJob(change.id);
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -301,6 +301,7 @@
     void extendObjective(task_run &task, time_point now);
     void observeDuration(const task_run &task, time_point now);
     void completeGang(step_run &step);
+    void withdrawUnfitStarts(const std::vector<job_change> &batch, time_point now);
     void stopRun(task_run &task, time_point now);
     void stopStep(step_run &step, time_point now);
     void stopAll(job_run &job, time_point now);
