Send the same transaction with every attempt at a write

Cause: each attempt built its transaction anew, and the condition that a new job has not ended was left out once the ended jobs were in memory. A first attempt carried it, a second one, sent after they had been loaded, did not, though the batch still held the job. Class: what is read when an attempt is made instead of when the batch is taken.

Change: the transaction is made when the batch is taken, and so is the choice where ends are looked up. It is made anew only after a conflict, with the same choice; the earlier attempts can then no longer be applied, because rows of ended jobs stay. Nothing else of a transaction is read later: row, sequence and revision stand still during a write.

Measured: the new case of cell.leader_test failed before (a row of the ended job was written) and passes; all cell tests pass.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -246,7 +246,8 @@
 
 // Writing to the store.
 
-transaction leader::makeTransaction(const std::vector<jobs::job_change> &batch) const
+transaction leader::makeTransaction(const std::vector<jobs::job_change> &batch,
+                                    ended_check check) const
 {
     transaction changes;
     const auto leaderKey = rowKey("cell", "leader");
@@ -263,7 +264,7 @@
             continue;
         }
         if (change.definition) {
-            if (!m_endedJobsLoaded)
+            if (check == ended_check::InStore)
                 changes.preconditions.push_back({ended, 0});
             changes.puts.emplace_back(definition, *change.definition);
         }
@@ -372,13 +373,12 @@
 // Sends another attempt and returns the first reply to any open attempt. Returns nullopt if the
 // store rejects the write or sends no reply until the next attempt is due.
 awaitable<std::optional<transaction_result>>
-leader::hedgedWrite(std::shared_ptr<hedged_write> write, const std::vector<jobs::job_change> &batch)
+leader::hedgedWrite(std::shared_ptr<hedged_write> write, const transaction &changes)
 {
     const auto interval =
         std::max<duration>(attemptInterval, m_lastWriteTime * slowStoreAttemptFactor);
-    if (write->openAttempts < maxOpenAttempts) {
-        asio::co_spawn(m_context, attemptWrite(write, makeTransaction(batch)), asio::detached);
-    }
+    if (write->openAttempts < maxOpenAttempts)
+        asio::co_spawn(m_context, attemptWrite(write, changes), asio::detached);
     write->replied.expires_after(std::chrono::duration_cast<milliseconds>(interval));
     if (!write->reply)
         co_await write->replied.async_wait(asTuple);
@@ -395,14 +395,18 @@
     co_return std::nullopt;
 }
 
-// Stores one batch, retrying until it is applied; false if another instance leads.
+// Stores one batch, retrying until it is applied; false if another instance leads. All attempts
+// send the same transaction, because any of them may be the one that is applied. It changes only
+// after a conflict, which keeps the earlier ones from ever being applied.
 awaitable<bool> leader::storeBatch(std::vector<jobs::job_change> batch)
 {
     ++m_row.sequence;
     m_pendingWriteSince = bootNow();
     const auto write = std::make_shared<hedged_write>(m_context);
+    const auto check = m_endedJobsLoaded ? ended_check::InMemory : ended_check::InStore;
+    auto changes = makeTransaction(batch, check);
     while (!m_superseded) {
-        const auto result = co_await hedgedWrite(write, batch);
+        const auto result = co_await hedgedWrite(write, changes);
         if (!result)
             continue;
         bool applied = result->applied;
@@ -410,8 +414,10 @@
             m_revision = result->revision;
         else if (!resolveConflicts(result->conflicts, batch, applied))
             co_return false;
-        if (!applied)
+        if (!applied) {
+            changes = makeTransaction(batch, check);
             continue;
+        }
         if (m_storeFailing)
             log_event(log_level::Info, "store.available").field("term", m_row.term);
         m_storeFailing = false;
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -87,11 +87,14 @@
     // Writes to the store; a write without a reply is hedged by further attempts.
     struct hedged_write;
     awaitable<bool> storeBatch(std::vector<jobs::job_change> batch);
-    awaitable<std::optional<transaction_result>>
-    hedgedWrite(std::shared_ptr<hedged_write> write, const std::vector<jobs::job_change> &batch);
+    awaitable<std::optional<transaction_result>> hedgedWrite(std::shared_ptr<hedged_write> write,
+                                                             const transaction &changes);
     awaitable<void> attemptWrite(std::shared_ptr<hedged_write> write, transaction changes);
     void recordStoreFailure(bool refused);
-    transaction makeTransaction(const std::vector<jobs::job_change> &batch) const;
+    // Whether new jobs are stored on condition that the store has no end of them.
+    enum class ended_check : std::uint8_t { InStore, InMemory };
+    transaction makeTransaction(const std::vector<jobs::job_change> &batch,
+                                ended_check check) const;
     // Removes jobs from the batch that the store already has as ended, and sets `applied` if an
     // earlier attempt was committed. Returns false if another instance leads.
     bool resolveConflicts(const std::vector<stored_row> &conflicts,
--- a/src/cell/leader_orders.cpp
+++ b/src/cell/leader_orders.cpp
@@ -268,6 +268,7 @@
     }
     add("jobs", load.jobs);
     add("workers", m_workerEntries.size());
+    add("ended_jobs_loaded", m_endedJobsLoaded ? 1 : 0);
     add("waiting_tasks", load.waitingTasks);
     add("occupying_tasks", load.occupyingTasks);
     add("waiting_suspects", load.waitingSuspects);
--- a/tests/cell/leader_test.cpp
+++ b/tests/cell/leader_test.cpp
@@ -7,6 +7,7 @@
 
 using namespace plantaingap;
 using namespace plantaingap::cell;
+using plantaingap::jobs::job_state;
 using plantaingap::tests::memory_store;
 using plantaingap::tests::milliseconds;
 
@@ -16,6 +17,7 @@
 
 const std::string id = "00000000000000f1";
 const row_key leaderKey {"cell", "leader", {}};
+const row_key endedKey {"ended", id, {}};
 
 leader_row makeRow(const std::string &holder, std::uint64_t term)
 {
@@ -43,9 +45,12 @@
 
 struct leader_fixture
 {
-    leader_fixture()
+    explicit leader_fixture(bool endedBefore)
     {
         transaction first;
+        if (endedBefore)
+            first.puts.emplace_back(endedKey, std::string(jobs::stateName(job_state::Completed)));
+        store.unreadableTable = endedBefore ? "ended" : "";
         first.puts.emplace_back(leaderKey, encodeLeaderRow(makeRow("one", 1)));
         first.puts.emplace_back(row_key {"op", "config", {}}, "any");
         const auto revision = store.apply(first).revision;
@@ -89,7 +94,7 @@
 {
     for (const auto &row : cases) {
         CAPTURE(std::string(row.name));
-        leader_fixture fixture;
+        leader_fixture fixture(false);
         auto &store = fixture.store;
         store.mode = row.mode;
         fixture.submit();
@@ -115,7 +120,7 @@
 // Guards against a write that stays blocked on a hanging call after the store has recovered.
 TEST_CASE("A write without a reply is hedged while the first attempt hangs")
 {
-    leader_fixture fixture;
+    leader_fixture fixture(false);
     auto &store = fixture.store;
     store.mode = memory_store::failure_mode::Unresponsive;
     fixture.submit();
@@ -129,3 +134,24 @@
     CHECK(fixture.response->status == 200);
     CHECK(store.rows.contains({"jobs", id, {}}));
 }
+
+// Guards against a second attempt at a write without a condition that the first one has.
+TEST_CASE("An ended job is not accepted again when ended jobs are loaded between two attempts")
+{
+    leader_fixture fixture(true);
+    auto &store = fixture.store;
+    fixture.submit();
+    store.mode = memory_store::failure_mode::CommitsUnresponsive;
+    while (store.openCalls == 0)
+        fixture.context.run_one();
+    store.unreadableTable.clear();
+    while (fixture.leading->metrics().find(R"(ended_jobs_loaded{partition="0"} 1)")
+           == std::string::npos)
+        fixture.context.run_one();
+    store.mode = memory_store::failure_mode::None;
+    while (!fixture.response)
+        fixture.context.run_one();
+    CHECK(fixture.response->status == 200);
+    CHECK_FALSE(store.rows.contains({"jobs", id, {}}));
+    CHECK(store.rows.at(endedKey).value == jobs::stateName(job_state::Completed));
+}
--- a/tests/cell/memory_ports.h
+++ b/tests/cell/memory_ports.h
@@ -17,7 +17,7 @@
 class memory_store final : public cell::table_store
 {
 public:
-    // The effect on commits; reads fail in every mode but None.
+    // The effect on commits; reads fail in every mode but None and CommitsUnresponsive.
     enum class failure_mode : std::uint8_t {
         None,
         // Rejects each commit without applying it.
@@ -26,6 +26,7 @@
         LosesReplies,
         // Neither applies a commit nor replies.
         Unresponsive,
+        CommitsUnresponsive,
     };
 
     explicit memory_store(asio::io_context &context)
@@ -37,7 +38,7 @@
     {
         co_await sleepFor(milliseconds(1));
         ++commits;
-        if (mode == failure_mode::Unresponsive) {
+        if (mode == failure_mode::Unresponsive || mode == failure_mode::CommitsUnresponsive) {
             ++openCalls;
             co_await sleepFor(std::chrono::duration_cast<milliseconds>(deadline - clock::now()));
             --openCalls;
@@ -54,7 +55,9 @@
     cell::awaitable<cell::outcome<cell::row_page>> read(cell::key_range range, time_point) override
     {
         co_await sleepFor(milliseconds(1));
-        if (mode != failure_mode::None)
+        if (range.table == unreadableTable)
+            co_return cell::call_failure::Unknown;
+        if (mode != failure_mode::None && mode != failure_mode::CommitsUnresponsive)
             co_return cell::call_failure::Unknown;
         cell::row_page page;
         page.revision = revision;
@@ -101,6 +104,7 @@
     }
 
     failure_mode mode = failure_mode::None;
+    std::string unreadableTable;
     std::map<cell::row_key, cell::stored_row> rows;
     std::uint64_t revision = 0;
     int commits = 0;
