Give up tasks under which worker after worker is lost in the product's own scheduler

Cause: a dead worker ended its tasks as stopped, which are placed again without a count. The class: an end that no report tells has no memory.

Change: a task whose worker is lost within 10 s of its start, and was not draining, counts that; the third such loss is a final failure (batch and gangs fail, copies of services wait the longest delay). Requests were bounded before: one that may have run is sent to two backend servers at most; that now has a test of its own.

--- a/include/plantaingap/task_scheduler.h
+++ b/include/plantaingap/task_scheduler.h
@@ -338,6 +338,10 @@
     std::uint32_t failureThreshold = 3;
     // Failures of one task after which it is not retried.
     std::uint32_t maxTaskFailures = 5;
+    // A worker that is lost this soon after it started a task may have crashed under the task, and
+    // the number of such losses after which the task is not retried.
+    duration crashWindow = std::chrono::seconds(10);
+    std::uint32_t maxTaskCrashes = 3;
     // Index into placementRules of the rule that selects among fitting workers.
     std::uint32_t placementRule = 2;
 };
--- a/src/decision/task_scheduler.cpp
+++ b/src/decision/task_scheduler.cpp
@@ -207,6 +207,7 @@
     if (record == nullptr || record->lost)
         return;
     record->lost = true;
+    record->lostAt = step.now;
     const auto worker = m_ledger.indexOf(*record);
     for (const auto &ref : record->tasks)
         m_ledger.setPhase(*ref.job, ref.index, task_phase::Uncertain);
@@ -225,16 +226,31 @@
     if (record == nullptr)
         return;
     const auto worker = m_ledger.indexOf(*record);
+    if (!record->lost)
+        record->lostAt = step.now;
     record->lost = true;
     m_ledger.refresh(worker);
     m_ledger.releaseClaimsOn(worker);
     const auto tasks = record->tasks;
     for (const auto &ref : tasks)
-        endTask(step, *ref.job, ref.index, task_outcome::Stopped);
+        endWithWorker(step, *record, ref);
     m_failureAttribution.onWorkerRemoved(*record);
     m_ledger.removeWorker(worker);
 }
 
+// A task that is started again and again may crash each worker that starts it.
+void task_scheduler::endWithWorker(task_step &step, const worker_record &worker,
+                                   const task_ref &ref)
+{
+    auto &task = ref.job->tasks[ref.index];
+    const bool startedBefore =
+        !worker.draining && worker.lostAt <= task.startedAt + m_limits.crashWindow;
+    const bool givenUp = startedBefore && ++task.crashes >= m_limits.maxTaskCrashes;
+    if (givenUp && !ref.job->cancelled)
+        return handleFinalFailure(step, *ref.job, ref.index, failure_source::Job);
+    endTask(step, *ref.job, ref.index, task_outcome::Stopped);
+}
+
 void task_scheduler::on(const task_confirmed_stopped &event, task_step &step)
 {
     on(task_ended {event.task, task_outcome::Stopped}, step);
@@ -361,23 +377,31 @@
 
 void task_scheduler::handleFailure(task_step &step, job_record &job, std::uint32_t index)
 {
-    const bool service = job.spec.kind == job_kind::Service;
     const auto source = m_failureAttribution.recordFailure(step, job, job.tasks[index].worker);
     if (source != failure_source::Worker)
         ++job.tasks[index].failures;
     const bool isFinal =
         source == failure_source::Job || job.tasks[index].failures >= m_limits.maxTaskFailures;
-    if (isFinal && !service) {
+    if (isFinal)
+        return handleFinalFailure(step, job, index, source);
+    scheduleRetry(step, job, index);
+    if (job.spec.kind == job_kind::AllOrNothing && !job.cancelled)
+        stopAll(step, job, stop_reason::GangMemberEnded);
+    finishIfDone(step, job);
+}
+
+// Copies of services are always started again, after the longest delay.
+void task_scheduler::handleFinalFailure(task_step &step, job_record &job, std::uint32_t index,
+                                        failure_source source)
+{
+    if (job.spec.kind != job_kind::Service) {
         m_ledger.release(job, index, task_phase::Failed);
         if (source == failure_source::Job || job.spec.kind == job_kind::AllOrNothing)
             return endJob(step, job, job_outcome::Failed);
         return finishIfDone(step, job);
     }
-    if (isFinal)
-        job.failedWorkers.clear();
+    job.failedWorkers.clear();
     scheduleRetry(step, job, index);
-    if (job.spec.kind == job_kind::AllOrNothing && !job.cancelled)
-        stopAll(step, job, stop_reason::GangMemberEnded);
     finishIfDone(step, job);
 }
 
@@ -386,7 +410,8 @@
 {
     const bool affordable = m_retryTokens >= 1;
     m_retryTokens -= affordable ? 1 : 0;
-    const auto failures = std::max(job.tasks[index].failures, 1U);
+    const auto &task = job.tasks[index];
+    const auto failures = std::max({task.failures, task.crashes, 1U});
     const auto doublings =
         affordable ? std::min(failures - 1, maxRetryDelayDoublings) : maxRetryDelayDoublings;
     m_ledger.release(job, index, task_phase::Delayed);
--- a/src/decision/task_scheduler.h
+++ b/src/decision/task_scheduler.h
@@ -73,7 +73,10 @@
     void reconcileWithReport(task_step &step, const task_ref &ref, bool isRunning);
     void stopIfCancelled(task_step &step, job_record &job, std::uint32_t index);
     void endTask(task_step &step, job_record &job, std::uint32_t index, task_outcome outcome);
+    void endWithWorker(task_step &step, const worker_record &worker, const task_ref &ref);
     void handleFailure(task_step &step, job_record &job, std::uint32_t index);
+    void handleFinalFailure(task_step &step, job_record &job, std::uint32_t index,
+                            failure_source source);
     void scheduleRetry(task_step &step, job_record &job, std::uint32_t index);
     void cancel(task_step &step, job_id id);
     void endJob(task_step &step, job_record &job, job_outcome outcome);
--- a/src/decision/task_state.h
+++ b/src/decision/task_state.h
@@ -48,6 +48,8 @@
     std::uint32_t position = 0;
     std::uint32_t attempt = 0;
     std::uint32_t failures = 0;
+    // Workers that were lost right after they started the task.
+    std::uint32_t crashes = 0;
     resources held;
     time_point startedAt {};
     // Time of the last checkpoint, or of the start. Only work after it is lost by a stop.
@@ -94,6 +96,7 @@
     bool draining = false;
     bool quarantined = false;
     time_point drainDeadline {};
+    time_point lostAt {};
     // Distinct jobs that failed here since the last success.
     std::vector<job_id> failedJobs;
     std::uint32_t quarantines = 0;
--- a/tests/decision/request_policy_test.cpp
+++ b/tests/decision/request_policy_test.cpp
@@ -144,6 +144,25 @@
     }
 }
 
+// Guards against a request that crashes server after server.
+TEST_CASE("a request under which connections to backend servers break is sent to two at most")
+{
+    scheduler_fixture fixture;
+    fixture.addWorkers(8, 1);
+    const auto id = fixture.arrive(work_class::Quick);
+    int sends = 0;
+    while (!fixture.refusalOf(id) && sends < 8) {
+        const auto server = fixture.workerOf(id);
+        REQUIRE(server);
+        ++sends;
+        fixture.step(worker_removed {*server});
+        fixture.end(id, send_outcome::Unknown);
+    }
+    CHECK(sends == 2);
+    REQUIRE(fixture.refusalOf(id));
+    CHECK(fixture.refusalOf(id)->code == errc::OutcomeUnknown);
+}
+
 TEST_CASE("scheduling guarantees hold in these scenarios")
 {
     const std::vector<scenario> rows = {
--- a/tests/decision/task_policy_test.cpp
+++ b/tests/decision/task_policy_test.cpp
@@ -395,3 +395,56 @@
     }
     CHECK(quarantined >= 3);
 }
+
+namespace {
+
+struct lost_worker_row
+{
+    const char *name;
+    job_kind kind;
+    // Time from the start to the loss of the worker, and whether it was draining.
+    milliseconds runsFor;
+    bool draining;
+    // Most starts while ten workers are lost one after the other, and the end of the job.
+    std::size_t starts;
+    bool fails;
+};
+
+const lost_worker_row lostWorkers[] = {
+    {"a batch task", job_kind::Batch, milliseconds(10), false, 3, true},
+    {"a member of a gang", job_kind::AllOrNothing, milliseconds(10), false, 3, true},
+    {"a task that had been at work for long", job_kind::Batch, seconds(60), false, 10, false},
+    {"a task on workers that were draining", job_kind::Batch, milliseconds(10), true, 10, false},
+};
+
+} // namespace
+
+TEST_CASE("a task that crashes worker after worker is given up")
+{
+    for (const auto &row : lostWorkers) {
+        CAPTURE(std::string(row.name));
+        task_fixture group;
+        group.addWorkers(1, Worker);
+        group.send(makeJob(1, row.kind, 1, Worker));
+        std::size_t starts = 0;
+        std::size_t failures = 0;
+        for (int i = 0; i < 10; ++i) {
+            const auto started = group.confirmStarts();
+            starts += started.size();
+            if (started.empty())
+                break;
+            group.advance(row.runsFor);
+            if (row.draining)
+                group.send(worker_draining {started[0].worker, group.now + seconds(60)});
+            group.send(worker_lost {started[0].worker});
+            group.advance(seconds(5));
+            group.send(worker_dead {started[0].worker});
+            for (const auto &ended : group.all<finish_job>())
+                failures += ended.outcome == job_outcome::Failed ? 1 : 0;
+            group.addWorkers(1, Worker);
+            group.advance(seconds(5));
+        }
+        CHECK(starts == row.starts);
+        CHECK(failures == (row.fails ? 1 : 0));
+    }
+}
