Bound the memory and the record that one job may take

What callers saw: nothing yet. Found by looking for what ends instance after instance: a job is sent again to the next instance when one dies under it, and a stored one is read by each next leader.

Cause: steps were bounded each, not together (256 steps of 10,000 tasks take more memory than an instance has); a job with 10,000 overdue occurrences made all of them at once (500,000 tasks in the test); done occurrences stayed in memory and in the record, which grew with each (5,151 bytes after 40 occurrences where one takes 316) until no row would hold it; a definition above the row limit would have been written again for ever.

Change: 4,000 tasks over all steps and over all live occurrences of a job, overdue occurrences wait for earlier ones, done ones are dropped, a record above 60,000 bytes is answered with 400.

--- a/src/cell/leader_requests.cpp
+++ b/src/cell/leader_requests.cpp
@@ -30,6 +30,9 @@
 constexpr unsigned statusUnknown = 504;
 
 constexpr std::size_t identifierLength = 16;
+// Below the platform's limit for a row of 65,536 bytes. The store never accepts a larger one, and
+// the writes after it would wait for ever.
+constexpr std::size_t maxRecordBytes = 60'000;
 constexpr milliseconds endedReadTimeout {1000};
 // How long a request waits for a configuration that another leader has applied already.
 constexpr milliseconds configurationTimeout {1000};
@@ -119,6 +122,13 @@
     }
     definition->id = id;
     definition->queue = queue->name;
+    if (jobs::encodeJob(*definition, {}).size() > maxRecordBytes) {
+        ++m_counters["submissions_too_large"];
+        log_event(log_level::Info, "job.rejected")
+            .field("job", id)
+            .field("reason", "its record does not fit into a row of the store");
+        co_return makeResponse(statusBadRequest);
+    }
     co_return co_await submit(std::move(request), std::move(*definition));
 }
 
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -53,6 +53,10 @@
     bool operator==(const step_definition &) const = default;
 };
 
+// Most tasks of all steps of a job, and of its live occurrences. The record of a job is rewritten
+// with each change of a task and must fit into one row of the store.
+inline constexpr std::uint32_t maxJobTasks = 4'000;
+
 struct job_definition
 {
     // Chosen by the caller; 16 hexadecimal digits.
--- a/src/jobs/job_changes.cpp
+++ b/src/jobs/job_changes.cpp
@@ -115,6 +115,7 @@
         if (!job)
             continue;
         job->stored = true;
+        dropFinishedOccurrences(*job);
         if (change.finished)
             closeJob(change.id, *change.finished, now);
         else
@@ -123,6 +124,17 @@
     return starts;
 }
 
+// Called when no batch is being stored, so that no effect refers to a task of the occurrences.
+void job_scheduler::dropFinishedOccurrences(job_run &job)
+{
+    if (job.definition.occurrences == 0 || m_effects.contains(job.definition.id))
+        return;
+    std::erase_if(job.occurrences, [](const auto &entry) {
+        const auto &occurrence = entry.second;
+        return occurrence.stepsDone == occurrence.steps.size();
+    });
+}
+
 scheduler_load job_scheduler::load(time_point now) const
 {
     scheduler_load load;
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -143,7 +143,12 @@
     for (auto &[id, job] : m_jobs) {
         if (job->definition.occurrences == 0 || job->state > job_state::Running)
             continue;
-        while (job->occurrencesCreated < job->definition.occurrences) {
+        std::size_t tasks = 0;
+        for (const auto &step : job->definition.steps)
+            tasks += step.tasks;
+        // Further occurrences wait until earlier ones are done.
+        while (job->occurrencesCreated < job->definition.occurrences
+               && (job->occurrences.size() + 1) * tasks <= maxJobTasks) {
             const auto due =
                 job->definition.firstDue + job->definition.interval * job->occurrencesCreated;
             if (due > wallNow)
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -285,6 +285,7 @@
     void removeClosedJobs();
     job_change makeChange(job_run &job);
     static std::size_t entriesOfChange(const job_run &job);
+    void dropFinishedOccurrences(job_run &job);
     void dropUnstoredState(job_run &job);
     static void countWaiting(const step_run &step, time_point now, scheduler_load &load);
     job_run *findJob(const std::string &id);
--- a/tests/adapter/codec_test.cpp
+++ b/tests/adapter/codec_test.cpp
@@ -57,6 +57,8 @@
         {"not JSON", "{\"steps\":"},
         {"no steps", R"({"spec":"x"})"},
         {"steps of another type", R"({"spec":"x","steps":{}})"},
+        {"more tasks over all steps than a record holds",
+         R"({"spec":"x","steps":[{"count":2500},{"count":2500}]})"},
         {"no tasks", R"({"spec":"x","steps":[{"count":0}]})"},
         {"a negative amount", R"({"spec":"x","steps":[{"count":1,"cpu":-5}]})"},
         {"a step that depends on itself", R"({"spec":"x","steps":[{"count":1,"after":[0]}]})"},
