--- a/tests/jobs/crashing_task_test.cpp
+++ b/tests/jobs/crashing_task_test.cpp
@@ -57,6 +57,8 @@
     {"one member of a gang", true, 6, ".0.0.3", true, false, maxCrashes},
     {"one member of a gang, each crash is followed by a new leader", true, 6, ".0.0.3", true, true,
      maxCrashes},
+    // Each of the eight workers, and twice more until one task is given up.
+    {"each task of a wide step", false, 24, ".0.0.", true, false, 8 + maxCrashes},
     // Six members fit on two workers.
     {"each member of a gang", true, 6, ".0.0.", true, false, 2 * maxCrashes},
 };
