Test repeated submissions of ended jobs over all fates of a write; end a live one beside its end

Change: cell.leader_test has a table of the first attempt's fate (no reply, rejected, reply lost, applied), with the ends loaded between the attempts or not and a new job in the same batch, and a seeded run of random modes with the invariant that no id whose end is stored is stored as live. A leader that finds a job live beside its stored end stops and ends it and logs job.live_after_end; before it went on running it.

--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -313,12 +313,18 @@
 
 void job_scheduler::recordEnded(const std::string &id, job_state state, time_point now)
 {
-    const auto *jobRun = job(id);
-    // The job was submitted again before the row of its end was loaded.
-    if (jobRun && !jobRun->stored)
-        recordAlreadyEnded(id, state, now);
-    else if (!jobRun)
+    auto *jobRun = findJob(id);
+    if (!jobRun) {
         m_endedJobs.try_emplace(id, ended_job {state, now + m_options.endedJobRetention});
+    } else if (!jobRun->stored) {
+        // The job was submitted again before the row of its end was loaded.
+        recordAlreadyEnded(id, state, now);
+    } else if (jobRun->state <= job_state::Running) {
+        // Stored as live beside its end, which no write of this version does.
+        m_events.push_back({"job.live_after_end", id, 0, {}, "its end is stored already", {}});
+        finish(*jobRun, state);
+        stopAll(*jobRun, now);
+    }
 }
 
 bool job_scheduler::storeWritePending(const std::string &id) const
--- a/tests/cell/leader_test.cpp
+++ b/tests/cell/leader_test.cpp
@@ -4,6 +4,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <doctest/doctest.h>
+#include <map>
+#include <random>
+#include <set>
 
 using namespace plantaingap;
 using namespace plantaingap::cell;
@@ -16,6 +19,7 @@
 namespace asio = boost::asio;
 
 const std::string id = "00000000000000f1";
+const std::string otherId = "00000000000000f2";
 const row_key leaderKey {"cell", "leader", {}};
 const row_key endedKey {"ended", id, {}};
 
@@ -62,21 +66,27 @@
             context.run_one();
     }
 
-    void submit()
+    void submit(const std::string &job)
     {
         asio::co_spawn(
             context,
-            [this]() -> awaitable<void> {
+            [this, job]() -> awaitable<void> {
                 caller_request request;
                 request.method = "POST";
                 request.host = "host";
-                request.target = "/q/" + id;
+                request.target = "/q/" + job;
                 request.deadline = clock::now() + std::chrono::seconds(30);
-                response = co_await leading->handleRequest(std::move(request));
+                responses[job] = co_await leading->handleRequest(std::move(request));
             },
             asio::detached);
     }
 
+    bool endedJobsLoaded() const
+    {
+        return leading->metrics().find(R"(ended_jobs_loaded{partition="0"} 1)")
+               != std::string::npos;
+    }
+
     asio::io_context context {1};
     memory_store store {context};
     tests::unresponsive_workers workers;
@@ -85,7 +95,7 @@
     peer_transport peers {context, {}};
     cell_ports ports {store, workers, advisor, codec, {{"op", "config", {}}, "servers"}, peers};
     std::shared_ptr<leader> leading;
-    std::optional<caller_response> response;
+    std::map<std::string, caller_response> responses;
 };
 
 } // namespace
@@ -97,7 +107,7 @@
         leader_fixture fixture(false);
         auto &store = fixture.store;
         store.mode = row.mode;
-        fixture.submit();
+        fixture.submit(id);
         const row_key jobRow {"jobs", id, {}};
         while (!store.rows.contains(jobRow))
             fixture.context.run_one();
@@ -108,11 +118,11 @@
             REQUIRE(store.apply(claim).applied);
             store.mode = memory_store::failure_mode::None;
         }
-        while (!fixture.response)
+        while (fixture.responses.empty())
             fixture.context.run_one();
-        CHECK(fixture.response->leads == row.leads);
-        CHECK(fixture.response->outcomeUnknown == row.outcomeUnknown);
-        CHECK(fixture.response->status == row.status);
+        CHECK(fixture.responses.at(id).leads == row.leads);
+        CHECK(fixture.responses.at(id).outcomeUnknown == row.outcomeUnknown);
+        CHECK(fixture.responses.at(id).status == row.status);
         CHECK(store.rows.contains(jobRow) == row.inStore);
     }
 }
@@ -123,35 +133,109 @@
     leader_fixture fixture(false);
     auto &store = fixture.store;
     store.mode = memory_store::failure_mode::Unresponsive;
-    fixture.submit();
+    fixture.submit(id);
     while (store.openCalls == 0)
         fixture.context.run_one();
     store.mode = memory_store::failure_mode::None;
-    while (!fixture.response && store.openCalls > 0)
+    while (fixture.responses.empty() && store.openCalls > 0)
         fixture.context.run_one();
     CHECK(store.openCalls > 0);
-    REQUIRE(fixture.response);
-    CHECK(fixture.response->status == 200);
+    REQUIRE(fixture.responses.contains(id));
+    CHECK(fixture.responses.at(id).status == 200);
     CHECK(store.rows.contains({"jobs", id, {}}));
 }
 
+namespace {
+
+// How the first attempt at the write of a job that ended before fares, and when the leader reads
+// the row of its end.
+struct repeated_submission
+{
+    const char *name;
+    memory_store::failure_mode firstAttempt;
+    bool loadedBetweenAttempts;
+    // Another job, which is new, is in the same batch.
+    bool newJobInBatch;
+};
+
+const repeated_submission repeatedSubmissions[] = {
+    {"no reply, ends loaded between", memory_store::failure_mode::CommitsUnresponsive, true, false},
+    {"no reply, ends loaded between, with a new job",
+     memory_store::failure_mode::CommitsUnresponsive, true, true},
+    {"no reply, ends not loaded", memory_store::failure_mode::CommitsUnresponsive, false, true},
+    {"rejected, ends loaded between", memory_store::failure_mode::Rejects, true, false},
+    {"rejected, ends not loaded", memory_store::failure_mode::Rejects, false, true},
+    {"reply lost, ends not loaded", memory_store::failure_mode::LosesReplies, false, false},
+    {"first attempt succeeds, ends not loaded", memory_store::failure_mode::None, false, true},
+};
+
+} // namespace
+
 // Guards against a second attempt at a write without a condition that the first one has.
-TEST_CASE("An ended job is not accepted again when ended jobs are loaded between two attempts")
+TEST_CASE("An ended job that is submitted again is answered as ended and never stored again")
 {
-    leader_fixture fixture(true);
-    auto &store = fixture.store;
-    fixture.submit();
-    store.mode = memory_store::failure_mode::CommitsUnresponsive;
-    while (store.openCalls == 0)
-        fixture.context.run_one();
-    store.unreadableTable.clear();
-    while (fixture.leading->metrics().find(R"(ended_jobs_loaded{partition="0"} 1)")
-           == std::string::npos)
-        fixture.context.run_one();
-    store.mode = memory_store::failure_mode::None;
-    while (!fixture.response)
-        fixture.context.run_one();
-    CHECK(fixture.response->status == 200);
-    CHECK_FALSE(store.rows.contains({"jobs", id, {}}));
-    CHECK(store.rows.at(endedKey).value == jobs::stateName(job_state::Completed));
+    for (const auto &row : repeatedSubmissions) {
+        CAPTURE(std::string(row.name));
+        leader_fixture fixture(true);
+        auto &store = fixture.store;
+        fixture.submit(id);
+        if (row.newJobInBatch)
+            fixture.submit(otherId);
+        const auto before = store.commits;
+        store.mode = row.firstAttempt;
+        while (store.commits == before)
+            fixture.context.run_one();
+        if (row.loadedBetweenAttempts) {
+            store.unreadableTable.clear();
+            if (row.firstAttempt == memory_store::failure_mode::Rejects)
+                store.mode = memory_store::failure_mode::CommitsUnresponsive;
+            while (!fixture.endedJobsLoaded())
+                fixture.context.run_one();
+        }
+        store.mode = memory_store::failure_mode::None;
+        while (fixture.responses.size() < (row.newJobInBatch ? 2 : 1))
+            fixture.context.run_one();
+        for (const auto &[job, response] : fixture.responses)
+            CHECK(response.status == 200);
+        CHECK_FALSE(store.rows.contains({"jobs", id, {}}));
+        CHECK(store.rows.contains({"jobs", otherId, {}}) == row.newJobInBatch);
+        CHECK(store.rows.at(endedKey).value == jobs::stateName(job_state::Completed));
+    }
+}
+
+TEST_CASE("A job that has ended is never stored as live, whatever the store does to writes")
+{
+    using enum memory_store::failure_mode;
+    constexpr memory_store::failure_mode modes[] = {None, Rejects, LosesReplies,
+                                                    CommitsUnresponsive};
+    for (unsigned seed = 1; seed <= 6; ++seed) {
+        CAPTURE(seed);
+        std::mt19937 random(seed);
+        leader_fixture fixture(true);
+        auto &store = fixture.store;
+        std::set<row_key> ended {endedKey};
+        store.onApplied = [&] {
+            for (const auto &[key, value] : store.rows) {
+                if (key.table == "ended")
+                    ended.insert(key);
+            }
+            for (const auto &key : ended)
+                CHECK_FALSE(store.rows.contains({"jobs", key.key, {}}));
+        };
+        const auto end = clock::now() + milliseconds(900);
+        std::size_t submitted = 0;
+        while (clock::now() < end) {
+            store.mode = modes[random() % std::size(modes)];
+            if (random() % 4 == 0)
+                store.unreadableTable.clear();
+            fixture.submit(random() % 2 == 0 ? id : otherId);
+            ++submitted;
+            fixture.context.run_for(milliseconds(random() % 60));
+        }
+        store.mode = None;
+        store.unreadableTable.clear();
+        fixture.context.run_for(milliseconds(700));
+        CHECK(submitted > 0);
+        CHECK_FALSE(store.rows.contains({"jobs", id, {}}));
+    }
 }
--- a/tests/cell/memory_ports.h
+++ b/tests/cell/memory_ports.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <functional>
 #include <map>
 
 // In-memory implementations of the cell's ports.
@@ -98,6 +99,8 @@
             rows[rowKey] = {rowKey, value, revision, false};
         for (const auto &rowKey : changes.deletions)
             rows.erase(rowKey);
+        if (onApplied)
+            onApplied();
         result.applied = true;
         result.revision = revision;
         return result;
@@ -105,6 +108,8 @@
 
     failure_mode mode = failure_mode::None;
     std::string unreadableTable;
+    // Called after each write that is applied.
+    std::function<void()> onApplied;
     std::map<cell::row_key, cell::stored_row> rows;
     std::uint64_t revision = 0;
     int commits = 0;
--- a/tests/jobs/takeover_test.cpp
+++ b/tests/jobs/takeover_test.cpp
@@ -124,3 +124,18 @@
         CHECK(world.scheduler.state(id) == job_state::Completed);
     }
 }
+
+TEST_CASE("A job that is stored as live beside its end is stopped and ended")
+{
+    scheduler_world world;
+    world.begin();
+    world.submit(id, "quick", {scheduler_world::step(2, 4000)});
+    world.settle();
+    REQUIRE(world.running(id) == 2);
+    world.scheduler.recordEnded(id, job_state::Completed, world.now());
+    world.advance(milliseconds(1000));
+    CHECK(world.running(id) == 0);
+    CHECK(world.starts == 2);
+    CHECK(world.scheduler.state(id) == job_state::Completed);
+    CHECK(world.finished.at(id) == job_state::Completed);
+}
