Keep placement passes as cheap as before where no worker has crashed

Cause: whether a worker is kept for a suspect was found by going through its runs, for each step and worker of a pass, and each pass went through all tasks for suspects; a leader of a large partition is bound by its processor.

Change: a count of isolated runs on the worker, and a flag on steps under which workers crashed.

Measured: jobs tests pass; behaviour is the same by construction.

--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -69,9 +69,11 @@
                 if (step.definition->gang && step.waiting < step.tasks.size())
                     continue;
                 const auto allWaiting = [&step](bool (crash_history::*property)() const) {
-                    return std::ranges::all_of(step.tasks, [property](const task_run &task) {
-                        return task.phase != task_phase::Waiting || (task.crashes.*property)();
-                    });
+                    return step.crashed
+                           && std::ranges::all_of(step.tasks, [property](const task_run &task) {
+                                  return task.phase != task_phase::Waiting
+                                         || (task.crashes.*property)();
+                              });
                 };
                 found.push_back({&step, &m_scheduler.queueOf(*job), latenessOf(step, m_now),
                                  step.definition->gang ? step.suspectedGang()
--- a/src/jobs/dispatcher_gangs.cpp
+++ b/src/jobs/dispatcher_gangs.cpp
@@ -83,9 +83,8 @@
             auto &task = step.tasks[next++];
             task.checkpoint = checkpoint;
             assign(task, *worker, attempt + 1);
-            task.isolated = ready.isolated;
             if (ready.isolated)
-                task.crashes.startAlone(task.attempt);
+                m_scheduler.isolate(task);
         }
     }
     dropReservation(step);
--- a/src/jobs/dispatcher_suspects.cpp
+++ b/src/jobs/dispatcher_suspects.cpp
@@ -105,8 +105,7 @@
     if (ready.stronglySuspected)
         ++m_strongSuspectsPlaced[site];
     assign(task, *site, task.attempt + 1);
-    task.isolated = true;
-    task.crashes.startAlone(task.attempt);
+    m_scheduler.isolate(task);
 }
 
 worker *dispatcher::isolationSite(const ready_step &ready,
--- a/src/jobs/fleet.cpp
+++ b/src/jobs/fleet.cpp
@@ -38,11 +38,6 @@
     return label.empty() || std::ranges::find(entry.labels, label) != entry.labels.end();
 }
 
-bool worker::isolating() const
-{
-    return std::ranges::any_of(runs, [](const task_run *run) { return run->isolated; });
-}
-
 std::vector<std::string> fleet::updateList(const std::vector<worker_entry> &entries,
                                            time_point previousLeaderLeaseEnd)
 {
--- a/src/jobs/fleet.h
+++ b/src/jobs/fleet.h
@@ -49,6 +49,7 @@
     // Resources of runs that may exist on the worker.
     resources used;
     std::vector<task_run *> runs;
+    std::uint32_t isolatedRuns = 0;
 
     // Start of the incarnation that sent the last report, milliseconds since 1970.
     std::int64_t incarnationMs = 0;
@@ -88,7 +89,7 @@
     bool usable(time_point now) const;
     bool hasLabel(std::string_view label) const;
     // A run that may crash the worker is at work, so nothing else is placed.
-    bool isolating() const;
+    bool isolating() const { return isolatedRuns > 0; }
 };
 
 // The rack among the labels of a worker, empty if none names one.
--- a/src/jobs/job_losses.cpp
+++ b/src/jobs/job_losses.cpp
@@ -165,6 +165,7 @@
     auto &job = *step.occurrence->job;
     if (job.state > job_state::Running || !task->crashes.add(lost.attempt, lost.evidence))
         return;
+    step.crashed = true;
     markChanged(job);
     if (lost.evidence >= crash_evidence::Fresh)
         step.crashedAt.push_back(worker.entry.address);
@@ -219,7 +220,7 @@
 {
     if (task.startedAt == time_point {} || now - task.startedAt < m_options.probation)
         return;
-    task.isolated = false;
+    endIsolation(task);
     if (!task.crashes.suspected())
         return;
     task.crashes.clear(task.attempt);
--- a/src/jobs/job_progress.cpp
+++ b/src/jobs/job_progress.cpp
@@ -14,7 +14,7 @@
 
 bool step_run::suspectedGang() const
 {
-    return definition->gang && std::ranges::any_of(tasks, [](const task_run &task) {
+    return definition->gang && crashed && std::ranges::any_of(tasks, [](const task_run &task) {
                return task.crashes.suspected();
            });
 }
--- a/src/jobs/job_progress.h
+++ b/src/jobs/job_progress.h
@@ -161,6 +161,8 @@
     // step.
     milliseconds remainingChain {0};
 
+    // Workers have crashed under tasks of the step.
+    bool crashed = false;
     // Machines, by address, that crashed right after they started a task of the step in this term.
     std::vector<std::string> crashedAt;
 
--- a/src/jobs/job_runs.cpp
+++ b/src/jobs/job_runs.cpp
@@ -16,8 +16,25 @@
     worker.runs.push_back(&task);
 }
 
+// Nothing else is placed on the worker of the task until endIsolation().
+void job_scheduler::isolate(task_run &task)
+{
+    task.isolated = true;
+    ++task.assignedWorker->isolatedRuns;
+    task.crashes.startAlone(task.attempt);
+}
+
+void job_scheduler::endIsolation(task_run &task)
+{
+    if (!task.isolated)
+        return;
+    task.isolated = false;
+    --task.assignedWorker->isolatedRuns;
+}
+
 void job_scheduler::release(task_run &task)
 {
+    endIsolation(task);
     auto &worker = *task.assignedWorker;
     worker.used -= effectiveDemand(*task.step->definition);
     std::erase(worker.runs, &task);
@@ -30,7 +47,6 @@
     task.orderedAt = {};
     task.startedAt = {};
     task.recordedIncarnationMs = 0;
-    task.isolated = false;
     task.phase = task_phase::Waiting;
     ++task.step->waiting;
     --task.step->occurrence->job->occupying;
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -205,6 +205,7 @@
     task.failedAttempts = from.failedAttempts;
     task.checkpoint = from.checkpoint;
     task.crashes = from.crashes;
+    task.step->crashed = task.step->crashed || !from.crashes.records().empty();
     if (from.done) {
         task.phase = task_phase::Done;
         --task.step->waiting;
@@ -214,7 +215,8 @@
         allocate(task, worker);
         task.phase = task_phase::Doubtful;
         task.recordedIncarnationMs = from.incarnationMs;
-        task.isolated = from.crashes.aloneAttempt() == from.attempt;
+        if (from.crashes.aloneAttempt() == from.attempt)
+            isolate(task);
         // A worker that has reported in this term rejects orders of previous leaders.
         task.acknowledgedAt = time_point {};
     }
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -294,6 +294,8 @@
     // Tasks.
     void allocate(task_run &task, worker &worker);
     void release(task_run &task);
+    void isolate(task_run &task);
+    static void endIsolation(task_run &task);
     void returnToWaiting(task_run &task);
     void completeTask(task_run &task);
     void countFailure(task_run &task, std::uint32_t attempt);
