Let a suspect start beside other runs after ten seconds without an empty worker

What callers would see: a sound job that was suspected once would wait for as long as no worker of a busy fleet is ever empty.

Also found: losses kept for a worker that was only silent were still held against its runs at its next crash.

Change: after 10 s since the last crash under its step a suspect may start where a crash loses the least work, as in a calm fleet; a report of the same incarnation drops the kept losses.

--- a/src/jobs/dispatcher_suspects.cpp
+++ b/src/jobs/dispatcher_suspects.cpp
@@ -13,8 +13,9 @@
 constexpr double minIsolationShare = 1.0 / 24;
 constexpr double busyIdleShare = 0.35;
 constexpr double calmIdleShare = 0.6;
-// With less idle, a suspected task waits for a worker without runs.
+// With less idle, a suspected task waits for a worker without runs, up to this time.
 constexpr double sharedSiteIdleShare = 0.45;
+constexpr std::chrono::seconds maxEmptyWorkerWait {10};
 // Strongly suspected tasks that start together on one worker.
 constexpr std::size_t maxSuspectsTogether = 8;
 
@@ -53,8 +54,10 @@
         || std::ranges::find(ready.step->crashedAt, worker.entry.address)
                != ready.step->crashedAt.end())
         return false;
-    if (!ready.step->definition->gang && !worker.runs.empty()
-        && 1 - m_scheduler.m_fleetLoad < sharedSiteIdleShare)
+    const bool mayShare = ready.step->definition->gang
+                          || 1 - m_scheduler.m_fleetLoad >= sharedSiteIdleShare
+                          || m_now - ready.step->lastCrashAt > maxEmptyWorkerWait;
+    if (!worker.runs.empty() && !mayShare)
         return false;
     // A crash must not be taken for that of another task that has just been started.
     return std::ranges::none_of(worker.runs, [this](const task_run *run) {
--- a/src/jobs/job_losses.cpp
+++ b/src/jobs/job_losses.cpp
@@ -93,9 +93,9 @@
     const bool started = task.startedAt != time_point {};
     // A run of a previous leader may have been started right before, too.
     if (task.orderedAt == time_point {}) {
-        if (task.isolated && runsOneJob(worker))
-            return crash_evidence::Alone;
-        return runsOneJob(worker) ? crash_evidence::Beside : crash_evidence::Bystander;
+        if (!runsOneJob(worker))
+            return crash_evidence::Bystander;
+        return task.isolated ? crash_evidence::Alone : crash_evidence::Beside;
     }
     if (!isFresh(worker, task)) {
         if (!started)
@@ -166,6 +166,7 @@
     if (job.state > job_state::Running || !task->crashes.add(lost.attempt, lost.evidence))
         return;
     step.crashed = true;
+    step.lastCrashAt = now;
     markChanged(job);
     if (lost.evidence >= crash_evidence::Fresh)
         step.crashedAt.push_back(worker.entry.address);
--- a/src/jobs/job_progress.h
+++ b/src/jobs/job_progress.h
@@ -163,6 +163,8 @@
 
     // Workers have crashed under tasks of the step.
     bool crashed = false;
+    // When the last of them was counted in this term.
+    time_point lastCrashAt {};
     // Machines, by address, that crashed right after they started a task of the step in this term.
     std::vector<std::string> crashedAt;
 
--- a/src/jobs/job_runs.cpp
+++ b/src/jobs/job_runs.cpp
@@ -344,6 +344,8 @@
         recordCrash(*worker, report.incarnationMs, now);
     if (restarted || worker->reports == 0)
         onWorkerRestarted(*worker, report.incarnationMs);
+    // It was only silent.
+    worker->unresolvedLosses.clear();
     worker->responsive = true;
     worker->unresponsiveSince.reset();
     worker->connectionBroken = false;
--- a/tests/jobs/crashing_task_test.cpp
+++ b/tests/jobs/crashing_task_test.cpp
@@ -151,6 +151,37 @@
     }
 }
 
+// Load: a fleet that is so busy that no worker is ever empty.
+TEST_CASE("A suspected task is not left waiting for an empty worker for ever")
+{
+    scheduler_world world(4);
+    world.advanceStep = milliseconds(100);
+    world.begin();
+    const std::string suspect = "e000000000000001";
+    int number = 100;
+    for (int round = 0; round < 400; ++round) {
+        if (round == 20)
+            world.submit(suspect, "quick", {scheduler_world::step(1, 4000)});
+        for (const auto &[id, worker] : world.fleet) {
+            // Its worker crashes once, right after the start.
+            if (world.crashes == 0 && worker.active.contains(suspect + ".0.0.0"))
+                world.crashForAWhile(id);
+        }
+        if (world.scheduler.load(world.now()).waitingTasks < 4)
+            world.submit(soundJob(number++), "middle", {scheduler_world::step(1, 4000)});
+        if (round % 3 == 0 && round > 25) {
+            // One run of a worker ends at a time.
+            for (auto &[id, worker] : world.fleet) {
+                if (worker.active.size() > 2)
+                    world.end(id, worker.active.begin()->first, run_outcome::Done);
+            }
+        }
+        world.advance(milliseconds(100));
+    }
+    CHECK(world.crashes == 1);
+    CHECK(world.startsOf[suspect + ".0.0.0"] == 2);
+}
+
 // Load: a third of a queue's jobs crash a worker each, which takes the whole fleet down.
 TEST_CASE("New jobs of a queue that takes down much of the fleet are refused, those of others not")
 {
