Say in comments and docs that a suspect is isolated, not always alone

Cause: reading the change; in a calm fleet a suspect may start beside runs that have been at work for a while, which some comments denied.

--- a/src/jobs/crash_history.h
+++ b/src/jobs/crash_history.h
@@ -18,7 +18,7 @@
     Fresh = 3,
     // The worker was lost right after it started this task only.
     OnlyFresh = 4,
-    // Nothing else was at work there but tasks that are as strongly suspected.
+    // It was isolated: nothing else had just been started but tasks that are as strongly suspected.
     Alone = 5,
 };
 
@@ -31,7 +31,7 @@
 };
 
 // The crashes under one task. Several tasks are at work on a worker that crashes, and most have
-// nothing to do with it. So a task is first suspected, which only means that it is started alone;
+// nothing to do with it. So a task is first suspected, which only means that it is isolated;
 // it is given up when that start crashes its worker too. Tasks that crash workers later than at
 // their start are given up by their number of crashes. Only crashes under a task that was certainly
 // started count towards that.
@@ -45,7 +45,7 @@
 
     // Each attempt counts once, with its strongest evidence. Returns false if nothing is new.
     bool add(std::uint32_t attempt, crash_evidence evidence);
-    // The attempt is started on a worker where nothing else is at work.
+    // The attempt is isolated: nothing has just been started on its worker, and nothing will be.
     void startAlone(std::uint32_t attempt) { m_aloneAttempt = attempt; }
     // A later attempt has run long enough to rule out that the task crashes workers at its start.
     void clear(std::uint32_t attempt);
@@ -57,7 +57,7 @@
 
     const std::vector<crash_record> &records() const { return m_records; }
     std::uint32_t clearedAttempt() const { return m_clearedAttempt; }
-    // The last attempt that was started alone; 0 for none.
+    // The last attempt that was isolated; 0 for none.
     std::uint32_t aloneAttempt() const { return m_aloneAttempt; }
 
     bool operator==(const crash_history &) const = default;
--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -24,7 +24,7 @@
         step_run *step = nullptr;
         const queue_definition *queue = nullptr;
         int lateness = 0;
-        // All tasks that wait may only start alone on a worker.
+        // All tasks that wait are suspected, or the gang is.
         bool isolated = false;
         // All of them are strongly suspected, so they come last.
         bool stronglySuspected = false;
--- a/src/jobs/job_record.cpp
+++ b/src/jobs/job_record.cpp
@@ -109,7 +109,7 @@
     json::array m_incarnations;
 };
 
-// The cleared attempt, the one that was started alone, then attempt and evidence of each crash.
+// The cleared attempt, the one that was isolated, then attempt and evidence of each crash.
 json::array encodeCrashes(const crash_history &crashes)
 {
     json::array row {crashes.clearedAttempt(), crashes.aloneAttempt()};
