Compare worker reports with the runs counted for the worker

Each report is compared with the runs counted for its worker: report.unaccounted_runs names up to four runs that are not counted, with the cause; run.released_unlisted a run whose resources were released before its worker listed its end; start.beside_unaccounted a start on a worker whose last report had such runs. Counters for all three are in the metrics. The comparison uses the look-up that a report needs anyway.

--- a/src/cell/leader_orders.cpp
+++ b/src/cell/leader_orders.cpp
@@ -266,6 +266,14 @@
         const auto name = jobs::runLossName(static_cast<jobs::run_loss_cause>(cause));
         add("runs_lost_" + std::string(name) + "_total", m_scheduler.runLosses()[cause]);
     }
+    const auto &accounting = m_scheduler.accounting();
+    for (std::size_t cause = 0; cause < jobs::unaccountedCauses; ++cause) {
+        const auto name = jobs::unaccountedCauseName(static_cast<jobs::unaccounted_cause>(cause));
+        add("runs_unaccounted_" + std::string(name) + "_total", accounting.unaccounted[cause]);
+    }
+    add("runs_released_unlisted_total", accounting.releasedUnlisted);
+    add("starts_beside_unaccounted_total", accounting.startsBesideUnaccounted);
+    add("workers_with_unaccounted_runs", load.unaccountedWorkers);
     add("jobs", load.jobs);
     add("workers", m_workerEntries.size());
     add("ended_jobs_loaded", m_endedJobsLoaded ? 1 : 0);
--- a/src/jobs/fleet.h
+++ b/src/jobs/fleet.h
@@ -50,6 +50,8 @@
     resources used;
     std::vector<task_run *> runs;
     std::uint32_t isolatedRuns = 0;
+    // Runs in the last report that `used` does not include.
+    std::size_t unaccountedRuns = 0;
 
     // Start of the incarnation that sent the last report, milliseconds since 1970.
     std::int64_t incarnationMs = 0;
--- a/src/jobs/job_changes.cpp
+++ b/src/jobs/job_changes.cpp
@@ -99,6 +99,7 @@
                     continue;
                 task.phase = task_phase::Ordered;
                 task.orderedAt = now;
+                recordStartAccounting(task);
                 starts.push_back(makeStartOrder(task, now));
                 task.assignedWorker->leaseEndMs =
                     std::max(task.assignedWorker->leaseEndMs, starts.back().leaseEndMs);
@@ -148,6 +149,7 @@
         }
         load.occupyingTasks += worker->runs.size();
         load.isolatingWorkers += worker->isolating() ? 1 : 0;
+        load.unaccountedWorkers += worker->unaccountedRuns > 0 ? 1 : 0;
     }
     for (const auto &[id, job] : m_jobs) {
         if (job->state > job_state::Running)
--- a/src/jobs/job_losses.cpp
+++ b/src/jobs/job_losses.cpp
@@ -250,10 +250,12 @@
         if (!task->assignedWorker)
             continue;
         auto &step = *task->step;
-        if (task->phase == task_phase::Stopping)
+        if (task->phase == task_phase::Stopping) {
+            recordUnlistedRelease(*task, "missing from the report after its stop was answered");
             returnToWaiting(*task);
-        else
+        } else {
             loseRun(*task, cause, now);
+        }
         if (step.definition->gang)
             stopStep(step, now);
     }
--- a/src/jobs/job_runs.cpp
+++ b/src/jobs/job_runs.cpp
@@ -186,8 +186,11 @@
 // The completion of one member completes all members of a gang.
 void job_scheduler::completeGang(step_run &step)
 {
-    for (auto &member : step.tasks)
+    for (auto &member : step.tasks) {
+        if (member.assignedWorker)
+            recordUnlistedRelease(member, "another member of its gang is done");
         completeTask(member);
+    }
 }
 
 void job_scheduler::stopRun(task_run &task, time_point now)
@@ -265,10 +268,9 @@
             updateHealth(*worker, task, false, now);
             observeDuration(task, now);
         }
+        completeTask(task);
         if (gang)
             completeGang(step);
-        else
-            completeTask(task);
         return;
     }
     if (end.outcome == run_outcome::Failed) {
@@ -286,15 +288,15 @@
         stopStep(step, now);
 }
 
-void job_scheduler::processActiveRun(worker &worker, const active_run &run, time_point now)
+std::optional<unaccounted_cause>
+job_scheduler::processActiveRun(worker &worker, const active_run &run, time_point now)
 {
     const auto name = task_name::parse(run.task);
     auto *task = name ? find(*name) : nullptr;
-    if (!task || task->assignedWorker != &worker || task->attempt != run.attempt
-        || task->phase == task_phase::Recording) {
+    if (const auto cause = unaccountedCause(worker, task, run)) {
         m_strayStops.push_back(
             {{worker.entry.id, worker.entry.address}, run.task, run.attempt, m_term});
-        return;
+        return cause;
     }
     if (task->phase == task_phase::Ordered || task->phase == task_phase::Doubtful) {
         task->phase = task_phase::Running;
@@ -326,6 +328,7 @@
     }
     if (job.state > job_state::Running)
         stopRun(*task, now);
+    return std::nullopt;
 }
 
 void job_scheduler::onReport(const std::string &id, const worker_report &report, time_point askedAt,
@@ -355,8 +358,12 @@
     worker->clockKnown = true;
     for (const auto &end : report.ended)
         processEnd(*worker, end, now);
-    for (const auto &run : report.active)
-        processActiveRun(*worker, run, now);
+    std::vector<unaccounted_run> unaccounted;
+    for (const auto &run : report.active) {
+        if (const auto cause = processActiveRun(*worker, run, now))
+            unaccounted.push_back({&run, *cause});
+    }
+    recordUnaccounted(*worker, report, unaccounted);
     releaseMissingRuns(*worker, report, askedAt,
                        restarted ? run_loss_cause::WorkerCrashed : run_loss_cause::NotReported,
                        now);
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -147,6 +147,35 @@
 // The name of a cause in logs and metrics.
 std::string_view runLossName(run_loss_cause cause);
 
+// Why a run that its worker reports has no resources counted for it there.
+enum class unaccounted_cause : std::uint8_t {
+    UnknownJob,
+    EndedJob,
+    // The task waits for another start, or is done.
+    Released,
+    OtherWorker,
+    OtherAttempt,
+    // The start has not been ordered yet.
+    NotOrdered,
+};
+inline constexpr std::size_t unaccountedCauses = 6;
+
+// The name of a cause in logs and metrics.
+std::string_view unaccountedCauseName(unaccounted_cause cause);
+
+// Differences between what workers reported and what was counted for them, since the start of the
+// term.
+struct accounting_counts
+{
+    // Reported runs that were not counted, once for each report.
+    std::array<std::uint64_t, unaccountedCauses> unaccounted {};
+    // Runs whose resources were released although their worker had started them and had not listed
+    // their end.
+    std::uint64_t releasedUnlisted = 0;
+    // Starts ordered on workers whose last report had runs that were not counted.
+    std::uint64_t startsBesideUnaccounted = 0;
+};
+
 // Orders that must be sent now.
 struct scheduler_orders
 {
@@ -185,6 +214,8 @@
     // work or which they took down.
     std::size_t waitingSuspects = 0;
     std::size_t isolatingWorkers = 0;
+    // Workers whose last report had runs that are not counted there.
+    std::size_t unaccountedWorkers = 0;
     resources used;
     // Free cores that are reserved for gangs, in thousandths.
     std::int64_t reservedMilliCores = 0;
@@ -261,6 +292,7 @@
     std::uint64_t workerCrashes() const { return m_workerCrashes; }
     const std::array<std::uint64_t, runLossCauses> &runLosses() const { return m_runLosses; }
     std::uint64_t tasksGivenUp() const { return m_tasksGivenUp; }
+    const accounting_counts &accounting() const { return m_accounting; }
     // Explains why a job is not done: one line for each unfinished step whose dependencies are
     // done.
     std::vector<std::string> explain(const std::string &id, time_point now) const;
@@ -311,7 +343,20 @@
     void completeStep(step_run &step);
     void processEnd(worker &worker, const ended_run &end, time_point now);
     void applyEnd(task_run &task, const ended_run &end, time_point now);
-    void processActiveRun(worker &worker, const active_run &run, time_point now);
+    // Returns why the run is not counted on the worker, none if it is.
+    std::optional<unaccounted_cause> processActiveRun(worker &worker, const active_run &run,
+                                                      time_point now);
+    std::optional<unaccounted_cause> unaccountedCause(const worker &worker, const task_run *task,
+                                                      const active_run &run) const;
+    struct unaccounted_run
+    {
+        const active_run *run = nullptr;
+        unaccounted_cause cause = unaccounted_cause::UnknownJob;
+    };
+    void recordUnaccounted(worker &worker, const worker_report &report,
+                           const std::vector<unaccounted_run> &runs);
+    void recordUnlistedRelease(const task_run &task, std::string_view reason);
+    void recordStartAccounting(const task_run &task);
     void onWorkerRestarted(worker &worker, std::int64_t incarnationMs);
     void loseRun(task_run &task, run_loss_cause cause, time_point now);
     void loseRunsOfReplacedWorker(worker &worker, time_point now);
@@ -375,6 +420,7 @@
     std::vector<scheduler_event> m_events;
     std::uint64_t m_workerCrashes = 0;
     std::uint64_t m_tasksGivenUp = 0;
+    accounting_counts m_accounting;
     std::array<std::uint64_t, runLossCauses> m_runLosses {};
     struct observed_share
     {
--- /dev/null
+++ b/src/jobs/run_accounting.cpp
@@ -0,0 +1,110 @@
+#include "jobs/job_scheduler.h"
+
+#include <algorithm>
+#include <array>
+
+// Compares the runs that workers report with those whose resources are counted for them.
+namespace plantaingap::jobs {
+
+namespace {
+
+constexpr std::array<std::string_view, unaccountedCauses> causeNames {
+    "unknown_job", "ended_job", "released", "other_worker", "other_attempt", "not_ordered"};
+
+// Runs named in one event; the rest are counted.
+constexpr std::size_t maxRunsNamed = 4;
+
+std::string formatResources(const resources &amount)
+{
+    return std::to_string(amount.milliCores) + "/" + std::to_string(amount.memoryMib) + "/"
+           + std::to_string(amount.accelerators);
+}
+
+void addCapacityFields(scheduler_event &event, const worker &worker)
+{
+    event.fields.emplace_back("used", formatResources(worker.used));
+    event.fields.emplace_back("capacity", formatResources(worker.entry.capacity));
+    event.fields.emplace_back("unaccounted", std::to_string(worker.unaccountedRuns));
+    event.fields.emplace_back("reports", std::to_string(worker.reports));
+}
+
+} // namespace
+
+std::string_view unaccountedCauseName(unaccounted_cause cause)
+{
+    return causeNames[static_cast<std::size_t>(cause)];
+}
+
+std::optional<unaccounted_cause> job_scheduler::unaccountedCause(const worker &worker,
+                                                                 const task_run *task,
+                                                                 const active_run &run) const
+{
+    if (!task) {
+        const auto name = task_name::parse(run.task);
+        return name && m_endedJobs.contains(name->job) ? unaccounted_cause::EndedJob
+                                                       : unaccounted_cause::UnknownJob;
+    }
+    if (!task->assignedWorker) {
+        return task->step->occurrence->job->state > job_state::Running
+                   ? unaccounted_cause::EndedJob
+                   : unaccounted_cause::Released;
+    }
+    if (task->assignedWorker != &worker)
+        return unaccounted_cause::OtherWorker;
+    if (task->attempt != run.attempt)
+        return unaccounted_cause::OtherAttempt;
+    if (task->phase == task_phase::Recording)
+        return unaccounted_cause::NotOrdered;
+    return std::nullopt;
+}
+
+// Logged when the number of unaccounted runs changes, so that a run that takes long to stop is not
+// logged with each report.
+void job_scheduler::recordUnaccounted(worker &worker, const worker_report &report,
+                                      const std::vector<unaccounted_run> &runs)
+{
+    const bool changed = runs.size() != worker.unaccountedRuns;
+    worker.unaccountedRuns = runs.size();
+    for (const auto &[run, cause] : runs)
+        ++m_accounting.unaccounted[static_cast<std::size_t>(cause)];
+    if (!changed || runs.empty())
+        return;
+    std::string named;
+    for (std::size_t i = 0; i < std::min(runs.size(), maxRunsNamed); ++i) {
+        named += (named.empty() ? "" : ",") + runs[i].run->task + "#"
+                 + std::to_string(runs[i].run->attempt) + ":"
+                 + std::string(unaccountedCauseName(runs[i].cause));
+    }
+    scheduler_event event {"report.unaccounted_runs",
+                           {},
+                           0,
+                           worker.entry.id,
+                           "reported runs are not counted on their worker",
+                           {}};
+    event.fields.emplace_back("runs", std::move(named));
+    event.fields.emplace_back("active", std::to_string(report.active.size()));
+    event.fields.emplace_back("counted", std::to_string(worker.runs.size()));
+    addCapacityFields(event, worker);
+    m_events.push_back(std::move(event));
+}
+
+void job_scheduler::recordUnlistedRelease(const task_run &task, std::string_view reason)
+{
+    const bool atWork = task.startedAt != time_point {};
+    if (!atWork)
+        return;
+    ++m_accounting.releasedUnlisted;
+    recordEvent("run.released_unlisted", task, reason);
+}
+
+void job_scheduler::recordStartAccounting(const task_run &task)
+{
+    const auto &worker = *task.assignedWorker;
+    if (worker.unaccountedRuns == 0)
+        return;
+    ++m_accounting.startsBesideUnaccounted;
+    recordEvent("start.beside_unaccounted", task, "the worker reported runs that are not counted");
+    addCapacityFields(m_events.back(), worker);
+}
+
+} // namespace plantaingap::jobs
