Log which slots an overdue gang lacks and why none are reserved

job.overdue counted usable workers, workers with capacity and tickets, each on its own. A gang needs all three on the same workers, without a reservation for another gang, so the line could not tell too few allowed workers from lapsed tickets, reservations of others, excluded workers or capacity in use. It now counts the slots for members by what keeps the gang from them, and says what became of its last plan. Placement is unchanged.

--- a/src/jobs/dispatcher_gangs.cpp
+++ b/src/jobs/dispatcher_gangs.cpp
@@ -154,7 +154,11 @@
     auto &step = *ready.step;
     auto &plan = step.gang;
     dropReservation(step);
-    plan = {std::nullopt, m_now + reviewInterval, plan.nextDiscoveryAt, {}, {}, false};
+    const auto nextDiscoveryAt = plan.nextDiscoveryAt;
+    plan = {};
+    plan.nextReviewAt = m_now + reviewInterval;
+    plan.nextDiscoveryAt = nextDiscoveryAt;
+    plan.plannedAt = m_now;
     gang_assignment assignment;
     auto missing = static_cast<std::uint32_t>(step.tasks.size());
     auto spare = static_cast<std::uint32_t>(static_cast<double>(missing) * spareShare);
@@ -180,8 +184,11 @@
         else
             assigned->second += taken;
     }
-    if (missing > 0)
+    plan.missing = missing;
+    if (missing > 0) {
+        plan.result = gang_plan_result::TooFewSlots;
         return;
+    }
     plan.startAt = startAt;
     for (const auto &[worker, members] : assignment)
         plan.workers.push_back(worker->entry.id);
@@ -190,7 +197,11 @@
     // While much of the fleet is free, others lose little by a reservation, and without one they
     // take the capacity of a late gang again and again.
     const bool fleetHasRoom = m_scheduler.m_fleetLoad < maxLoadForLateReservations;
-    if (startAt <= m_now + maxReservationLead && (onTime || onlyReservation || fleetHasRoom))
+    if (startAt > m_now + maxReservationLead)
+        plan.result = gang_plan_result::TooFarOff;
+    else if (!onTime && !onlyReservation && !fleetHasRoom)
+        plan.result = gang_plan_result::Late;
+    else
         reserve(ready, assignment);
 }
 
@@ -209,8 +220,10 @@
     auto &plan = ready.step->gang;
     const auto demand = effectiveDemand(*ready.step->definition);
     const auto wanted = demand.milliCores * static_cast<std::int64_t>(ready.step->tasks.size());
-    if (!canReserveMore(wanted))
+    if (!canReserveMore(wanted)) {
+        plan.result = gang_plan_result::NoShareLeft;
         return;
+    }
     for (const auto &[worker, members] : assignment) {
         worker->reservedFor = ready.step;
         worker->reservedCapacity = demand * members;
@@ -219,6 +232,7 @@
         m_reservedCapacity += worker->reservedCapacity;
     }
     plan.reserved = true;
+    plan.result = gang_plan_result::Reserved;
 }
 
 } // namespace plantaingap::jobs
--- a/src/jobs/job_explanation.cpp
+++ b/src/jobs/job_explanation.cpp
@@ -1,7 +1,9 @@
 #include "jobs/job_scheduler.h"
+#include "jobs/task_capacity.h"
 
 #include <algorithm>
 #include <array>
+#include <set>
 
 // Explains to operators and in logs why a job is not done.
 namespace plantaingap::jobs {
@@ -28,6 +30,78 @@
     return out;
 }
 
+constexpr std::array<std::pair<gang_plan_result, std::string_view>, 6> planResultNames {
+    {{gang_plan_result::NotPlanned, "none"},
+     {gang_plan_result::TooFewSlots, "too_few_slots"},
+     {gang_plan_result::TooFarOff, "too_far_off"},
+     {gang_plan_result::Late, "late"},
+     {gang_plan_result::NoShareLeft, "no_share_left"},
+     {gang_plan_result::Reserved, "reserved"}}};
+
+std::string inMilliseconds(duration span)
+{
+    return std::to_string(std::chrono::duration_cast<milliseconds>(span).count());
+}
+
+// Slots for members on the allowed workers of a gang, by what keeps the gang from using them.
+struct gang_slots
+{
+    std::uint32_t withTicket = 0;
+    std::uint32_t withoutTicket = 0;
+    std::uint32_t reservedForOthers = 0;
+    std::uint32_t slow = 0;
+    // Draining, unresponsive, quarantined or isolating.
+    std::uint32_t unusable = 0;
+    std::uint32_t occupied = 0;
+    std::set<const step_run *> reservingGangs;
+
+    void add(const step_run &step, const worker &worker, const ticket &held, time_point now);
+};
+
+void gang_slots::add(const step_run &step, const worker &worker, const ticket &held, time_point now)
+{
+    const auto demand = effectiveDemand(*step.definition);
+    const auto free = tasksThatFit(demand, worker.free());
+    const auto total = tasksThatFit(demand, worker.entry.capacity);
+    if (!worker.usable(now) || worker.health.quarantined() || worker.isolating()) {
+        unusable += total;
+        return;
+    }
+    occupied += total - std::min(free, total);
+    if (worker.reservedFor && worker.reservedFor != &step && worker.reservedUntil > now) {
+        reservedForOthers += free;
+        reservingGangs.insert(worker.reservedFor);
+    } else if (worker.speed.slow()) {
+        slow += free;
+    } else {
+        (held.expires > now ? withTicket : withoutTicket) += free;
+    }
+}
+
+std::string explainGang(const step_run &step, const fleet &workers, time_point now)
+{
+    gang_slots slots;
+    for (const auto &[id, held] : step.advice.allowed) {
+        if (const auto found = workers.all().find(id); found != workers.all().end())
+            slots.add(step, *found->second, held, now);
+    }
+    const auto &plan = step.gang;
+    const auto *result = std::ranges::find(planResultNames, plan.result,
+                                           &std::pair<gang_plan_result, std::string_view>::first);
+    auto out = " free_with_ticket=" + std::to_string(slots.withTicket)
+               + " free_without_ticket=" + std::to_string(slots.withoutTicket)
+               + " free_reserved_for_others=" + std::to_string(slots.reservedForOthers)
+               + " reserving_gangs=" + std::to_string(slots.reservingGangs.size()) + " free_slow="
+               + std::to_string(slots.slow) + " unusable=" + std::to_string(slots.unusable)
+               + " occupied=" + std::to_string(slots.occupied) + " plan="
+               + std::string(result->second) + " missing=" + std::to_string(plan.missing);
+    if (plan.plannedAt != time_point {})
+        out += " plan_age_ms=" + inMilliseconds(now - plan.plannedAt);
+    if (plan.startAt)
+        out += " start_in_ms=" + inMilliseconds(*plan.startAt - now);
+    return out;
+}
+
 // Names the worker of the first task that is assigned to an unresponsive worker.
 std::string unresponsiveWorker(const step_run &step)
 {
@@ -68,7 +142,10 @@
                 + std::to_string(withCapacity) + " allowed=" + std::to_string(advice.allowed.size())
                 + " tickets=" + std::to_string(valid)
                 + " not_allowed=" + std::to_string(advice.rejected.size())
-                + (advice.callPending ? " advice_pending" : "") + unresponsiveWorker(step));
+                + (advice.callPending ? " advice_pending" : "")
+                + (step.definition->gang && step.waiting > 0 ? explainGang(step, m_fleet, now)
+                                                             : std::string())
+                + unresponsiveWorker(step));
         }
     }
     return lines;
--- a/src/jobs/job_progress.h
+++ b/src/jobs/job_progress.h
@@ -108,6 +108,21 @@
     time_point retryAt {};
 };
 
+// What became of the last plan of a waiting gang.
+enum class gang_plan_result : std::uint8_t {
+    NotPlanned,
+    // The allowed workers without a reservation for another gang have too little capacity for all
+    // members, now and after their runs have ended.
+    TooFewSlots,
+    // The start is too far off to reserve capacity for it.
+    TooFarOff,
+    // The gang will be late and the fleet is busy.
+    Late,
+    // Other gangs have reserved all capacity that may be reserved.
+    NoShareLeft,
+    Reserved,
+};
+
 // Planned start of a waiting gang.
 struct gang_plan
 {
@@ -122,6 +137,10 @@
     std::vector<std::string> spareWorkers;
     // The capacity is reserved.
     bool reserved = false;
+    // For logs: when it was planned, with which result, and how many members had no slot.
+    time_point plannedAt {};
+    gang_plan_result result = gang_plan_result::NotPlanned;
+    std::uint32_t missing = 0;
 };
 
 struct occurrence_run
