Add failing tests of starts beside runs that are not counted

model_worker follows the protocol of workers: fence, one lease, rejected attempts, stops that take time, lists. capacity_world plays the scheduler against such workers over a network and a store that lose, delay, double and reorder, with leaders that resign or are killed, workers that crash, freeze, shrink or are cut off, gangs, cancels and failures, and checks at each start that the worker has room and that the task runs nowhere else.

--- /dev/null
+++ b/tests/jobs/capacity_world.cpp
@@ -0,0 +1,745 @@
+#include "jobs/capacity_world.h"
+
+#include <algorithm>
+#include <array>
+#include <sstream>
+
+namespace plantaingap::tests {
+
+using jobs::run_outcome;
+using jobs::start_result;
+
+namespace {
+
+constexpr milliseconds orderTimeout {800};
+constexpr milliseconds renewalTimeout {1400};
+constexpr milliseconds renewalRetryInterval {150};
+constexpr milliseconds renewalInterval {40};
+constexpr milliseconds connectionBreakTime {5};
+constexpr milliseconds frozenRetryInterval {20};
+constexpr milliseconds lateExecution {1000};
+constexpr milliseconds longestLateness {3000};
+constexpr milliseconds slowStoreTime {1500};
+constexpr milliseconds endedJobsLoadTime {60};
+constexpr milliseconds longestDownTime {3000};
+constexpr milliseconds longestFreeze {7000};
+constexpr milliseconds longestShrink {2000};
+constexpr milliseconds longestGap {3000};
+constexpr milliseconds gangWait {1000};
+constexpr std::size_t maxLiveJobs = 14;
+constexpr std::size_t maxLastingJobs = 2;
+constexpr std::size_t maxBatchEntries = 98;
+constexpr std::size_t maxTraceLines = 4000;
+
+constexpr std::array<resources, 5> demands {{{800, 1'952, 0},
+                                             {2'000, 3'000, 0},
+                                             {4'000, 8'000, 0},
+                                             {8'000, 9'000, 0},
+                                             {16'000, 16'000, 0}}};
+
+wall_time wallAt(duration elapsed)
+{
+    return wall_time(std::chrono::hours(24 * 365 * 50))
+           + std::chrono::duration_cast<milliseconds>(elapsed);
+}
+
+std::string hexId(std::uint64_t number)
+{
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::string id(16, '0');
+    for (auto it = id.rbegin(); number > 0; ++it, number /= 16)
+        *it = digits[number % 16];
+    return id;
+}
+
+std::string describe(const std::string &task, std::uint32_t attempt)
+{
+    return task + "#" + std::to_string(attempt);
+}
+
+} // namespace
+
+capacity_world::capacity_world(capacity_options options)
+    : m_options(options)
+    , m_random(options.seed)
+{
+    for (int i = 0; i < m_options.workers; ++i) {
+        const auto id = "w" + std::to_string(i);
+        auto created = std::make_unique<model_worker>(id, "10.0.0.1:" + std::to_string(7000 + i),
+                                                      fullCapacity, now());
+        if (m_options.randomTimes)
+            created->clockRatePerMille = 980 + static_cast<std::int64_t>(m_random() % 21);
+        m_workers.emplace(id, std::move(created));
+    }
+    beginTerm();
+}
+
+void capacity_world::at(milliseconds delay, std::function<void()> action)
+{
+    m_actions.emplace(std::make_pair(now() + delay, m_sequence++), std::move(action));
+}
+
+bool capacity_world::chance(int perMille)
+{
+    return perMille > 0 && static_cast<int>(m_random() % 1000) < perMille;
+}
+
+milliseconds capacity_world::randomTime(milliseconds longest)
+{
+    return milliseconds(
+        static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(longest.count() + 1)));
+}
+
+milliseconds capacity_world::latency()
+{
+    return m_options.randomTimes ? randomTime(m_options.messageTime) : m_options.messageTime;
+}
+
+void capacity_world::log(std::string line)
+{
+    const auto time = std::chrono::duration_cast<milliseconds>(m_elapsed).count();
+    m_trace.push_back(std::to_string(time) + " " + std::move(line));
+    if (m_trace.size() > maxTraceLines)
+        m_trace.pop_front();
+}
+
+void capacity_world::fail(std::string text)
+{
+    log("violation " + text);
+    if (m_violation.empty())
+        m_violation = std::move(text);
+}
+
+std::string capacity_world::trace(const std::string &word) const
+{
+    std::string text;
+    for (const auto &line : m_trace) {
+        if (line.find(word) != std::string::npos || line.find(" term") != std::string::npos)
+            text += line + "\n";
+    }
+    return text;
+}
+
+std::size_t capacity_world::running(const std::string &prefix) const
+{
+    std::size_t count = 0;
+    for (const auto &[id, worker] : m_workers) {
+        count += static_cast<std::size_t>(
+            std::ranges::count_if(worker->active, [&prefix](const auto &entry) {
+                return entry.first.starts_with(prefix);
+            }));
+    }
+    return count;
+}
+
+// Leaders.
+
+void capacity_world::beginTerm()
+{
+    ++m_term;
+    m_leader = std::make_shared<term_state>();
+    m_leader->term = m_term;
+    m_leader->scheduler = std::make_unique<jobs::job_scheduler>(jobs::scheduler_options {});
+    auto &next = *m_leader->scheduler;
+    jobs::cell_configuration configuration;
+    configuration.version = 1;
+    configuration.queues = {
+        {"queue", "host", "/queue/", "service", 1, 2, 100.0, milliseconds(600'000), std::nullopt}};
+    next.configure(configuration);
+    next.startTerm(m_term, now());
+    for (const auto &[job, definition] : m_definitions) {
+        std::optional<jobs::recorded_progress> progress;
+        if (m_progress.contains(job))
+            progress = *jobs::decodeProgress(m_progress.at(job));
+        next.restore(*jobs::decodeJob(definition), progress, now(), wallAt(m_elapsed));
+    }
+    log("term " + std::to_string(m_term) + " begins");
+    listWorkers();
+    at(endedJobsLoadTime, [this, leader = m_leader] {
+        for (const auto &[job, state] : m_ended) {
+            if (!leader->ended)
+                leader->scheduler->recordEnded(job, state, now());
+        }
+    });
+}
+
+void capacity_world::endTerm(milliseconds gap)
+{
+    m_leader->ended = true;
+    log("term " + std::to_string(m_term) + " ends");
+    at(gap, [this] { beginTerm(); });
+}
+
+void capacity_world::resign(milliseconds gap)
+{
+    if (m_leader->ended || m_leader->resigning)
+        return;
+    m_leader->resigning = true;
+    log("term " + std::to_string(m_term) + " resigns");
+    at(milliseconds(0), [this, gap, leader = m_leader] {
+        // Waits for the batch in flight, whose reply comes first.
+        const auto last = std::make_shared<std::function<void()>>();
+        *last = [this, gap, leader, last] {
+            if (leader->ended)
+                return;
+            if (leader->storing) {
+                at(stepTime, *last);
+                return;
+            }
+            const auto batch = leader->scheduler->takeChanges(maxBatchEntries);
+            for (const auto &change : batch)
+                record(change);
+            endTerm(gap);
+        };
+        (*last)();
+    });
+}
+
+void capacity_world::kill(milliseconds gap)
+{
+    if (m_leader->ended)
+        return;
+    log("term " + std::to_string(m_term) + " killed");
+    endTerm(gap);
+}
+
+void capacity_world::listWorkers()
+{
+    if (m_leader->ended)
+        return;
+    std::vector<jobs::worker_entry> entries;
+    for (const auto &[id, worker] : m_workers) {
+        if (!m_replaced.contains(id))
+            entries.push_back(worker->entry);
+    }
+    m_leader->scheduler->updateWorkerList(entries);
+    for (const auto &[id, worker] : m_leader->scheduler->workers().all()) {
+        if (m_leader->renewing.insert(id).second)
+            renew(m_leader, id);
+    }
+}
+
+void capacity_world::plan()
+{
+    if (m_leader->ended)
+        return;
+    const auto orders = m_leader->scheduler->plan(now(), wallAt(m_elapsed));
+    for (const auto &stop : orders.stops)
+        send(m_leader, stop);
+    storeChanges(m_leader);
+    takeEvents();
+}
+
+void capacity_world::takeEvents()
+{
+    for (const auto &event : m_leader->scheduler->takeEvents()) {
+        m_unlistedReleases += event.event == "run.released_unlisted" ? 1 : 0;
+        std::string line(event.event);
+        line += " " + describe(event.task, event.attempt) + " " + event.worker + " "
+                + std::string(event.reason);
+        for (const auto &[key, value] : event.fields)
+            line += " " + std::string(key) + "=" + value;
+        log(std::move(line));
+    }
+}
+
+void capacity_world::storeChanges(const leader_ref &leader)
+{
+    if (leader->storing || !leader->scheduler->hasChanges())
+        return;
+    leader->storing = true;
+    const auto batch = std::make_shared<std::vector<jobs::job_change>>(
+        leader->scheduler->takeChanges(maxBatchEntries));
+    const auto longest = chance(m_options.faults.slowStore) ? slowStoreTime : m_options.storeTime;
+    const auto appliedAfter = m_options.randomTimes ? randomTime(longest) : longest;
+    at(appliedAfter, [this, leader, batch] {
+        // A later leader's claim keeps the write from being applied.
+        if (leader->term != m_term)
+            return;
+        for (const auto &change : *batch)
+            record(change);
+    });
+    at(appliedAfter + latency(), [this, leader, batch] {
+        if (leader->ended)
+            return;
+        leader->storing = false;
+        for (const auto &order : leader->scheduler->onBatchStored(*batch, now()))
+            send(leader, order);
+    });
+}
+
+void capacity_world::record(const jobs::job_change &change)
+{
+    if (change.definition)
+        m_definitions[change.id] = *change.definition;
+    if (change.progress)
+        m_progress[change.id] = *change.progress;
+    if (change.finished) {
+        m_definitions.erase(change.id);
+        m_progress.erase(change.id);
+        m_ended[change.id] = *change.finished;
+        m_done += *change.finished == jobs::job_state::Completed ? 1 : 0;
+        log("stored end of " + change.id + " " + std::string(stateName(*change.finished)));
+    }
+}
+
+// Messages.
+
+model_worker *capacity_world::reached(const std::string &id)
+{
+    const auto found = m_workers.find(id);
+    return found != m_workers.end() && found->second->up ? found->second.get() : nullptr;
+}
+
+void capacity_world::cut(const std::string &worker, milliseconds span)
+{
+    m_cutUntil[worker] = now() + span;
+}
+
+// Delivers a call by one of the fates; `execute` runs at the worker, `reply` and `timeOut` at the
+// leader.
+struct capacity_world::call
+{
+    std::string worker;
+    std::function<void(model_worker &)> execute;
+    std::function<void()> reply;
+    // Whether the connection broke.
+    std::function<void(bool)> failed;
+    // Another worker answers at the address.
+    std::function<void()> replaced;
+    std::optional<milliseconds> executedAfter;
+    milliseconds timeOut {0};
+    time_point sentAt {};
+    std::int64_t incarnationMs = 0;
+    bool answered = false;
+};
+
+void capacity_world::deliver(const call_ref &sent, bool replies, bool late)
+{
+    auto *worker = reached(sent->worker);
+    const auto cutUntil = m_cutUntil.find(sent->worker);
+    if (cutUntil != m_cutUntil.end() && cutUntil->second > now())
+        return;
+    const bool replaced = m_replaced.contains(sent->worker);
+    if (!worker || replaced) {
+        if (late || !replies)
+            return;
+        at(connectionBreakTime, [sent, replaced] {
+            if (std::exchange(sent->answered, true))
+                return;
+            if (replaced)
+                sent->replaced();
+            else
+                sent->failed(true);
+        });
+        return;
+    }
+    // A connection does not outlive the process of the worker.
+    if (late && worker->entry.incarnationMs != sent->incarnationMs)
+        return;
+    if (worker->frozen) {
+        at(frozenRetryInterval, [this, sent, replies, late] { deliver(sent, replies, late); });
+        return;
+    }
+    sent->execute(*worker);
+    if (!replies)
+        return;
+    at(latency(), [sent] {
+        if (!std::exchange(sent->answered, true))
+            sent->reply();
+    });
+}
+
+void capacity_world::post(const call_ref &sent)
+{
+    const auto &faults = m_options.faults;
+    if (auto *worker = reached(sent->worker))
+        sent->incarnationMs = worker->entry.incarnationMs;
+    sent->sentAt = now();
+    at(sent->timeOut, [sent] {
+        if (!std::exchange(sent->answered, true))
+            sent->failed(false);
+    });
+    const auto deliverAfter = [&](milliseconds delay, bool replies, bool late) {
+        at(delay, [this, sent, replies, late] { deliver(sent, replies, late); });
+    };
+    if (sent->executedAfter) {
+        deliverAfter(*sent->executedAfter, false, true);
+        return;
+    }
+    if (chance(faults.lost))
+        return;
+    if (chance(faults.replyLost)) {
+        deliverAfter(latency(), false, false);
+        if (chance(500)) {
+            at(latency() * 2, [sent] {
+                if (!std::exchange(sent->answered, true))
+                    sent->failed(true);
+            });
+        }
+        return;
+    }
+    if (chance(faults.late)) {
+        deliverAfter(lateExecution + randomTime(longestLateness), false, true);
+        return;
+    }
+    deliverAfter(latency(), true, false);
+    if (chance(faults.doubled))
+        deliverAfter(lateExecution + randomTime(longestLateness), false, true);
+}
+
+void capacity_world::send(const leader_ref &leader, const jobs::start_order &order)
+{
+    const auto sent = std::make_shared<call>();
+    const auto reply = std::make_shared<model_order_reply>();
+    const auto finish = [this, leader, order](start_result result,
+                                              std::optional<std::int64_t> clockMs) {
+        if (!leader->ended)
+            leader->scheduler->onStartReply(order, result, clockMs, now());
+    };
+    log("start sent " + describe(order.task, order.attempt) + " " + order.worker.id);
+    sent->worker = order.worker.id;
+    sent->timeOut = orderTimeout;
+    if (startDelay)
+        sent->executedAfter = startDelay(order);
+    const bool refused = chance(m_options.faults.refused);
+    sent->execute = [this, order, reply, refused, sentAt = now()](model_worker &worker) {
+        if (refused)
+            *reply = {start_result::Refused, worker.clock(now())};
+        else
+            *reply = execute(order, worker, sentAt);
+    };
+    sent->reply = [finish, reply] { finish(reply->result, reply->clockMs); };
+    sent->failed = [finish](bool broken) {
+        finish(broken ? start_result::ConnectionBroken : start_result::Unknown, std::nullopt);
+    };
+    sent->replaced = [finish] { finish(start_result::OtherIncarnation, std::nullopt); };
+    post(sent);
+}
+
+void capacity_world::send(const leader_ref &leader, const jobs::stop_order &order)
+{
+    const auto sent = std::make_shared<call>();
+    const auto accepted = std::make_shared<bool>(false);
+    const auto finish = [this, leader, order](bool settled) {
+        if (!leader->ended)
+            leader->scheduler->onStopReply(order, settled, now());
+    };
+    sent->worker = order.worker.id;
+    sent->timeOut = orderTimeout;
+    sent->execute = [this, order, accepted](model_worker &worker) {
+        const auto time =
+            m_options.randomTimes ? randomTime(m_options.stopTime) : m_options.stopTime;
+        *accepted = worker.stop(order, now(), time);
+        log("stop executed " + describe(order.task, order.attempt) + " " + order.worker.id);
+    };
+    sent->reply = [finish, accepted] { finish(*accepted); };
+    sent->failed = [finish](bool) { finish(false); };
+    sent->replaced = [finish] { finish(true); };
+    post(sent);
+}
+
+void capacity_world::renew(const leader_ref &leader, const std::string &id)
+{
+    auto *worker = leader->ended ? nullptr : leader->scheduler->workers().find(id);
+    if (!worker) {
+        leader->renewing.erase(id);
+        return;
+    }
+    const auto order = leader->scheduler->renewLease(*worker, now());
+    const auto sent = std::make_shared<call>();
+    const auto report = std::make_shared<jobs::worker_report>();
+    const auto renewAfter = [this, leader, id](milliseconds delay) {
+        at(delay, [this, leader, id] { renew(leader, id); });
+    };
+    const auto received = [this, leader, id, renewAfter, askedAt = now()](
+                              const jobs::worker_report &content, milliseconds delay) {
+        if (!leader->ended && !content.staleTerm)
+            leader->scheduler->onReport(id, content, askedAt, now());
+        renewAfter(delay);
+    };
+    sent->worker = id;
+    sent->timeOut = renewalTimeout;
+    sent->execute = [this, order, report](model_worker &target) {
+        *report = target.renewLease(order, now(), m_options.stopping);
+    };
+    sent->reply = [this, received, report] {
+        received(*report, m_options.randomTimes ? randomTime(renewalInterval) : stepTime);
+    };
+    sent->failed = [this, leader, id, renewAfter](bool broken) {
+        if (!leader->ended) {
+            leader->scheduler->leaseRenewalFailed(id,
+                                                  broken ? jobs::renewal_failure::ConnectionBroken
+                                                         : jobs::renewal_failure::NoReply,
+                                                  now());
+        }
+        renewAfter(renewalRetryInterval);
+    };
+    sent->replaced = [received] {
+        jobs::worker_report other;
+        other.otherIncarnation = true;
+        received(other, renewalRetryInterval);
+    };
+    post(sent);
+}
+
+// Workers.
+
+model_order_reply capacity_world::execute(const jobs::start_order &order, model_worker &worker,
+                                          time_point sentAt)
+{
+    const auto name = jobs::task_name::parse(order.task);
+    const auto &job = m_jobs.at(name->job);
+    const auto &step = job.steps.at(name->step);
+    model_run run;
+    run.attempt = order.attempt;
+    run.demand = step.demand;
+    run.endsAt = now() + (m_options.randomTimes ? randomTime(job.runTime) : job.runTime);
+    run.outcome = chance(m_options.faults.failure) ? run_outcome::Failed : run_outcome::Done;
+    if (step.gang || step.longRunning)
+        run.endsAt = time_point::max();
+    const bool present = worker.active.contains(order.task);
+    const auto before = worker.used();
+    const auto reply = worker.start(order, run, now());
+    log("start executed " + describe(order.task, order.attempt) + " " + worker.entry.id + " result "
+        + std::to_string(static_cast<int>(reply.result)));
+    if (reply.result == start_result::Accepted && !present) {
+        ++m_starts;
+        checkStart(worker, order, before, sentAt);
+    }
+    return reply;
+}
+
+void capacity_world::checkStart(const model_worker &worker, const jobs::start_order &order,
+                                const resources &before, time_point sentAt)
+{
+    auto allowed = worker.entry.capacity;
+    for (const auto &[until, capacity] : m_pastCapacities[worker.entry.id]) {
+        if (until >= sentAt)
+            allowed = greatest(allowed, capacity);
+    }
+    const auto what = describe(order.task, order.attempt) + " on " + worker.entry.id;
+    if (!worker.used().fitsIn(allowed)) {
+        fail("capacity: " + what + ", " + std::to_string(before.milliCores) + " of "
+             + std::to_string(allowed.milliCores) + " cores and " + std::to_string(before.memoryMib)
+             + " of " + std::to_string(allowed.memoryMib) + " MiB taken");
+    }
+    for (const auto &[id, other] : m_workers) {
+        if (other.get() != &worker && other->up && !other->leaseEnded(now())
+            && other->active.contains(order.task))
+            fail("twice: " + what + ", active on " + id);
+    }
+}
+
+void capacity_world::crash(model_worker &worker, milliseconds downTime, bool sameId)
+{
+    if (!worker.up || m_replaced.contains(worker.entry.id))
+        return;
+    log("crash of " + worker.entry.id);
+    worker.up = false;
+    worker.frozen = false;
+    worker.active.clear();
+    at(downTime, [this, &worker, sameId] {
+        log("restart of " + worker.entry.id + (sameId ? " with its id" : " with another id"));
+        if (sameId) {
+            worker.restart(now());
+        } else {
+            const auto id = worker.entry.id + "+";
+            m_workers.emplace(id, std::make_unique<model_worker>(id, worker.entry.address,
+                                                                 worker.entry.capacity, now()));
+            m_replaced.insert(worker.entry.id);
+        }
+        listWorkers();
+    });
+}
+
+void capacity_world::shrink(model_worker &worker, resources capacity)
+{
+    auto &past = m_pastCapacities[worker.entry.id];
+    std::erase_if(past, [this](const auto &entry) {
+        return entry.first + orderTimeout + lateExecution + longestLateness < now();
+    });
+    past.emplace_back(now(), worker.entry.capacity);
+    worker.entry.capacity = capacity;
+    log("capacity of " + worker.entry.id + " " + std::to_string(capacity.milliCores));
+    listWorkers();
+}
+
+// Ends gangs: done together, broken with a member, or alone.
+void capacity_world::advanceGangs()
+{
+    struct group
+    {
+        std::vector<std::pair<model_worker *, std::string>> members;
+    };
+    std::map<std::pair<std::string, std::uint32_t>, group> groups;
+    for (const auto &[id, worker] : m_workers) {
+        for (const auto &[task, run] : worker->active) {
+            const auto name = jobs::task_name::parse(task);
+            if (m_jobs.at(name->job).steps[name->step].gang)
+                groups[{task.substr(0, task.rfind('.')), run.attempt}].members.emplace_back(
+                    worker.get(), task);
+        }
+    }
+    for (const auto &[key, found] : groups) {
+        const auto name = jobs::task_name::parse(found.members.front().second);
+        const auto &job = m_jobs.at(name->job);
+        auto &state = m_gangs[key];
+        const auto endMembers = [&](run_outcome outcome, milliseconds within) {
+            state.ending = true;
+            for (const auto &[worker, task] : found.members) {
+                auto &run = worker->active.at(task);
+                run.stoppedAt.reset();
+                run.outcome = outcome;
+                run.endsAt = now() + randomTime(within);
+            }
+        };
+        if (state.ending)
+            continue;
+        const bool complete = found.members.size() == job.steps[name->step].tasks;
+        if (state.since == time_point {})
+            state.since = now();
+        if (state.endsAt == time_point {}) {
+            if (complete)
+                state.endsAt =
+                    now() + (m_options.randomTimes ? randomTime(job.runTime) : job.runTime);
+            else if (now() - state.since > gangWait)
+                endMembers(run_outcome::GangIncomplete, milliseconds(0));
+        } else if (!complete) {
+            endMembers(run_outcome::GangMemberEnded, milliseconds(0));
+        } else if (state.endsAt <= now()) {
+            const bool failed = chance(m_options.faults.failure);
+            endMembers(failed ? run_outcome::Failed : run_outcome::Done, m_options.gangEndSkew);
+        }
+    }
+    std::erase_if(m_gangs, [&](const auto &entry) { return !groups.contains(entry.first); });
+}
+
+void capacity_world::endGang(const std::string &step, milliseconds later)
+{
+    for (const auto &[id, worker] : m_workers) {
+        for (auto &[task, run] : worker->active) {
+            if (!task.starts_with(step))
+                continue;
+            auto &state = m_gangs[{task.substr(0, task.rfind('.')), run.attempt}];
+            run.outcome = run_outcome::Done;
+            run.endsAt = std::exchange(state.ending, true) ? now() + later : now();
+        }
+    }
+}
+
+// Jobs.
+
+void capacity_world::submit(const std::string &id, std::vector<jobs::step_definition> steps,
+                            milliseconds runTime)
+{
+    m_jobs[id] = {steps, runTime};
+    jobs::job_definition job;
+    job.id = id;
+    job.queue = "queue";
+    job.payload = "payload";
+    job.steps = std::move(steps);
+    m_leader->scheduler->submit(std::move(job), now(), wallAt(m_elapsed));
+}
+
+void capacity_world::cancel(const std::string &id)
+{
+    log("cancel " + id);
+    m_leader->scheduler->cancel(id, now());
+}
+
+void capacity_world::submitRandom()
+{
+    if (m_definitions.size() >= maxLiveJobs)
+        return;
+    const auto lasting = std::ranges::count_if(m_definitions, [this](const auto &entry) {
+        return m_jobs.at(entry.first).steps.front().longRunning;
+    });
+    std::vector<jobs::step_definition> steps(1 + m_random() % 2);
+    const bool lasts =
+        chance(m_options.faults.lasting) && static_cast<std::size_t>(lasting) < maxLastingJobs;
+    for (std::size_t i = 0; i < steps.size(); ++i) {
+        steps[i].demand = demands[m_random() % demands.size()];
+        steps[i].tasks = static_cast<std::uint32_t>(1 + m_random() % 6);
+        steps[i].estimate = milliseconds(300);
+        if (i > 0)
+            steps[i].after = {0};
+        steps[i].longRunning = lasts;
+        if (!lasts && chance(m_options.faults.gang)) {
+            steps[i].gang = true;
+            steps[i].tasks = static_cast<std::uint32_t>(2 + m_random() % 3);
+        }
+    }
+    if (lasts)
+        steps.resize(1);
+    submit(hexId(m_nextJob++), std::move(steps), milliseconds(50 + m_random() % 1500));
+}
+
+// The clock.
+
+void capacity_world::randomEvents()
+{
+    const auto &faults = m_options.faults;
+    if (!m_leader->ended && chance(faults.submit))
+        submitRandom();
+    if (!m_leader->ended && !m_definitions.empty() && chance(faults.cancel)) {
+        auto it = m_definitions.begin();
+        std::advance(it, static_cast<std::ptrdiff_t>(m_random() % m_definitions.size()));
+        cancel(it->first);
+    }
+    if (chance(faults.resign))
+        resign(randomTime(milliseconds(100)));
+    if (chance(faults.kill))
+        kill(randomTime(longestGap));
+    const auto any = [this]() -> model_worker & {
+        auto it = m_workers.begin();
+        std::advance(it, static_cast<std::ptrdiff_t>(m_random() % m_workers.size()));
+        return *it->second;
+    };
+    if (chance(faults.crash))
+        crash(any(), randomTime(longestDownTime), m_random() % 2 == 0);
+    if (chance(faults.cut))
+        cut(any().entry.id, randomTime(longestFreeze));
+    if (chance(faults.freeze)) {
+        auto &frozen = any();
+        if (frozen.up && !frozen.frozen) {
+            frozen.frozen = true;
+            log("freeze of " + frozen.entry.id);
+            at(randomTime(longestFreeze), [this, &frozen] {
+                frozen.frozen = false;
+                frozen.advance(now());
+            });
+        }
+    }
+    if (chance(faults.shrink)) {
+        auto &shrunk = any();
+        if (shrunk.entry.capacity == fullCapacity) {
+            shrink(shrunk, {8'000, 20'000, 0});
+            at(randomTime(longestShrink), [this, &shrunk] { shrink(shrunk, fullCapacity); });
+        }
+    }
+}
+
+void capacity_world::step()
+{
+    m_elapsed += stepTime;
+    for (const auto &[id, worker] : m_workers)
+        worker->advance(now());
+    while (!m_actions.empty() && m_actions.begin()->first.first <= now()) {
+        const auto action = std::move(m_actions.begin()->second);
+        m_actions.erase(m_actions.begin());
+        action();
+    }
+    advanceGangs();
+    randomEvents();
+    plan();
+}
+
+void capacity_world::advance(milliseconds span)
+{
+    const auto until = now() + span;
+    while (now() < until && m_violation.empty())
+        step();
+}
+
+} // namespace plantaingap::tests
--- /dev/null
+++ b/tests/jobs/capacity_world.h
@@ -0,0 +1,191 @@
+#ifndef PLANTAINGAP_TESTS_JOBS_CAPACITY_WORLD_H
+#define PLANTAINGAP_TESTS_JOBS_CAPACITY_WORLD_H
+
+#include "jobs/model_worker.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <random>
+#include <set>
+
+// Model workers and the real scheduler over a network and a store that lose, delay and reorder, on
+// a clock that advances in steps. Checks that no start brings a worker over its capacity and that
+// no task runs twice at a time.
+namespace plantaingap::tests {
+
+// Chances per mille of one message or, for the events of the world, of one step.
+struct capacity_faults
+{
+    // Of an order or a renewal: never executed, executed without a reply, executed seconds later
+    // without a reply, executed a second time seconds later.
+    int lost = 0;
+    int replyLost = 0;
+    int late = 0;
+    int doubled = 0;
+    // A start that the worker answers with a refusal.
+    int refused = 0;
+    int submit = 0;
+    int cancel = 0;
+    int resign = 0;
+    int kill = 0;
+    int crash = 0;
+    int freeze = 0;
+    int cut = 0;
+    int shrink = 0;
+    int slowStore = 0;
+    // Of a run: fails.
+    int failure = 0;
+    // Of a job: is a gang, lasts.
+    int gang = 0;
+    int lasting = 0;
+};
+
+struct capacity_options
+{
+    int workers = 1;
+    std::uint64_t seed = 1;
+    capacity_faults faults;
+    // A stop takes at most this long; each takes a random part of it if `randomTimes` is set.
+    milliseconds stopTime {400};
+    stopping_report stopping = stopping_report::Active;
+    milliseconds messageTime {2};
+    milliseconds storeTime {10};
+    bool randomTimes = false;
+    // Members of a gang end within this time of each other.
+    milliseconds gangEndSkew {0};
+};
+
+class capacity_world
+{
+public:
+    static constexpr milliseconds stepTime {5};
+    static constexpr resources fullCapacity {16'000, 32'768, 0};
+
+    explicit capacity_world(capacity_options options);
+
+    // Steps until `span` has passed or an invariant is broken.
+    void advance(milliseconds span);
+    void step();
+
+    void submit(const std::string &id, std::vector<jobs::step_definition> steps,
+                milliseconds runTime);
+    void cancel(const std::string &id);
+    // Ends the gang of a step as done, its first member now and the others `later`.
+    void endGang(const std::string &step, milliseconds later);
+    // The leader's last batch is stored, and another one leads `gap` later.
+    void resign(milliseconds gap);
+    // The leader is gone; its batch in flight may have been stored.
+    void kill(milliseconds gap);
+    void crash(model_worker &worker, milliseconds downTime, bool sameId);
+    void shrink(model_worker &worker, resources capacity);
+    // From now on, no call reaches the worker and no reply comes back until `until`.
+    void cut(const std::string &worker, milliseconds span);
+
+    model_worker &worker(const std::string &id) { return *m_workers.at(id); }
+    jobs::job_scheduler &scheduler() { return *m_leader->scheduler; }
+    std::size_t running(const std::string &prefix = {}) const;
+    // The broken invariant, empty for none.
+    const std::string &violation() const { return m_violation; }
+    std::uint64_t starts() const { return m_starts; }
+    std::uint64_t takeovers() const { return m_term - 1; }
+    std::uint64_t done() const { return m_done; }
+    std::uint64_t unlistedReleases() const { return m_unlistedReleases; }
+    time_point now() const { return time_point(std::chrono::hours(1)) + m_elapsed; }
+    // The last events, for the report of a violation.
+    std::string trace(const std::string &word) const;
+
+    // Overrides the fate of start orders in scripted tests: returns when the order is executed,
+    // none for the usual fate.
+    std::function<std::optional<milliseconds>(const jobs::start_order &)> startDelay;
+
+private:
+    // One term of a leader; messages and replies of an ended term do nothing at its scheduler.
+    struct term_state
+    {
+        std::unique_ptr<jobs::job_scheduler> scheduler;
+        std::uint64_t term = 0;
+        bool ended = false;
+        bool resigning = false;
+        bool storing = false;
+        std::set<std::string> renewing;
+    };
+    using leader_ref = std::shared_ptr<term_state>;
+
+    // A gang at work.
+    struct gang_state
+    {
+        time_point since {};
+        // Set when all members are there.
+        time_point endsAt {};
+        bool ending = false;
+    };
+
+    struct job_model
+    {
+        std::vector<jobs::step_definition> steps;
+        milliseconds runTime {0};
+    };
+
+    void at(milliseconds delay, std::function<void()> action);
+    bool chance(int perMille);
+    milliseconds randomTime(milliseconds longest);
+    milliseconds latency();
+    void log(std::string line);
+    void fail(std::string text);
+
+    void beginTerm();
+    void endTerm(milliseconds gap);
+    void listWorkers();
+    void plan();
+    void storeChanges(const leader_ref &leader);
+    void record(const jobs::job_change &change);
+    void renew(const leader_ref &leader, const std::string &id);
+    void send(const leader_ref &leader, const jobs::start_order &order);
+    void send(const leader_ref &leader, const jobs::stop_order &order);
+    struct call;
+    using call_ref = std::shared_ptr<call>;
+    void post(const call_ref &sent);
+    void deliver(const call_ref &sent, bool replies, bool late);
+    model_order_reply execute(const jobs::start_order &order, model_worker &worker,
+                              time_point sentAt);
+    void checkStart(const model_worker &worker, const jobs::start_order &order,
+                    const resources &before, time_point sentAt);
+    // None while the worker is down.
+    model_worker *reached(const std::string &id);
+    void advanceGangs();
+    void randomEvents();
+    void submitRandom();
+    void takeEvents();
+
+    capacity_options m_options;
+    std::mt19937_64 m_random;
+    duration m_elapsed {0};
+    std::uint64_t m_term = 0;
+    std::uint64_t m_sequence = 0;
+    // By due time, then in order of creation.
+    std::map<std::pair<time_point, std::uint64_t>, std::function<void()>> m_actions;
+    leader_ref m_leader;
+    std::map<std::string, std::unique_ptr<model_worker>> m_workers;
+    // Workers that have left the list for another id at their address.
+    std::set<std::string> m_replaced;
+    std::map<std::string, time_point> m_cutUntil;
+    // By worker: capacities with the time until which each held.
+    std::map<std::string, std::vector<std::pair<time_point, resources>>> m_pastCapacities;
+    std::map<std::string, job_model> m_jobs;
+    // By step and attempt.
+    std::map<std::pair<std::string, std::uint32_t>, gang_state> m_gangs;
+    std::map<std::string, std::string> m_definitions;
+    std::map<std::string, std::string> m_progress;
+    std::map<std::string, jobs::job_state> m_ended;
+    std::uint64_t m_nextJob = 1;
+    std::uint64_t m_starts = 0;
+    std::uint64_t m_done = 0;
+    std::uint64_t m_unlistedReleases = 0;
+    std::string m_violation;
+    std::deque<std::string> m_trace;
+};
+
+} // namespace plantaingap::tests
+
+#endif
--- /dev/null
+++ b/tests/jobs/worker_capacity_random_test.cpp
@@ -0,0 +1,131 @@
+#include "jobs/capacity_world.h"
+
+#include <cstdlib>
+#include <doctest/doctest.h>
+#include <iostream>
+
+using namespace plantaingap;
+using plantaingap::tests::capacity_faults;
+using plantaingap::tests::capacity_options;
+using plantaingap::tests::capacity_world;
+using plantaingap::tests::milliseconds;
+using plantaingap::tests::stopping_report;
+
+namespace {
+
+struct fault_row
+{
+    const char *name;
+    capacity_faults faults;
+    milliseconds gangEndSkew;
+};
+
+constexpr capacity_faults work {
+    .submit = 60, .cancel = 8, .failure = 60, .gang = 300, .lasting = 100};
+
+constexpr capacity_faults with(capacity_faults faults, int capacity_faults::*rate, int value)
+{
+    faults.*rate = value;
+    return faults;
+}
+
+constexpr capacity_faults lossy(capacity_faults faults)
+{
+    faults.lost = 20;
+    faults.replyLost = 20;
+    faults.late = 20;
+    faults.doubled = 10;
+    faults.refused = 10;
+    return faults;
+}
+
+constexpr capacity_faults changing(capacity_faults faults)
+{
+    faults.resign = 2;
+    faults.kill = 1;
+    return faults;
+}
+
+constexpr capacity_faults unsteady(capacity_faults faults)
+{
+    faults.crash = 2;
+    faults.freeze = 1;
+    faults.cut = 1;
+    faults.shrink = 2;
+    faults.slowStore = 5;
+    return faults;
+}
+
+constexpr fault_row rows[] = {
+    {"no faults", work, milliseconds(0)},
+    {"members of a gang end one after the other", work, milliseconds(100)},
+    {"messages are lost, late and doubled", lossy(work), milliseconds(0)},
+    {"leaders resign", with(work, &capacity_faults::resign, 5), milliseconds(0)},
+    {"leaders are killed", with(work, &capacity_faults::kill, 3), milliseconds(0)},
+    {"workers crash, freeze and shrink", unsteady(work), milliseconds(0)},
+    {"all of it", unsteady(changing(lossy(work))), milliseconds(100)},
+};
+
+struct stopping_row
+{
+    const char *name;
+    stopping_report stopping;
+};
+
+constexpr stopping_row stoppings[] = {
+    {"a run that is being stopped is active", stopping_report::Active},
+    {"a run that is being stopped is not listed", stopping_report::Unlisted},
+};
+
+std::uint64_t numberFromEnvironment(const char *name, std::uint64_t otherwise)
+{
+    const auto *text = std::getenv(name);
+    return text ? std::strtoull(text, nullptr, 10) : otherwise;
+}
+
+} // namespace
+
+// CAPACITY_SEED: the first seed, CAPACITY_SEEDS: how many, CAPACITY_STEPS: steps of each run,
+// CAPACITY_TRACE: prints the last lines that have this word.
+TEST_CASE("No start brings a worker over its capacity and no task runs twice, whatever is lost")
+{
+    const auto firstSeed = numberFromEnvironment("CAPACITY_SEED", 1);
+    const auto seeds = numberFromEnvironment("CAPACITY_SEEDS", 2);
+    const auto steps = static_cast<std::int64_t>(numberFromEnvironment("CAPACITY_STEPS", 6'000));
+    const auto *traced = std::getenv("CAPACITY_TRACE");
+    for (const auto &row : rows) {
+        for (const auto &stopping : stoppings) {
+            std::uint64_t starts = 0;
+            std::uint64_t done = 0;
+            std::uint64_t takeovers = 0;
+            std::uint64_t broken = 0;
+            for (auto seed = firstSeed; seed < firstSeed + seeds; ++seed) {
+                CAPTURE(std::string(row.name));
+                CAPTURE(std::string(stopping.name));
+                CAPTURE(seed);
+                capacity_options options;
+                options.workers = 4;
+                options.seed = seed;
+                options.faults = row.faults;
+                options.gangEndSkew = row.gangEndSkew;
+                options.stopping = stopping.stopping;
+                options.messageTime = milliseconds(20);
+                options.storeTime = milliseconds(40);
+                options.randomTimes = true;
+                capacity_world world(options);
+                world.advance(capacity_world::stepTime * steps);
+                CHECK(world.violation() == "");
+                starts += world.starts();
+                done += world.done();
+                takeovers += world.takeovers();
+                broken += world.violation().empty() ? 0 : 1;
+                if (traced)
+                    std::cout << world.trace(traced);
+            }
+            CHECK(done > 0);
+            MESSAGE(std::string(row.name), "; ", std::string(stopping.name), ": ", starts,
+                    " starts, ", done, " jobs done, ", takeovers, " take-overs, ", broken, " of ",
+                    seeds, " broken");
+        }
+    }
+}
