Let a suspect start again where its step crashed when no others are left

What callers see: a sound job that was suspected once waits for ever, with all workers up and free, when the advisor or a label leaves it only workers at whose machines its step crashed before.

Cause: suitsIsolation() excluded these machines for the whole term.

Change: they are excluded for 4 s after the last crash, and in a busy fleet for 4 s more than the wait for an empty worker, and come last after that.

The other tests of crashes, jobs.crashing_task_test among them, pass.

--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -86,6 +86,8 @@
                        const std::vector<worker *> &workers);
     worker *isolationSite(const ready_step &ready, const std::vector<worker *> &workers) const;
     bool startTogether(const ready_step &ready) const;
+    // A machine at that address crashed under the step.
+    static bool stepCrashedAt(const ready_step &ready, const worker &worker);
     // Whether a suspected task of the step may start there.
     bool suitsIsolation(const ready_step &ready, const worker &worker) const;
 
--- a/src/jobs/dispatcher_suspects.cpp
+++ b/src/jobs/dispatcher_suspects.cpp
@@ -16,6 +16,9 @@
 // With less idle, a suspected task waits for a worker without runs, up to this time.
 constexpr double sharedSiteIdleShare = 0.45;
 constexpr std::chrono::seconds maxEmptyWorkerWait {10};
+// A suspected task waits for so long for another machine than those that crashed under its step,
+// from when it may start beside other runs.
+constexpr std::chrono::seconds maxOtherMachineWait {4};
 // Strongly suspected tasks that start together on one worker.
 constexpr std::size_t maxSuspectsTogether = 8;
 
@@ -46,19 +49,26 @@
     return ready.stronglySuspected && m_waitingStrongSuspects > m_maxIsolationSites;
 }
 
+bool dispatcher::stepCrashedAt(const ready_step &ready, const worker &worker)
+{
+    const auto &crashed = ready.step->crashedAt;
+    return std::ranges::find(crashed, worker.entry.address) != crashed.end();
+}
+
 bool dispatcher::suitsIsolation(const ready_step &ready, const worker &worker) const
 {
     if (startTogether(ready) && m_strongSuspectsPlaced.contains(&worker))
         return true;
-    if (worker.isolating() || (worker.reservedFor && worker.reservedFor != ready.step)
-        || std::ranges::find(ready.step->crashedAt, worker.entry.address)
-               != ready.step->crashedAt.end())
+    if (worker.isolating() || (worker.reservedFor && worker.reservedFor != ready.step))
         return false;
-    const bool mayShare = ready.step->definition->gang
-                          || 1 - m_scheduler.m_fleetLoad >= sharedSiteIdleShare
-                          || m_now - ready.step->lastCrashAt > maxEmptyWorkerWait;
+    const bool calm = 1 - m_scheduler.m_fleetLoad >= sharedSiteIdleShare;
+    const auto emptyWorkerWait = calm ? std::chrono::seconds {0} : maxEmptyWorkerWait;
+    const auto waited = m_now - ready.step->lastCrashAt;
+    const bool mayShare = calm || ready.step->definition->gang || waited > emptyWorkerWait;
     if (!worker.runs.empty() && !mayShare)
         return false;
+    if (stepCrashedAt(ready, worker) && waited <= emptyWorkerWait + maxOtherMachineWait)
+        return false;
     // A crash must not be taken for that of another task that has just been started.
     return std::ranges::none_of(worker.runs, [this](const task_run *run) {
         return run->startedAt == time_point {}
@@ -115,7 +125,7 @@
                                   const std::vector<worker *> &workers) const
 {
     worker *best = nullptr;
-    std::int64_t leastRisk = 0;
+    std::pair<bool, std::int64_t> leastRisk {};
     for (auto *worker : workers) {
         if (freeTaskSlots(ready, *worker) == 0 || !suitsIsolation(ready, *worker))
             continue;
@@ -125,7 +135,7 @@
                 return worker;
             continue;
         }
-        const auto risk = workAtRisk(*worker);
+        const auto risk = std::make_pair(stepCrashedAt(ready, *worker), workAtRisk(*worker));
         if (m_isolationSites < m_maxIsolationSites && (!best || risk < leastRisk)) {
             best = worker;
             leastRisk = risk;
