Do not take runs that fail together for failed probes of their worker

What callers see: a worker that failed for a few seconds is left unused for tens of seconds after, and steps that may run nowhere else wait for it.

Cause: updateHealth() extended the quarantine with each failure, and each extension doubles the interval of the probes. Runs that were at work together and failed together took it from 1 s to as much as 60 s, though no probe had failed.

Change: failures before the first probe is due do not extend a quarantine.

--- a/src/jobs/job_health.cpp
+++ b/src/jobs/job_health.cpp
@@ -40,6 +40,9 @@
     if (worker.health.quarantined() && !failed) {
         if (worker.health.recordProbeSuccess())
             recordEvent("worker.quarantine_lifted", task, "probe runs succeeded");
+    } else if (worker.health.quarantined() && now < worker.health.probeAt()) {
+        // Started before the quarantine, so it is no failed probe.
+        return;
     } else if (worker.health.quarantined() || worker.health.isSuspect()) {
         recordEvent("worker.quarantined", task, "runs fail or hang on this worker");
         worker.health.quarantine(now);
--- a/tests/jobs/health_test.cpp
+++ b/tests/jobs/health_test.cpp
@@ -64,3 +64,20 @@
     CHECK(world.running() == 1);
     CHECK(world.startedTwice.empty());
 }
+
+// Load: a worker with many runs at work fails all of them at once.
+TEST_CASE("Runs that fail together are no failed probes of a quarantined worker")
+{
+    scheduler_world world(1);
+    world.begin();
+    for (int i = 0; i < 8; ++i)
+        world.submit(identifier(i), "quick", {scheduler_world::step(1, 2000)});
+    world.settle();
+    REQUIRE(world.running() == 8);
+    world.endRuns("", run_outcome::Failed);
+    world.renewAllLeases();
+    const auto &health = world.scheduler.workers().find("w0")->health;
+    REQUIRE(health.quarantined());
+    // The interval before the first probe.
+    CHECK(health.probeAt() - world.now() == std::chrono::seconds(1));
+}
