Probe a quarantined worker beside its long-running tasks, and by them

What callers see: steps that may only run on a worker that was quarantined while long-running tasks are at work there wait for ever, and so do steps on a worker whose probe was a long-running task.

Cause: eligible() gave a quarantined worker a run only while it had none, and only a run that ends as done counts as a successful probe. A long-running task never ends so.

Change: a long-running task at work for 1 s counts as a successful run once, and no longer keeps the worker from its next probe.

--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -30,6 +30,11 @@
     return step.latencyTarget.count() > 0;
 }
 
+bool provedHealthy(const task_run *run)
+{
+    return run->step->definition->longRunning && run->speedObserved;
+}
+
 } // namespace
 
 dispatcher::dispatcher(job_scheduler &scheduler, time_point now, scheduler_orders &orders)
@@ -119,8 +124,9 @@
         return false;
     if (ready.isolated ? !suitsIsolation(ready, worker) : worker.isolating())
         return false;
-    // A quarantined worker gets a single run as a probe.
-    if (worker.health.quarantined() && (definition.gang || !worker.runs.empty()))
+    // A quarantined worker gets a single run as a probe, beside long-running ones at work.
+    if (worker.health.quarantined()
+        && (definition.gang || !std::ranges::all_of(worker.runs, provedHealthy)))
         return false;
     if (!definition.bestEffort && !hasLatencyTarget(definition))
         return true;
--- a/src/jobs/job_health.cpp
+++ b/src/jobs/job_health.cpp
@@ -21,6 +21,8 @@
 constexpr std::uint32_t maxGangMovePercent = 40;
 // Above this share of used cores no better worker is available.
 constexpr double maxLoadForMove = 0.9;
+// A long-running task at work for so long counts as a run that did not fail.
+constexpr milliseconds longRunningProbe {1000};
 
 } // namespace
 
@@ -49,6 +51,16 @@
     }
 }
 
+// A long-running task never ends as done, so its health counts once it is at work.
+void job_scheduler::observeLongRunning(worker &worker, task_run &task, time_point now)
+{
+    if (task.speedObserved || task.percent < completePercent
+        || now - task.startedAt < longRunningProbe)
+        return;
+    task.speedObserved = true;
+    updateHealth(worker, task, false, now);
+}
+
 void job_scheduler::observeSpeed(worker &worker, task_run &task, time_point now)
 {
     const auto &step = *task.step;
@@ -85,6 +97,8 @@
     std::vector<task_run *> movingRuns;
     for (auto *task : worker.runs) {
         const auto &definition = *task->step->definition;
+        if (definition.longRunning && task->phase == task_phase::Running)
+            observeLongRunning(worker, *task, now);
         if (task->phase != task_phase::Running || definition.longRunning
             || task->percent >= completePercent || task->reportedAt != now) {
             continue;
--- a/src/jobs/job_progress.h
+++ b/src/jobs/job_progress.h
@@ -74,7 +74,8 @@
     // a checkpoint or started under a previous leader.
     time_point firstReportAt {};
     std::uint32_t firstPercent = 0;
-    // The run has been counted in the speed estimate of its worker.
+    // The run has been counted in the speed estimate of its worker; a long-running one in its
+    // health.
     bool speedObserved = false;
     time_point reportedAt {};
     time_point progressAt {};
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -331,6 +331,7 @@
     // Updates the health of a worker after a failed or successful run.
     void updateHealth(worker &worker, const task_run &task, bool failed, time_point now);
     void checkProgress(worker &worker, time_point now);
+    void observeLongRunning(worker &worker, task_run &task, time_point now);
     void observeSpeed(worker &worker, task_run &task, time_point now);
     bool shouldMove(const worker &worker, const task_run &task, time_point now) const;
     // Average share of requested workers that the advisor allowed in recent calls for the queue.
