Let a late gang probe a quarantined worker

What callers see: a gang that needs a worker which was quarantined waits for ever, long after the worker is sound, if nothing but gangs runs there.

Cause: eligible() gave a quarantined worker no gangs, and without a successful run of some other step the quarantine never ends.

Change: a gang that can no longer be on time may use a quarantined worker whose probe is due and where no other run is at work but long-running ones. Such a worker comes last.

--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -124,9 +124,11 @@
         return false;
     if (ready.isolated ? !suitsIsolation(ready, worker) : worker.isolating())
         return false;
-    // A quarantined worker gets a single run as a probe, beside long-running ones at work.
+    // A quarantined worker gets a single run or late gang as a probe, beside long-running tasks at
+    // work.
     if (worker.health.quarantined()
-        && (definition.gang || !std::ranges::all_of(worker.runs, provedHealthy)))
+        && ((definition.gang && ready.lateness == 0)
+            || !std::ranges::all_of(worker.runs, provedHealthy)))
         return false;
     if (!definition.bestEffort && !hasLatencyTarget(definition))
         return true;
--- a/src/jobs/dispatcher_gangs.cpp
+++ b/src/jobs/dispatcher_gangs.cpp
@@ -49,8 +49,9 @@
         if (count == 0)
             continue;
         // A gang is as slow as its slowest member, and a failed member ends it.
-        const bool leastPreferred =
-            worker->speed.slow() || stepFailedOn(ready, *worker) || stepCrashedAt(ready, *worker);
+        const bool leastPreferred = worker->speed.slow() || worker->health.quarantined()
+                                    || stepFailedOn(ready, *worker)
+                                    || stepCrashedAt(ready, *worker);
         slots.push_back({leastPreferred, count, worker});
         total += count;
     }
