Count a member of a done gang until its own worker shows its end

What callers saw: a worker was ordered more than its capacity (LIMIT).

Cause: the end of one member completes a gang, and with it the resources of all members on all workers were released at once. The capacity of a member is free when its own worker lists its end. Worse, the end of an earlier attempt, reported late, released members of a later one that were at work.

Change: completing a gang marks all members as done, so the job and later steps do not wait, but a member keeps its worker until that one lists its end, sends a later report without it, starts anew or loses its lease. Members of a later attempt are stopped. A lasting gang is stopped and starts again.

--- a/src/jobs/job_changes.cpp
+++ b/src/jobs/job_changes.cpp
@@ -139,7 +139,10 @@
         return;
     std::erase_if(job.occurrences, [](const auto &entry) {
         const auto &occurrence = entry.second;
-        return occurrence.stepsDone == occurrence.steps.size();
+        return occurrence.stepsDone == occurrence.steps.size()
+               && std::ranges::none_of(occurrence.steps, [](const step_run &step) {
+                      return std::ranges::any_of(step.tasks, &task_run::assignedWorker);
+                  });
     });
 }
 
--- a/src/jobs/job_losses.cpp
+++ b/src/jobs/job_losses.cpp
@@ -58,6 +58,10 @@
 
 void job_scheduler::loseRun(task_run &task, run_loss_cause cause, time_point now)
 {
+    if (task.phase == task_phase::Done) {
+        release(task);
+        return;
+    }
     ++m_runLosses[static_cast<std::size_t>(cause)];
     recordEvent("run.lost", task, textsOf(cause).reason);
     auto &fields = m_events.back().fields;
@@ -250,6 +254,10 @@
         if (!task->assignedWorker)
             continue;
         auto &step = *task->step;
+        if (task->phase == task_phase::Done) {
+            release(*task);
+            continue;
+        }
         if (task->phase == task_phase::Stopping) {
             recordUnlistedRelease(*task, "missing from the report after its stop was answered");
             returnToWaiting(*task);
--- a/src/jobs/job_progress.h
+++ b/src/jobs/job_progress.h
@@ -45,7 +45,8 @@
     // The run is suspected to crash its worker. Nothing else is placed there until it has survived
     // its probation. Members of one gang share their workers.
     bool isolated = false;
-    // Set in all phases except Waiting and Done.
+    // Set in all phases except Waiting. In phase Done only until the worker shows that the run has
+    // ended: the end of another member of its gang has completed it.
     worker *assignedWorker = nullptr;
     // When the worker last acknowledged an order for this attempt. A report requested later that
     // lacks the run proves that the run has ended. None before the first acknowledgement.
--- a/src/jobs/job_runs.cpp
+++ b/src/jobs/job_runs.cpp
@@ -7,6 +7,17 @@
 // replies.
 namespace plantaingap::jobs {
 
+namespace {
+
+// The run is no longer wanted, and its worker has not shown yet that it has ended.
+bool awaitsEnd(const task_run &task)
+{
+    return task.phase == task_phase::Stopping
+           || (task.phase == task_phase::Done && task.assignedWorker);
+}
+
+} // namespace
+
 void job_scheduler::allocate(task_run &task, worker &worker)
 {
     task.assignedWorker = &worker;
@@ -47,8 +58,10 @@
     task.orderedAt = {};
     task.startedAt = {};
     task.recordedIncarnationMs = 0;
-    task.phase = task_phase::Waiting;
-    ++task.step->waiting;
+    if (task.phase != task_phase::Done) {
+        task.phase = task_phase::Waiting;
+        ++task.step->waiting;
+    }
     --task.step->occurrence->job->occupying;
 }
 
@@ -80,14 +93,13 @@
 {
     if (task.phase == task_phase::Done)
         return;
-    if (task.assignedWorker)
-        release(task);
     if (task.step->definition->longRunning) {
         markChanged(*task.step->occurrence->job);
         return;
     }
+    if (task.phase == task_phase::Waiting)
+        --task.step->waiting;
     task.phase = task_phase::Done;
-    --task.step->waiting;
     ++task.step->done;
     markChanged(*task.step->occurrence->job);
     if (task.step->finished())
@@ -183,12 +195,19 @@
     }
 }
 
-// The completion of one member completes all members of a gang.
-void job_scheduler::completeGang(step_run &step)
+// The completion of one member completes all members of a gang. Their resources stay counted until
+// their own workers show that they have ended.
+void job_scheduler::completeGang(step_run &step, std::uint32_t attempt, time_point now)
 {
+    if (step.definition->longRunning) {
+        stopStep(step, now);
+        return;
+    }
     for (auto &member : step.tasks) {
-        if (member.assignedWorker)
-            recordUnlistedRelease(member, "another member of its gang is done");
+        if (member.phase == task_phase::Recording)
+            release(member);
+        // Members of that attempt end by themselves.
+        member.nextStopAt = member.attempt == attempt ? now + m_options.stopRetryInterval : now;
         completeTask(member);
     }
 }
@@ -250,7 +269,9 @@
     m_effects[name->job].push_back({nullptr, 0, worker.entry.id, worker.incarnationMs, end.number});
     markChanged(*task->step->occurrence->job);
     const bool current = task->assignedWorker == &worker && task->attempt == end.attempt;
-    if (current || (end.outcome == run_outcome::Done && task->phase == task_phase::Waiting))
+    if (current && task->phase == task_phase::Done)
+        release(*task);
+    else if (current || (end.outcome == run_outcome::Done && task->phase == task_phase::Waiting))
         applyEnd(*task, end, now);
     else if (end.outcome == run_outcome::Failed && task->phase != task_phase::Done)
         recordFailure(*task, end.attempt, now);
@@ -268,9 +289,11 @@
             updateHealth(*worker, task, false, now);
             observeDuration(task, now);
         }
+        if (worker)
+            release(task);
         completeTask(task);
         if (gang)
-            completeGang(step);
+            completeGang(step, end.attempt, now);
         return;
     }
     if (end.outcome == run_outcome::Failed) {
@@ -288,16 +311,27 @@
         stopStep(step, now);
 }
 
+void job_scheduler::orderStop(const worker &worker, const active_run &run)
+{
+    m_stopsOfReported.push_back(
+        {{worker.entry.id, worker.entry.address}, run.task, run.attempt, m_term});
+}
+
 std::optional<unaccounted_cause>
 job_scheduler::processActiveRun(worker &worker, const active_run &run, time_point now)
 {
     const auto name = task_name::parse(run.task);
     auto *task = name ? find(*name) : nullptr;
     if (const auto cause = unaccountedCause(worker, task, run)) {
-        m_strayStops.push_back(
-            {{worker.entry.id, worker.entry.address}, run.task, run.attempt, m_term});
+        orderStop(worker, run);
         return cause;
     }
+    if (task->phase == task_phase::Done) {
+        task->acknowledgedAt = task->acknowledgedAt.value_or(now);
+        if (task->nextStopAt <= now)
+            orderStop(worker, run);
+        return std::nullopt;
+    }
     if (task->phase == task_phase::Ordered || task->phase == task_phase::Doubtful) {
         task->phase = task_phase::Running;
         task->acknowledgedAt = now;
@@ -425,7 +459,7 @@
 {
     const auto name = task_name::parse(order.task);
     auto *task = name ? find(*name) : nullptr;
-    if (!task || task->attempt != order.attempt || task->phase != task_phase::Stopping)
+    if (!task || task->attempt != order.attempt || !awaitsEnd(*task))
         return;
     if (accepted && !task->acknowledgedAt)
         task->acknowledgedAt = now;
@@ -435,8 +469,7 @@
 {
     for (auto &[id, worker] : m_fleet.all()) {
         for (auto *task : worker->runs) {
-            if (task->phase != task_phase::Stopping || task->acknowledgedAt
-                || task->nextStopAt > now)
+            if (!awaitsEnd(*task) || task->acknowledgedAt || task->nextStopAt > now)
                 continue;
             task->nextStopAt = now + m_options.stopRetryInterval;
             orders.stops.push_back(
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -503,8 +503,8 @@
     countLostByQueue();
     dispatcher(*this, now, orders).run();
     retryStops(now, orders);
-    std::ranges::move(m_strayStops, std::back_inserter(orders.stops));
-    m_strayStops.clear();
+    std::ranges::move(m_stopsOfReported, std::back_inserter(orders.stops));
+    m_stopsOfReported.clear();
     if (now >= m_forgetEndedJobsAt) {
         m_forgetEndedJobsAt = now + m_options.endedJobSweepInterval;
         std::erase_if(m_endedJobs,
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -335,7 +335,7 @@
     void recordFailure(task_run &task, std::uint32_t attempt, time_point now);
     void extendObjective(task_run &task, time_point now);
     void observeDuration(const task_run &task, time_point now);
-    void completeGang(step_run &step);
+    void completeGang(step_run &step, std::uint32_t attempt, time_point now);
     void withdrawUnfitStarts(const std::vector<job_change> &batch, time_point now);
     void stopRun(task_run &task, time_point now);
     void stopStep(step_run &step, time_point now);
@@ -353,6 +353,7 @@
         const active_run *run = nullptr;
         unaccounted_cause cause = unaccounted_cause::UnknownJob;
     };
+    void orderStop(const worker &worker, const active_run &run);
     void recordUnaccounted(worker &worker, const worker_report &report,
                            const std::vector<unaccounted_run> &runs);
     void recordUnlistedRelease(const task_run &task, std::string_view reason);
@@ -412,8 +413,8 @@
     // Ids of jobs with changes that are not stored, in order of the first change.
     std::vector<std::string> m_dirty;
     std::map<std::string, std::vector<stored_effect>> m_effects;
-    // Stop orders for reported runs that do not match any assignment.
-    std::vector<stop_order> m_strayStops;
+    // Stop orders for reported runs that match no assignment, or whose gang is done.
+    std::vector<stop_order> m_stopsOfReported;
     // Workers that were lost right after they started tasks of the queue and of no other, as of the
     // last placement pass.
     std::map<std::string, std::size_t, std::less<>> m_lostByQueue;
