--- a/tests/jobs/scheduler_world.h
+++ b/tests/jobs/scheduler_world.h
@@ -25,6 +25,8 @@
 {
     std::uint32_t attempt = 0;
     std::string checkpoint;
+    // World time of the start.
+    duration startedAt {0};
 };
 
 struct fake_worker
@@ -134,7 +136,7 @@
         report.clockMs = workerClock();
         report.incarnationMs = fake.incarnationMs;
         for (const auto &[task, run] : fake.active)
-            report.active.push_back({task, run.attempt, run.checkpoint, percent, 0});
+            report.active.push_back({task, run.attempt, run.checkpoint, progressOf(run), 0});
         report.ended = fake.ended;
         scheduler.onReport(id, report, now(), now());
     }
@@ -224,6 +226,28 @@
         return count;
     }
 
+    std::uint32_t progressOf(const fake_run &run) const
+    {
+        if (runTime.count() == 0)
+            return percent;
+        return static_cast<std::uint32_t>(
+            std::min<std::int64_t>((elapsed - run.startedAt) * 100 / runTime, 100));
+    }
+
+    // Ends the runs that have worked for runTime.
+    void endDueRuns()
+    {
+        for (auto &[id, worker] : fleet) {
+            std::vector<std::string> due;
+            for (const auto &[task, run] : worker.active) {
+                if (elapsed - run.startedAt >= runTime)
+                    due.push_back(task);
+            }
+            for (const auto &task : due)
+                end(id, task, jobs::run_outcome::Done);
+        }
+    }
+
     // Plans, stores changes and executes orders until there are no new ones.
     void settle()
     {
@@ -288,7 +312,7 @@
                 startedTwice.push_back(order.task);
         }
         ++startsOf[order.task];
-        worker.active[order.task] = {order.attempt, order.checkpoint};
+        worker.active[order.task] = {order.attempt, order.checkpoint, elapsed};
         checkpoints[order.task] = order.checkpoint;
         if (isDeadly(order.task) || worker.entry.address == faultyMachine) {
             for (const auto &[task, run] : worker.active)
@@ -399,6 +423,8 @@
     std::size_t besideDeadly = 0;
     // Progress that all workers report for their runs.
     std::uint32_t percent = 100;
+    // If not zero, the duration of each run; it decides the progress that is reported instead.
+    duration runTime {0};
     int starts = 0;
     int stops = 0;
     int workersNamed = 0;
