Let the gang that is longest overdue go first and hold its room

Cause: room was reserved only for a gang whose planned start was within 1.2 s, and a plan assumes that nobody else starts. While nothing is reserved, other tasks refill the slots, so the start of a wide gang stays far off for ever. Gangs that can still be on time go before late ones, and their reservations took whole workers out of the plan of a late gang.

Below 65% use one gang of a partition now goes before all other steps: the one that is longest past its objective, if its allowed workers could hold it when empty. It reserves what it needs however far off its start is and may take what is reserved for others. As it is one gang, no two hold parts of each other's room, and what idles meanwhile is bounded by the width of one gang.

--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -50,7 +50,8 @@
             m_usableCapacity += worker->entry.capacity;
         }
     }
-    const auto ready = readySteps();
+    auto ready = readySteps();
+    prioritizeOverdueGang(ready);
     prepareIsolation(ready);
     for (const auto &step : ready)
         schedule(step);
@@ -180,7 +181,7 @@
 
 resources dispatcher::reservedForOthers(const ready_step &ready, const worker &worker) const
 {
-    if (!worker.reservedFor || worker.reservedFor == ready.step)
+    if (!worker.reservedFor || worker.reservedFor == ready.step || ready.step == m_overdueGang)
         return {};
     const auto expectedRun =
         std::chrono::duration_cast<duration>(ready.step->expectedDuration * backfillSafetyFactor);
--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -57,6 +57,10 @@
     };
 
     std::vector<ready_step> readySteps();
+    // Moves the overdue gang that holds its capacity first to the front, if there is one.
+    void prioritizeOverdueGang(std::vector<ready_step> &ready);
+    // Whether the allowed workers could hold all members once their runs have ended.
+    bool couldHoldGang(const ready_step &ready) const;
     void schedule(const ready_step &ready);
     void placeIndividually(const ready_step &ready);
 
@@ -134,6 +138,9 @@
     std::size_t m_waitingStrongSuspects = 0;
     std::map<const worker *, std::size_t> m_strongSuspectsPlaced;
     resources m_reservedCapacity;
+    // The gang that is longest overdue. It goes first, may use capacity that is reserved for others
+    // and reserves what it needs however far off its start is.
+    const step_run *m_overdueGang = nullptr;
 };
 
 } // namespace plantaingap::jobs
--- a/src/jobs/dispatcher_gangs.cpp
+++ b/src/jobs/dispatcher_gangs.cpp
@@ -38,6 +38,42 @@
     requestAdviceForGang(ready);
 }
 
+bool dispatcher::couldHoldGang(const ready_step &ready) const
+{
+    std::size_t slots = 0;
+    for (const auto *worker : m_usableWorkers) {
+        const bool allowed =
+            !ready.queue->advisor || ready.step->advice.allowed.contains(worker->entry.id);
+        if (allowed && !worker->speed.slow() && eligible(ready, *worker))
+            slots += totalTaskSlots(ready, *worker);
+        if (slots >= ready.step->tasks.size())
+            return true;
+    }
+    return false;
+}
+
+// Without it a wide gang may wait for ever: steps that can still be on time go first, and while
+// nothing is reserved for a start that is far off, other tasks refill the capacity, so that the
+// start stays far off. One gang at a time, the oldest, so that no two hold parts of each other's
+// capacity.
+void dispatcher::prioritizeOverdueGang(std::vector<ready_step> &ready)
+{
+    if (m_scheduler.m_fleetLoad >= maxLoadForLateReservations)
+        return;
+    auto oldest = ready.end();
+    for (auto it = ready.begin(); it != ready.end(); ++it) {
+        const auto &step = *it->step;
+        if (step.definition->gang && it->lateness > 0 && !it->isolated
+            && (oldest == ready.end() || step.onTimeUntil < oldest->step->onTimeUntil)
+            && couldHoldGang(*it))
+            oldest = it;
+    }
+    if (oldest == ready.end())
+        return;
+    m_overdueGang = oldest->step;
+    std::rotate(ready.begin(), oldest, oldest + 1);
+}
+
 // Places all members or none, on as few workers as possible.
 bool dispatcher::placeGang(const ready_step &ready)
 {
@@ -132,7 +168,8 @@
     }
 }
 
-// Slots on allowed workers without a reservation for another gang, ordered by time.
+// Slots on allowed workers, ordered by time; those with a reservation for another gang are left to
+// it, except by the overdue gang.
 std::vector<dispatcher::capacity_release>
 dispatcher::capacityReleases(const ready_step &ready) const
 {
@@ -140,7 +177,8 @@
     for (auto *worker : m_usableWorkers) {
         const bool allowed =
             !ready.queue->advisor || ready.step->advice.allowed.contains(worker->entry.id);
-        if (allowed && eligible(ready, *worker) && !worker->reservedFor && !worker->speed.slow())
+        const bool available = !worker->reservedFor || ready.step == m_overdueGang;
+        if (allowed && available && eligible(ready, *worker) && !worker->speed.slow())
             addCapacityReleases(ready, *worker, found);
     }
     std::ranges::stable_sort(found, {}, &capacity_release::from);
@@ -197,9 +235,10 @@
     // While much of the fleet is free, others lose little by a reservation, and without one they
     // take the capacity of a late gang again and again.
     const bool fleetHasRoom = m_scheduler.m_fleetLoad < maxLoadForLateReservations;
-    if (startAt > m_now + maxReservationLead)
+    const bool overdue = ready.step == m_overdueGang;
+    if (!overdue && startAt > m_now + maxReservationLead)
         plan.result = gang_plan_result::TooFarOff;
-    else if (!onTime && !onlyReservation && !fleetHasRoom)
+    else if (!overdue && !onTime && !onlyReservation && !fleetHasRoom)
         plan.result = gang_plan_result::Late;
     else
         reserve(ready, assignment);
@@ -220,11 +259,13 @@
     auto &plan = ready.step->gang;
     const auto demand = effectiveDemand(*ready.step->definition);
     const auto wanted = demand.milliCores * static_cast<std::int64_t>(ready.step->tasks.size());
-    if (!canReserveMore(wanted)) {
+    if (ready.step != m_overdueGang && !canReserveMore(wanted)) {
         plan.result = gang_plan_result::NoShareLeft;
         return;
     }
     for (const auto &[worker, members] : assignment) {
+        if (worker->reservedFor)
+            m_reservedCapacity -= worker->reservedCapacity;
         worker->reservedFor = ready.step;
         worker->reservedCapacity = demand * members;
         worker->reservedUntil = m_now + reservationDuration;
