--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -642,7 +642,9 @@
                 m_scheduler.leaseRenewalFailed(id, jobs::renewal_failure::NoReply, bootNow());
                 break;
             }
-            const bool wasUnresponsive = !worker->responsive;
+            // The worker may have been removed during the call.
+            worker = m_scheduler.workers().find(id);
+            const bool wasUnresponsive = worker && !worker->responsive;
             m_scheduler.onReport(id, *report, now, bootNow());
             if (wasUnresponsive)
                 log_event(log_level::Info, "worker.responsive").field("worker", id);
