Let no gang that cannot run, and no crash, keep an overdue gang waiting

What callers see: an accepted gang waits for ever while less than half of the fleet is in use (LOST), though the oldest overdue gang goes first.

Cause: the gang that goes first was the oldest whose allowed workers could hold it when empty. Long-running tasks do not end, so one of them on a worker that the gang needs let it hold the first place for ever without a plan. And a gang that is suspected after the crash of a worker never went first.

Change: what long-running tasks hold is not counted as capacity that comes free, in planning and in calls for advice, and suspected gangs may go first, within the bounds of isolation.

--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -177,7 +177,8 @@
 std::uint32_t dispatcher::totalTaskSlots(const ready_step &ready, const worker &worker)
 {
     const auto &definition = *ready.step->definition;
-    const auto count = tasksThatFit(effectiveDemand(definition), worker.entry.capacity);
+    const auto count =
+        tasksThatFit(effectiveDemand(definition), worker.entry.capacity - worker.usedByLongRunning);
     return definition.maxPerWorker > 0 ? std::min(count, definition.maxPerWorker) : count;
 }
 
--- a/src/jobs/dispatcher_gangs.cpp
+++ b/src/jobs/dispatcher_gangs.cpp
@@ -63,7 +63,7 @@
     auto oldest = ready.end();
     for (auto it = ready.begin(); it != ready.end(); ++it) {
         const auto &step = *it->step;
-        if (step.definition->gang && it->lateness > 0 && !it->isolated
+        if (step.definition->gang && it->lateness > 0
             && (oldest == ready.end() || step.onTimeUntil < oldest->step->onTimeUntil)
             && couldHoldGang(*it))
             oldest = it;
--- a/src/jobs/dispatcher_suspects.cpp
+++ b/src/jobs/dispatcher_suspects.cpp
@@ -59,7 +59,9 @@
 {
     if (startTogether(ready) && m_strongSuspectsPlaced.contains(&worker))
         return true;
-    if (worker.isolating() || (worker.reservedFor && worker.reservedFor != ready.step))
+    const bool reservedForOther =
+        worker.reservedFor && worker.reservedFor != ready.step && ready.step != m_overdueGang;
+    if (worker.isolating() || reservedForOther)
         return false;
     const bool calm = 1 - m_scheduler.m_fleetLoad >= sharedSiteIdleShare;
     const auto emptyWorkerWait = calm ? std::chrono::seconds {0} : maxEmptyWorkerWait;
--- a/src/jobs/fleet.h
+++ b/src/jobs/fleet.h
@@ -48,6 +48,8 @@
     std::uint64_t reports = 0;
     // Resources of runs that may exist on the worker.
     resources used;
+    // The part of `used` that long-running tasks hold, which does not come free by itself.
+    resources usedByLongRunning;
     std::vector<task_run *> runs;
     std::uint32_t isolatedRuns = 0;
     // Runs in the last report that `used` does not include.
--- a/src/jobs/job_runs.cpp
+++ b/src/jobs/job_runs.cpp
@@ -23,7 +23,10 @@
     task.assignedWorker = &worker;
     --task.step->waiting;
     ++task.step->occurrence->job->occupying;
-    worker.used += effectiveDemand(*task.step->definition);
+    const auto &definition = *task.step->definition;
+    worker.used += effectiveDemand(definition);
+    if (definition.longRunning)
+        worker.usedByLongRunning += effectiveDemand(definition);
     worker.runs.push_back(&task);
 }
 
@@ -47,7 +50,10 @@
 {
     endIsolation(task);
     auto &worker = *task.assignedWorker;
-    worker.used -= effectiveDemand(*task.step->definition);
+    const auto &definition = *task.step->definition;
+    worker.used -= effectiveDemand(definition);
+    if (definition.longRunning)
+        worker.usedByLongRunning -= effectiveDemand(definition);
     std::erase(worker.runs, &task);
     task.assignedWorker = nullptr;
     task.acknowledgedAt.reset();
--- a/tests/jobs/overdue_gang_test.cpp
+++ b/tests/jobs/overdue_gang_test.cpp
@@ -9,7 +9,10 @@
 namespace {
 
 const std::string gangId = "00000000000000c1";
+const std::string blockedId = "00000000000000b1";
+const std::string longRunningId = "00000000000000b0";
 const std::string wideLabel = "wide";
+const std::string blockedLabel = "blocked";
 constexpr int workers = 24;
 constexpr std::int64_t workerMilliCores = 16'000;
 // Members of the gang; there are twice as many workers with the label.
@@ -22,10 +25,10 @@
 // Once the gang is overdue, runs of this many durations may end and start before it.
 constexpr int maxRunsBefore = 4;
 
-struct overdue_row
+// What is submitted in turn beside the gang, and at what interval.
+struct load_row
 {
     const char *name;
-    // What is submitted in turn from the start on, and at what interval.
     std::uint32_t tasks;
     std::int64_t milliCores;
     bool gang;
@@ -33,7 +36,7 @@
     milliseconds interval;
 };
 
-const overdue_row rows[] = {
+const load_row loads[] = {
     {"tasks refill the slots of a gang whose start is always far off", 1, 4000, false, "",
      milliseconds(100)},
     {"younger gangs hold the workers of a gang in turn", members, memberMilliCores, true, wideLabel,
@@ -46,57 +49,171 @@
     return std::string(16 - digits.size(), '0') + digits;
 }
 
-} // namespace
+jobs::step_definition step(std::uint32_t tasks, std::int64_t milliCores, const std::string &label)
+{
+    auto created = scheduler_world::step(tasks, milliCores, static_cast<int>(runTime.count()));
+    created.label = label;
+    return created;
+}
 
-// Load: an accepted gang whose room is free twice over never runs, while a fleet that is less than
-// half in use starts other work (found on ctrs-sched-large as LOST).
-TEST_CASE("An overdue gang runs while less than half of the fleet is in use")
+jobs::step_definition gangStep(const std::string &label)
 {
-    for (const auto &row : rows) {
-        CAPTURE(std::string(row.name));
-        scheduler_world world(workers, {workerMilliCores, 131'072, 0});
+    auto created = step(members, memberMilliCores, label);
+    created.gang = true;
+    return created;
+}
+
+// A fleet under the load of one row.
+class loaded_world
+{
+public:
+    explicit loaded_world(const load_row &row)
+        : world(workers, {workerMilliCores, 131'072, 0})
+        , m_load(row)
+    {
         world.runTime = runTime;
         auto worker = world.fleet.begin();
         for (std::uint32_t i = 0; i < members * 2; ++i, ++worker)
             worker->second.entry.labels.push_back(wideLabel);
+        for (std::uint32_t i = 0; i < members; ++i, ++worker)
+            worker->second.entry.labels.push_back(blockedLabel);
         world.begin();
-        int submitted = 0;
-        std::int64_t maxLoad = 0;
-        std::size_t runningAt = 0;
-        const auto run = [&](milliseconds span) {
-            for (milliseconds passed {0}; passed < span && world.running(gangId) == 0;
-                 passed += tick) {
-                world.elapsed += tick;
-                world.endDueRuns();
-                if (world.elapsed / row.interval != (world.elapsed - tick) / row.interval) {
-                    auto step = scheduler_world::step(row.tasks, row.milliCores,
-                                                      static_cast<int>(runTime.count()));
-                    step.gang = row.gang;
-                    step.label = row.label;
-                    world.submit(jobId(++submitted), "large", {step});
-                }
-                world.renewAllLeases();
-                world.settle();
-                if (world.running(gangId) > 0)
-                    break;
-                maxLoad = std::max(maxLoad, world.scheduler.workers().used().milliCores);
+    }
+
+    // Submits a gang that needs all workers of a label, one of which a long-running task occupies.
+    void submitGangThatNeverFits()
+    {
+        auto longRunning = step(1, 4000, blockedLabel);
+        longRunning.longRunning = true;
+        world.submit(longRunningId, "large", {longRunning});
+        world.settle();
+        world.submit(blockedId, "large", {gangStep(blockedLabel)});
+        world.settle();
+    }
+
+    // Goes on under load until the gang runs, at most for that long.
+    void runUntilStarted(milliseconds span)
+    {
+        for (milliseconds passed {0}; passed < span && world.running(gangId) == 0; passed += tick) {
+            world.elapsed += tick;
+            keepLongRunningAtWork();
+            world.endDueRuns();
+            if (world.elapsed / m_load.interval != (world.elapsed - tick) / m_load.interval) {
+                auto definition = step(m_load.tasks, m_load.milliCores, m_load.label);
+                definition.gang = m_load.gang;
+                world.submit(jobId(++m_submitted), "large", {definition});
             }
-            runningAt = world.running(gangId);
-        };
-        run(runTime * 2);
-        auto gang =
-            scheduler_world::step(members, memberMilliCores, static_cast<int>(runTime.count()));
-        gang.gang = true;
-        gang.label = wideLabel;
-        world.submit(gangId, "large", {gang});
-        run(overdue);
-        if (runningAt == 0)
-            run(runTime * maxRunsBefore);
+            world.restartWorkers();
+            world.renewAllLeases();
+            world.settle();
+            if (world.running(gangId) == 0)
+                maxUsed = std::max(maxUsed, world.scheduler.workers().used().milliCores);
+        }
+    }
+
+    void submitGangAndWait()
+    {
+        runUntilStarted(runTime * 2);
+        world.submit(gangId, "large", {gangStep(wideLabel)});
+        runUntilStarted(overdue + runTime * maxRunsBefore);
+    }
+
+    // The worker of a member crashes right after its start.
+    void crashMember()
+    {
+        const auto crashed = std::ranges::find_if(world.fleet, [](const auto &entry) {
+            return entry.second.active.contains(gangId + ".0.0.0");
+        });
+        REQUIRE(crashed != world.fleet.end());
+        const auto id = crashed->first;
+        world.crashForAWhile(id);
+        world.renewLease(id);
+        world.endRuns(gangId, jobs::run_outcome::GangMemberEnded);
+        for (milliseconds passed {0}; passed < overdue && world.running(gangId) > 0;
+             passed += milliseconds(10)) {
+            world.elapsed += milliseconds(10);
+            world.restartWorkers();
+            world.renewAllLeases();
+            if (world.running(gangId) > 0)
+                world.settle();
+        }
+    }
+
+    bool suspected()
+    {
+        const auto &tasks = world.scheduler.job(gangId)->occurrences.begin()->second.steps[0].tasks;
+        return std::ranges::any_of(
+            tasks, [](const jobs::task_run &task) { return task.crashes.suspected(); });
+    }
+
+    void checkStarted()
+    {
         std::string why;
         for (const auto &line : world.scheduler.explain(gangId, world.now()))
             why += line;
-        CHECK(maxLoad * 2 < workers * workerMilliCores);
         INFO(why);
-        CHECK(runningAt == members);
+        CHECK(world.running(gangId) == members);
+        CHECK(maxUsed * 2 < workers * workerMilliCores);
+    }
+
+    scheduler_world world;
+    // The most cores in use, in thousandths, while the gang was waiting.
+    std::int64_t maxUsed = 0;
+
+private:
+    void keepLongRunningAtWork()
+    {
+        for (auto &[id, worker] : world.fleet) {
+            for (auto &[task, run] : worker.active) {
+                if (task.starts_with(longRunningId))
+                    run.startedAt = world.elapsed;
+            }
+        }
+    }
+
+    const load_row &m_load;
+    int m_submitted = 0;
+};
+
+} // namespace
+
+// Load: an accepted gang whose room is free twice over never runs, while a fleet that is less than
+// half in use starts other work (found on ctrs-sched-large as LOST).
+TEST_CASE("An overdue gang runs while less than half of the fleet is in use")
+{
+    for (const auto &row : loads) {
+        CAPTURE(std::string(row.name));
+        loaded_world loaded(row);
+        loaded.submitGangAndWait();
+        loaded.checkStarted();
+    }
+}
+
+// Guards against a gang that waits for ever behind an older one that never fits.
+TEST_CASE("An overdue gang runs beside an older one that never fits")
+{
+    for (const auto &row : loads) {
+        CAPTURE(std::string(row.name));
+        loaded_world loaded(row);
+        loaded.submitGangThatNeverFits();
+        loaded.submitGangAndWait();
+        loaded.checkStarted();
+    }
+}
+
+// Guards against a gang that waits for ever once a worker has crashed under it.
+TEST_CASE("A suspected overdue gang runs again")
+{
+    for (const auto &row : loads) {
+        CAPTURE(std::string(row.name));
+        loaded_world loaded(row);
+        loaded.submitGangAndWait();
+        REQUIRE(loaded.world.running(gangId) == members);
+        loaded.crashMember();
+        REQUIRE(loaded.world.running(gangId) == 0);
+        loaded.runUntilStarted(overdue + runTime * maxRunsBefore);
+        // It has been started as a suspect; only its probation clears it.
+        CHECK(loaded.suspected());
+        loaded.checkStarted();
     }
 }
