Count reported tasks that are being stopped as holding capacity

A worker could be ordered more than its capacity: a reported task that no job accounts for, or that does not fit, was answered with a stop order and not counted, and the same step started others in its place.

The ledger keeps such tasks for each worker with what they are reported to hold. free() and unclaimed() leave that out until the worker reports without the task, the task is confirmed stopped or ends, or the worker leaves. They are counted before the report is reconciled, since that may start replacements on the same worker. A start, or a raised limit, beyond what is free breaks an invariant. Whether a reported task is adopted is decided as before.

The mutation tasks.skip_unaccounted is found by a case of its own and by random runs.

--- a/src/decision/task_ledger.cpp
+++ b/src/decision/task_ledger.cpp
@@ -78,6 +78,7 @@
 {
     auto &record = m_workers[worker];
     PLANTAINGAP_INVARIANT(record.tasks.empty(), "tasks.removed_worker_is_empty");
+    clearUnaccounted(worker);
     record.removed = true;
     m_unconfirmed.erase(record.joinSequence);
     m_workerIndex.erase(record.id);
@@ -155,6 +156,7 @@
     PLANTAINGAP_INVARIANT(record.isSchedulable() || record.probing,
                           "tasks.placed_on_a_worker_in_use");
     PLANTAINGAP_INVARIANT(pastBarrier(job), "tasks.placed_past_the_barrier");
+    PLANTAINGAP_INVARIANT(held.fitsIn(record.free()), "tasks.placed_in_free_capacity");
     attach(job, index, worker, held);
     move(job, index, task_phase::Starting);
     task.attempt = std::max(task.attempt, job.spec.attemptFloor) + 1;
@@ -178,6 +180,7 @@
     auto &task = job.tasks[index];
     PLANTAINGAP_INVARIANT(!isPlaced(task.phase), "tasks.one_place_per_task");
     std::erase(job.waiting, index);
+    releaseUnaccounted({job.spec.job, index, attempt}, worker);
     attach(job, index, worker, held);
     move(job, index, task_phase::Running);
     task.attempt = attempt;
@@ -222,6 +225,8 @@
     auto &task = job.tasks[index];
     auto &record = m_workers[task.worker];
     const auto change = held - task.held;
+    PLANTAINGAP_INVARIANT(change.fitsIn(greatest(record.free(), {})),
+                          "tasks.raised_in_free_capacity");
     record.used += change;
     if (isPreemptible(job))
         record.preemptible += change;
@@ -381,20 +386,25 @@
 bool task_ledger::consistent() const
 {
     resources total;
+    std::size_t unaccountedTasks = 0;
     for (const auto &record : m_workers) {
         resources held;
         resources claimed;
+        resources unaccounted;
         for (const auto &ref : record.tasks)
             held += ref.job->tasks[ref.index].held;
         for (const auto &entry : record.claims)
             claimed += entry.job->demand * entry.count;
-        if (held != record.used || claimed != record.claimed)
+        for (const auto &running : record.unaccountedTasks)
+            unaccounted += running.held;
+        if (held != record.used || claimed != record.claimed || unaccounted != record.unaccounted)
             return false;
+        unaccountedTasks += record.unaccountedTasks.size();
         if (!record.used.fitsIn(record.capacity))
             return false;
         total += held;
     }
-    return total == m_used && total == m_teams.used();
+    return total == m_used && total == m_teams.used() && unaccountedTasks == m_unaccounted.size();
 }
 
 } // namespace plantaingap::decision
--- a/src/decision/task_ledger.h
+++ b/src/decision/task_ledger.h
@@ -6,6 +6,7 @@
 #include "decision/team_ledger.h"
 
 #include <memory>
+#include <optional>
 
 // State of all workers, jobs and tasks of the group. Every change goes through task_ledger, which
 // checks the placement invariants at each change in constant time.
@@ -53,6 +54,16 @@
     void adopt(job_record &job, std::uint32_t index, std::uint32_t attempt, std::uint32_t worker,
                const resources &held, time_point now);
 
+    // True if this attempt of the task is placed on the worker.
+    bool isPlacedOn(const task_id &task, std::uint32_t worker) const;
+
+    // Replaces the worker's unaccounted tasks by those of its report that are not placed on it.
+    // Each holds capacity until it is released or adopted.
+    void setUnaccounted(std::uint32_t worker, const std::vector<running_task> &reported);
+
+    // Releases what the unaccounted task holds. Returns its worker, or nothing for other tasks.
+    std::optional<std::uint32_t> releaseUnaccounted(const task_id &task);
+
     // Changes the phase of a task without changing whether it is placed.
     void setPhase(job_record &job, std::uint32_t index, task_phase phase);
 
@@ -108,6 +119,8 @@
     void move(job_record &job, std::uint32_t index, task_phase phase);
     void attach(job_record &job, std::uint32_t index, std::uint32_t worker, const resources &held);
     void detach(job_record &job, std::uint32_t index);
+    void releaseUnaccounted(const task_id &task, std::uint32_t worker);
+    void clearUnaccounted(std::uint32_t worker);
     void adjustDomainCount(job_record &job, const worker_record &record, int change);
     void adjustClassCount(const worker_record &record, int change);
 
@@ -120,6 +133,8 @@
     capacity_index m_unclaimed;
     capacity_index m_freeOrPreemptible;
     std::set<std::uint64_t> m_unconfirmed;
+    // All unaccounted tasks with their workers.
+    std::set<std::pair<task_id, std::uint32_t>> m_unaccounted;
     std::vector<class_summary> m_classes;
     resources m_total;
     resources m_used;
--- a/src/decision/task_scheduler.cpp
+++ b/src/decision/task_scheduler.cpp
@@ -110,6 +110,8 @@
     if (record == nullptr)
         return;
     const auto worker = m_ledger.indexOf(*record);
+    // First, because reconciling may already start tasks on this worker.
+    m_ledger.setUnaccounted(worker, event.running);
     m_ledger.confirm(worker);
     const auto tasks = record->tasks;
     for (const auto &ref : tasks) {
@@ -144,17 +146,18 @@
 void task_scheduler::adoptReported(task_step &step, std::uint32_t worker,
                                    const running_task &reported)
 {
-    auto &record = m_ledger.worker(worker);
+    if (m_ledger.isPlacedOn(reported.task, worker))
+        return;
+    const auto &record = m_ledger.worker(worker);
     auto *job = m_ledger.findJob(reported.task.job);
     const auto index = reported.task.index;
     if (job != nullptr && index < job->tasks.size()) {
         const auto &task = job->tasks[index];
-        if (isPlaced(task.phase) && task.worker == worker && task.attempt == reported.task.attempt)
-            return;
         const bool startedByPreviousOwner =
             job->spec.origin == job_origin::Recovered && task.attempt == job->spec.attemptFloor;
         const bool isCurrent = reported.task.attempt >= task.attempt || startedByPreviousOwner;
-        if (task.phase == task_phase::Waiting && isCurrent && reported.held.fitsIn(record.free())) {
+        if (task.phase == task_phase::Waiting && isCurrent
+            && reported.held.fitsIn(record.capacity - record.used)) {
             m_ledger.adopt(*job, index, reported.task.attempt, worker, reported.held, step.now);
             return stopIfCancelled(step, *job, index);
         }
@@ -347,12 +350,18 @@
 {
     auto *job = m_ledger.findTask(event.task);
     if (job == nullptr || !isPlaced(job->tasks[event.task.index].phase))
-        return;
+        return endUnaccounted(step, event.task);
     const auto worker = job->tasks[event.task.index].worker;
     endTask(step, *job, event.task.index, event.outcome);
     fillWorker(step, worker);
 }
 
+void task_scheduler::endUnaccounted(task_step &step, const task_id &task)
+{
+    if (const auto worker = m_ledger.releaseUnaccounted(task))
+        fillWorker(step, *worker);
+}
+
 void task_scheduler::endTask(task_step &step, job_record &job, std::uint32_t index,
                              task_outcome outcome)
 {
--- a/src/decision/task_scheduler.h
+++ b/src/decision/task_scheduler.h
@@ -70,6 +70,7 @@
     task_step begin(time_point now, std::vector<task_action> &actions);
     void finish(task_step &step);
     void adoptReported(task_step &step, std::uint32_t worker, const running_task &reported);
+    void endUnaccounted(task_step &step, const task_id &task);
     void reconcileWithReport(task_step &step, const task_ref &ref, bool isRunning);
     void stopIfCancelled(task_step &step, job_record &job, std::uint32_t index);
     void endTask(task_step &step, job_record &job, std::uint32_t index, task_outcome outcome);
--- a/src/decision/task_state.h
+++ b/src/decision/task_state.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <deque>
+#include <plantaingap/mutation.h>
 #include <plantaingap/task_scheduler.h>
 #include <utility>
 #include <vector>
@@ -87,6 +88,10 @@
     resources claimed;
     // Part of used that is held by preemptible tasks.
     resources preemptible;
+    // Tasks that the worker reported and that are not in tasks, and the sum of what they hold. May
+    // exceed the capacity that tasks leave.
+    std::vector<running_task> unaccountedTasks;
+    resources unaccounted;
     std::vector<task_ref> tasks;
     std::vector<claim> claims;
     std::uint64_t joinSequence = 0;
@@ -103,8 +108,11 @@
     // A probe task runs on the quarantined worker.
     bool probing = false;
 
-    resources free() const { return capacity - used; }
-    resources unclaimed() const { return capacity - used - claimed; }
+    resources free() const
+    {
+        return capacity - used - (mutated("tasks.skip_unaccounted") ? resources {} : unaccounted);
+    }
+    resources unclaimed() const { return free() - claimed; }
     bool isSchedulable() const
     {
         return confirmed && !removed && !lost && !draining && !quarantined;
--- a/tests/decision/task_model.h
+++ b/tests/decision/task_model.h
@@ -46,7 +46,7 @@
             &task_model::reconnect,    &task_model::kill,         &task_model::drain,
             &task_model::quota,        &task_model::usage,        &task_model::advance,
             &task_model::advance,      &task_model::repeatEnd,    &task_model::submit,
-            &task_model::deliverReply, &task_model::reconfirm,
+            &task_model::deliverReply, &task_model::reconfirm,    &task_model::reportUnknown,
         };
         (this->*Operations[step.operation % std::size(Operations)])(step.first, step.second);
         require(m_scheduler.consistent(), "model.sums");
@@ -70,6 +70,8 @@
 private:
     static constexpr std::uint32_t WorkerCount = 6;
     static constexpr resources Capacity {8'000, 16'384, 2};
+    // Ids above this are never submitted.
+    static constexpr std::uint64_t UnknownJobs = 1'000'000;
 
     struct placement
     {
@@ -259,6 +261,18 @@
             sendConfirmation(pick(first));
     }
 
+    // The worker reports a task of a job that the scheduler does not know.
+    void reportUnknown(std::uint32_t first, std::uint32_t second)
+    {
+        const auto worker = pick(first);
+        const resources demand {1'000 * (1 + second % 6), 1'024 * (1 + second / 6 % 12),
+                                second / 72 % 3};
+        if (m_lost[worker] || !(held(worker) + demand).fitsIn(Capacity))
+            return;
+        m_running[{job_id {UnknownJobs + ++m_nextUnknownJob}, 0, 1}] = {worker, demand};
+        sendConfirmation(worker);
+    }
+
     void kill(std::uint32_t first, std::uint32_t)
     {
         const auto worker = pick(first);
@@ -326,6 +340,7 @@
     std::map<job_id, job_submitted> m_jobs;
     std::vector<task_event> m_pendingReplies;
     std::uint64_t m_nextJob = 0;
+    std::uint64_t m_nextUnknownJob = 0;
     std::uint32_t m_nextWorker = 0;
 };
 
--- a/tests/decision/task_mutation_test.cpp
+++ b/tests/decision/task_mutation_test.cpp
@@ -89,6 +89,20 @@
     return "failing worker: was never quarantined";
 }
 
+// Nothing may start in the capacity of a reported task that no job accounts for.
+std::string checkUnaccounted()
+{
+    task_fixture group;
+    group.send(worker_joined {worker_id {0}, {}, {}, {}, {}, Worker});
+    group.send(makeJob(1, job_kind::Batch, 1, Worker));
+    try {
+        group.send(worker_confirmed {worker_id {0}, {{{job_id {9}, 0, 1}, Worker}}});
+    } catch (const std::runtime_error &violation) {
+        return violation.what();
+    }
+    return group.count<start_task>() == 0 ? "" : "unaccounted: started beside a reported task";
+}
+
 struct mutation_case
 {
     std::string_view mutation;
@@ -101,6 +115,7 @@
     {"tasks.lose_task_state", runRandomSteps},     {"tasks.start_part_of_job", runRandomSteps},
     {"tasks.restart_uncertain", runRandomSteps},   {"tasks.skip_barrier", checkTakeover},
     {"tasks.preempt_within_quota", checkQuotas},   {"tasks.never_quarantine", checkFailingWorker},
+    {"tasks.skip_unaccounted", checkUnaccounted},  {"tasks.skip_unaccounted", runRandomSteps},
 };
 
 } // namespace
