Free the terms of leaders that resign in the model of a cell

A function object held itself, so the sanitizer's leak check failed takeover_stops_test and worker_capacity_random_test in the asan build. It is a member function now; takeover_stops_test passes there.

--- a/tests/jobs/capacity_world.cpp
+++ b/tests/jobs/capacity_world.cpp
@@ -175,23 +175,21 @@
         return;
     m_leader->resigning = true;
     log("term " + std::to_string(m_term) + " resigns");
-    at(milliseconds(0), [this, gap, leader = m_leader] {
-        // Waits for the batch in flight, whose reply comes first.
-        const auto last = std::make_shared<std::function<void()>>();
-        *last = [this, gap, leader, last] {
-            if (leader->ended)
-                return;
-            if (leader->storing) {
-                at(stepTime, *last);
-                return;
-            }
-            const auto batch = leader->scheduler->takeChanges(maxBatchEntries);
-            for (const auto &change : batch)
-                record(change);
-            endTerm(gap);
-        };
-        (*last)();
-    });
+    at(milliseconds(0), [this, gap, leader = m_leader] { storeLastBatch(leader, gap); });
+}
+
+// Waits for the batch in flight, whose reply comes first.
+void capacity_world::storeLastBatch(const leader_ref &leader, milliseconds gap)
+{
+    if (leader->ended)
+        return;
+    if (leader->storing) {
+        at(stepTime, [this, gap, leader] { storeLastBatch(leader, gap); });
+        return;
+    }
+    for (const auto &change : leader->scheduler->takeChanges(maxBatchEntries))
+        record(change);
+    endTerm(gap);
 }
 
 void capacity_world::kill(milliseconds gap)
--- a/tests/jobs/capacity_world.h
+++ b/tests/jobs/capacity_world.h
@@ -138,6 +138,7 @@
 
     void beginTerm();
     void endTerm(milliseconds gap);
+    void storeLastBatch(const leader_ref &leader, milliseconds gap);
     void listWorkers();
     void plan();
     void storeChanges(const leader_ref &leader);
