--- a/tests/jobs/scheduler_world.h
+++ b/tests/jobs/scheduler_world.h
@@ -77,6 +77,8 @@
         }
     }
 
+    virtual ~scheduler_world() = default;
+
     time_point now() const { return time_point(std::chrono::hours(1)) + elapsed; }
     wall_time wall() const
     {
@@ -136,7 +138,7 @@
         report.clockMs = workerClock();
         report.incarnationMs = fake.incarnationMs;
         for (const auto &[task, run] : fake.active)
-            report.active.push_back({task, run.attempt, run.checkpoint, progressOf(run), 0});
+            report.active.push_back({task, run.attempt, run.checkpoint, progressOf(task, run), 0});
         report.ended = fake.ended;
         scheduler.onReport(id, report, now(), now());
     }
@@ -226,7 +228,8 @@
         return count;
     }
 
-    std::uint32_t progressOf(const fake_run &run) const
+    // Progress in percent that a worker reports for a run.
+    virtual std::uint32_t progressOf(const std::string & /*task*/, const fake_run &run) const
     {
         if (runTime.count() == 0)
             return percent;
--- a/tests/jobs/starvation_world.cpp
+++ b/tests/jobs/starvation_world.cpp
@@ -172,7 +172,7 @@
     });
     restartWorkers();
     endFinishedRuns();
-    reportAll();
+    renewAllLeases();
     deliverAdvice();
     planAndExecute();
     checkSteps();
@@ -338,48 +338,15 @@
     end(worker, task, jobs::run_outcome::Done);
 }
 
-std::uint32_t starvation_world::percentOf(const std::string &task, std::uint32_t attempt) const
+std::uint32_t starvation_world::progressOf(const std::string &task, const fake_run &run) const
 {
     if (definitionOf(task).longRunning)
         return 100;
-    const auto &work = m_work.at({task, attempt});
+    const auto &work = m_work.at({task, run.attempt});
     const auto passed = elapsed - work.startedAt;
     return static_cast<std::uint32_t>(std::min<std::int64_t>(99, passed * 100 / work.length));
 }
 
-void starvation_world::reportAll()
-{
-    std::vector<std::string> ids;
-    for (const auto &[id, worker] : scheduler.workers().all())
-        ids.push_back(id);
-    for (const auto &id : ids)
-        report(id);
-}
-
-// Like renewLease(), with the progress of each run.
-void starvation_world::report(const std::string &id)
-{
-    auto *worker = scheduler.workers().find(id);
-    auto &fake = fleet[id];
-    if (!fake.reachable) {
-        renewLease(id);
-        return;
-    }
-    const auto order = scheduler.renewLease(*worker, now());
-    expire(fake);
-    if (order.leaseEndMs)
-        fake.leaseEndMs = std::max(fake.leaseEndMs, *order.leaseEndMs);
-    std::erase_if(fake.ended, [&](const auto &end) { return end.number <= order.lastStoredEnd; });
-    jobs::worker_report report;
-    report.clockMs = workerClock();
-    report.incarnationMs = fake.incarnationMs;
-    for (const auto &[task, run] : fake.active)
-        report.active.push_back(
-            {task, run.attempt, run.checkpoint, percentOf(task, run.attempt), 0});
-    report.ended = fake.ended;
-    scheduler.onReport(id, report, now(), now());
-}
-
 std::uint32_t starvation_world::freeSlots(const jobs::step_run &step) const
 {
     const auto &job = step.occurrence->job->definition;
--- a/tests/jobs/starvation_world.h
+++ b/tests/jobs/starvation_world.h
@@ -87,9 +87,7 @@
     void crashIfDue(const jobs::start_order &order);
     void endFinishedRuns();
     void endRun(const std::string &worker, const std::string &task);
-    void reportAll();
-    void report(const std::string &id);
-    std::uint32_t percentOf(const std::string &task, std::uint32_t attempt) const;
+    std::uint32_t progressOf(const std::string &task, const fake_run &run) const override;
     const jobs::step_definition &definitionOf(const std::string &task) const;
     // Whether the allowed workers hold each step twice when they are empty.
     bool fitsWhenEmpty(const jobs::job_definition &job) const;
