Explain waiting jobs first in the log of overdue jobs

Operators saw no line about a job that had waited for 40 s: job.overdue named the two jobs with the oldest objective, and most of those were at work by then. A job with several ready steps took several lines.

A job with a step whose turn has come and which has nothing running now goes first, the longest past its objective before others; long-running steps that are wholly at work take no line. Each job takes one line, at most four a second. No decision depends on it.

--- a/src/cell/leader_orders.cpp
+++ b/src/cell/leader_orders.cpp
@@ -33,8 +33,8 @@
 constexpr milliseconds loadLogInterval {1000};
 // Scheduler events logged individually after one placement pass; the rest are counted.
 constexpr std::size_t maxEventsPerPass = 40;
-// Jobs past their objective whose state is explained with each load log.
-constexpr std::size_t overdueJobsLogged = 2;
+// Jobs past their objective that are explained with each load log, one line each.
+constexpr std::size_t overdueJobsLogged = 4;
 
 } // namespace
 
@@ -120,10 +120,8 @@
             .field("starts", m_counters["starts"])
             .field("starts_rejected", m_counters["starts_not_accepted"])
             .field("write_ms", std::chrono::duration_cast<milliseconds>(m_lastWriteTime).count());
-        for (const auto &id : m_scheduler.mostOverdue(overdueJobsLogged, now)) {
-            for (const auto &line : m_scheduler.explain(id, now))
-                log_event(log_level::Info, "job.overdue").field("job", id).field("why", line);
-        }
+        for (const auto &line : m_scheduler.explainOverdue(overdueJobsLogged, now))
+            log_event(log_level::Info, "job.overdue").field("job", line.job).field("why", line.why);
     }
 }
 
--- a/src/jobs/job_explanation.cpp
+++ b/src/jobs/job_explanation.cpp
@@ -3,7 +3,9 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 #include <set>
+#include <tuple>
 
 // Explains to operators and in logs why a job is not done.
 namespace plantaingap::jobs {
@@ -112,60 +114,98 @@
     return {};
 }
 
+// The step that explains why a job is not done.
+struct explaining_step
+{
+    bool atWork = false;
+    time_point onTimeUntil {};
+    const step_run *step = nullptr;
+
+    bool operator<(const explaining_step &other) const
+    {
+        return std::tie(atWork, onTimeUntil) < std::tie(other.atWork, other.onTimeUntil);
+    }
+};
+
+std::optional<explaining_step> findExplainingStep(const job_run &job)
+{
+    std::optional<explaining_step> best;
+    for (const auto &[number, occurrence] : job.occurrences) {
+        for (const auto &step : occurrence.steps) {
+            // A long-running step is never done, and lacks nothing while all its tasks are at work.
+            const bool complete = step.definition->longRunning && step.waiting == 0;
+            if (!step.ready || step.finished() || complete)
+                continue;
+            const explaining_step found {!step.waits(), step.onTimeUntil, &step};
+            if (!best || found < *best)
+                best = found;
+        }
+    }
+    return best;
+}
+
 } // namespace
 
+std::string job_scheduler::explainStep(const step_run &step, time_point now) const
+{
+    const auto &jobRun = *step.occurrence->job;
+    const auto &queue = queueOf(jobRun);
+    std::size_t usable = 0;
+    std::size_t withCapacity = 0;
+    for (const auto &[name, worker] : m_fleet.all()) {
+        const bool matches = worker->usable(now) && worker->entry.service == queue.service
+                             && worker->hasLabel(step.definition->label);
+        usable += matches ? 1 : 0;
+        withCapacity += matches && step.definition->demand.fitsIn(worker->free()) ? 1 : 0;
+    }
+    const auto &advice = step.advice;
+    const auto valid = std::ranges::count_if(
+        advice.allowed, [now](const auto &entry) { return entry.second.expires > now; });
+    return task_name {jobRun.definition.id, step.occurrence->number, step.number, 0}.text()
+           + phaseCounts(step) + " usable_workers=" + std::to_string(usable) + " with_capacity="
+           + std::to_string(withCapacity) + " allowed=" + std::to_string(advice.allowed.size())
+           + " tickets=" + std::to_string(valid) + " not_allowed="
+           + std::to_string(advice.rejected.size()) + (advice.callPending ? " advice_pending" : "")
+           + (step.definition->gang && step.waiting > 0 ? explainGang(step, m_fleet, now)
+                                                        : std::string())
+           + unresponsiveWorker(step);
+}
+
 std::vector<std::string> job_scheduler::explain(const std::string &id, time_point now) const
 {
     std::vector<std::string> lines;
     const auto *jobRun = job(id);
     if (!jobRun)
         return lines;
-    const auto &queue = queueOf(*jobRun);
     for (const auto &[number, occurrence] : jobRun->occurrences) {
         for (const auto &step : occurrence.steps) {
-            if (!step.ready || step.finished())
-                continue;
-            std::size_t usable = 0;
-            std::size_t withCapacity = 0;
-            for (const auto &[name, worker] : m_fleet.all()) {
-                const bool matches = worker->usable(now) && worker->entry.service == queue.service
-                                     && worker->hasLabel(step.definition->label);
-                usable += matches ? 1 : 0;
-                withCapacity += matches && step.definition->demand.fitsIn(worker->free()) ? 1 : 0;
-            }
-            const auto &advice = step.advice;
-            const auto valid = std::ranges::count_if(
-                advice.allowed, [now](const auto &entry) { return entry.second.expires > now; });
-            lines.push_back(
-                task_name {id, number, step.number, 0}.text() + phaseCounts(step)
-                + " usable_workers=" + std::to_string(usable) + " with_capacity="
-                + std::to_string(withCapacity) + " allowed=" + std::to_string(advice.allowed.size())
-                + " tickets=" + std::to_string(valid)
-                + " not_allowed=" + std::to_string(advice.rejected.size())
-                + (advice.callPending ? " advice_pending" : "")
-                + (step.definition->gang && step.waiting > 0 ? explainGang(step, m_fleet, now)
-                                                             : std::string())
-                + unresponsiveWorker(step));
+            if (step.ready && !step.finished())
+                lines.push_back(explainStep(step, now));
         }
     }
     return lines;
 }
 
-std::vector<std::string> job_scheduler::mostOverdue(std::size_t maxJobs, time_point now) const
+std::vector<job_explanation> job_scheduler::explainOverdue(std::size_t maxJobs,
+                                                           time_point now) const
 {
-    std::vector<std::pair<time_point, std::string>> late;
+    std::vector<explaining_step> overdue;
     for (const auto &[id, job] : m_jobs) {
-        if (job->state > job_state::Running || job->occurrences.empty())
+        if (job->state > job_state::Running)
             continue;
-        const auto &steps = job->occurrences.begin()->second.steps;
-        if (!steps.empty() && steps.front().onTimeUntil < now)
-            late.emplace_back(steps.front().onTimeUntil, id);
+        const auto found = findExplainingStep(*job);
+        if (found && found->onTimeUntil < now)
+            overdue.push_back(*found);
     }
-    std::ranges::sort(late);
-    std::vector<std::string> ids;
-    for (std::size_t i = 0; i < std::min(maxJobs, late.size()); ++i)
-        ids.push_back(late[i].second);
-    return ids;
+    const auto count = std::min(maxJobs, overdue.size());
+    std::partial_sort(overdue.begin(), overdue.begin() + static_cast<std::ptrdiff_t>(count),
+                      overdue.end());
+    std::vector<job_explanation> lines;
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto &step = *overdue[i].step;
+        lines.push_back({step.occurrence->job->definition.id, explainStep(step, now)});
+    }
+    return lines;
 }
 
 } // namespace plantaingap::jobs
--- a/src/jobs/job_progress.h
+++ b/src/jobs/job_progress.h
@@ -190,6 +190,8 @@
     std::vector<std::string> crashedAt;
 
     bool finished() const { return done == tasks.size(); }
+    // Its turn has come and no task that is left may be running.
+    bool waits() const { return ready && waiting > 0 && waiting + done == tasks.size(); }
     bool suspectedGang() const;
 };
 
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -199,6 +199,13 @@
 // How a lease renewal got no report.
 enum class renewal_failure : std::uint8_t { ConnectionBroken, NoReply };
 
+// Why a job is not done.
+struct job_explanation
+{
+    std::string job;
+    std::string why;
+};
+
 // Figures for metrics and the load log.
 struct scheduler_load
 {
@@ -296,8 +303,9 @@
     // Explains why a job is not done: one line for each unfinished step whose dependencies are
     // done.
     std::vector<std::string> explain(const std::string &id, time_point now) const;
-    // Ids of the jobs that exceed their objective the most, at most maxJobs.
-    std::vector<std::string> mostOverdue(std::size_t maxJobs, time_point now) const;
+    // Explains jobs past their objective, at most maxJobs, each by one step: first the jobs with a
+    // step that waits and has nothing running, of those the longest past its objective first.
+    std::vector<job_explanation> explainOverdue(std::size_t maxJobs, time_point now) const;
     const job_run *job(const std::string &id) const;
 
 private:
@@ -391,6 +399,7 @@
     static task_name nameOf(const task_run &task);
     start_order makeStartOrder(const task_run &task, time_point now) const;
     const queue_definition &queueOf(const job_run &job) const;
+    std::string explainStep(const step_run &step, time_point now) const;
 
     scheduler_options m_options;
     std::uint64_t m_term = 0;
