Log waits that pass the objective of a job

All lines about a step now also give since when it waits, the time past its objective, the workers with capacity reserved for it, and what ended its last run, of a gang the member that ended first.

No decision depends on it.

--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -82,6 +82,7 @@
     awaitable<void> renewLeaseLoop(std::string id);
     awaitable<void> planPeriodically();
     awaitable<void> logLoad();
+    void logWaits(time_point now);
     awaitable<void> loadEndedJobs();
 
     // Writes to the store; a write without a reply is hedged by further attempts.
--- a/src/cell/leader_orders.cpp
+++ b/src/cell/leader_orders.cpp
@@ -33,8 +33,6 @@
 constexpr milliseconds loadLogInterval {1000};
 // Scheduler events logged individually after one placement pass; the rest are counted.
 constexpr std::size_t maxEventsPerPass = 40;
-// Jobs past their objective that are explained with each load log, one line each.
-constexpr std::size_t overdueJobsLogged = 4;
 
 } // namespace
 
@@ -120,8 +118,7 @@
             .field("starts", m_counters["starts"])
             .field("starts_rejected", m_counters["starts_not_accepted"])
             .field("write_ms", std::chrono::duration_cast<milliseconds>(m_lastWriteTime).count());
-        for (const auto &line : m_scheduler.explainOverdue(overdueJobsLogged, now))
-            log_event(log_level::Info, "job.overdue").field("job", line.job).field("why", line.why);
+        logWaits(now);
     }
 }
 
--- a/src/jobs/job_changes.cpp
+++ b/src/jobs/job_changes.cpp
@@ -84,6 +84,7 @@
                 || task.assignedWorker->fits())
                 continue;
             recordEvent("start.withdrawn", task, withdrawalReason(*task.assignedWorker));
+            recordRunEnd(task, run_end_cause::Withdrawn, now);
             if (task.step->definition->gang)
                 stopStep(*task.step, now);
             else
--- a/src/jobs/job_explanation.cpp
+++ b/src/jobs/job_explanation.cpp
@@ -104,6 +104,25 @@
     return out;
 }
 
+// Since when the step waits, how far it is past its objective, and what ended its last run.
+std::string explainWait(const step_run &step, time_point now)
+{
+    std::string out;
+    const auto &wait = step.wait;
+    if (step.waits() && wait.since)
+        out += " waiting_ms=" + inMilliseconds(now - *wait.since);
+    out += " overdue_ms=" + inMilliseconds(now - step.onTimeUntil);
+    const bool startedBefore =
+        std::ranges::any_of(step.tasks, [](const task_run &task) { return task.attempt > 0; });
+    if (wait.lastEnd == run_end_cause::NeverStarted)
+        return out + (startedBefore ? "" : " last_end=never_started");
+    const auto &job = step.occurrence->job->definition.id;
+    return out + " last_end=" + std::string(runEndName(wait.lastEnd)) + " last_end_task="
+           + task_name {job, step.occurrence->number, step.number, wait.endedIndex}.text()
+           + " last_end_attempt=" + std::to_string(wait.endedAttempt) + " last_end_worker="
+           + wait.endedOn + " last_end_ms_ago=" + inMilliseconds(now - wait.endedAt);
+}
+
 // Names the worker of the first task that is assigned to an unresponsive worker.
 std::string unresponsiveWorker(const step_run &step)
 {
@@ -152,7 +171,9 @@
     const auto &queue = queueOf(jobRun);
     std::size_t usable = 0;
     std::size_t withCapacity = 0;
+    std::size_t claimed = 0;
     for (const auto &[name, worker] : m_fleet.all()) {
+        claimed += worker->reservedFor == &step && worker->reservedUntil > now ? 1 : 0;
         const bool matches = worker->usable(now) && worker->entry.service == queue.service
                              && worker->hasLabel(step.definition->label);
         usable += matches ? 1 : 0;
@@ -166,9 +187,12 @@
            + std::to_string(withCapacity) + " allowed=" + std::to_string(advice.allowed.size())
            + " tickets=" + std::to_string(valid) + " not_allowed="
            + std::to_string(advice.rejected.size()) + (advice.callPending ? " advice_pending" : "")
-           + (step.definition->gang && step.waiting > 0 ? explainGang(step, m_fleet, now)
-                                                        : std::string())
-           + unresponsiveWorker(step);
+           + (advice.retryAt > now ? " advice_retry_in_ms=" + inMilliseconds(advice.retryAt - now)
+                                   : std::string())
+           + (step.definition->gang && step.waiting > 0
+                  ? explainGang(step, m_fleet, now) + " claimed_workers=" + std::to_string(claimed)
+                  : std::string())
+           + explainWait(step, now) + unresponsiveWorker(step);
 }
 
 std::vector<std::string> job_scheduler::explain(const std::string &id, time_point now) const
--- a/src/jobs/job_health.cpp
+++ b/src/jobs/job_health.cpp
@@ -113,6 +113,7 @@
         if (!hung && !tooSlow)
             continue;
         recordEvent("run.moved", *task, hung ? "no progress" : "slow worker");
+        recordRunEnd(*task, run_end_cause::Moved, now);
         movingRuns.push_back(task);
     }
     for (auto *task : movingRuns) {
--- a/src/jobs/job_losses.cpp
+++ b/src/jobs/job_losses.cpp
@@ -68,6 +68,7 @@
     fields.emplace_back("cause", textsOf(cause).name);
     if (task.orderedAt != time_point {})
         fields.emplace_back("age_ms", formatMilliseconds(now - task.orderedAt));
+    recordRunEnd(task, run_end_cause::Lost, now);
     returnToWaiting(task);
 }
 
--- a/src/jobs/job_progress.h
+++ b/src/jobs/job_progress.h
@@ -3,6 +3,7 @@
 
 #include "jobs/crash_history.h"
 #include "jobs/job.h"
+#include "jobs/step_wait.h"
 
 #include <cstdint>
 #include <deque>
@@ -175,6 +176,7 @@
     duration failedTime {0};
     step_advice advice;
     gang_plan gang;
+    step_wait wait;
     // End of the objective of the occurrence, and the time after which its result has no value.
     time_point onTimeUntil {};
     time_point lateUntil {};
--- a/src/jobs/job_runs.cpp
+++ b/src/jobs/job_runs.cpp
@@ -2,6 +2,8 @@
 #include "jobs/task_capacity.h"
 
 #include <algorithm>
+#include <array>
+#include <optional>
 
 // Task state transitions: resource allocation, completions, worker reports, leases and order
 // replies.
@@ -16,6 +18,21 @@
            || (task.phase == task_phase::Done && task.assignedWorker);
 }
 
+// A stopped run ended for the reason for which it was stopped.
+std::optional<run_end_cause> causeOf(run_outcome outcome)
+{
+    constexpr std::array<std::pair<run_outcome, run_end_cause>, 4> causes {
+        {{run_outcome::Failed, run_end_cause::Failed},
+         {run_outcome::LeaseExpired, run_end_cause::Lost},
+         {run_outcome::GangMemberEnded, run_end_cause::MemberEnded},
+         {run_outcome::GangIncomplete, run_end_cause::NotStarted}}};
+    for (const auto &[ended, cause] : causes) {
+        if (ended == outcome)
+            return cause;
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 void job_scheduler::allocate(task_run &task, worker &worker)
@@ -313,6 +330,7 @@
     }
     if (end.outcome == run_outcome::Failed) {
         recordEvent("run.failed", task, "failure reported by the worker");
+        recordRunEnd(task, run_end_cause::Failed, now);
         if (worker) {
             updateHealth(*worker, task, true, now);
             step.failedOn.push_back(worker->entry.id);
@@ -320,6 +338,8 @@
         }
         failTask(task, now);
     } else if (task.assignedWorker) {
+        if (const auto cause = causeOf(end.outcome))
+            recordRunEnd(task, *cause, now);
         returnToWaiting(task);
     }
     if (gang)
@@ -432,6 +452,8 @@
     if (!task || task->attempt != order.attempt || task->phase != task_phase::Ordered)
         return;
     auto &step = *task->step;
+    if (result != start_result::Accepted)
+        recordRunEnd(*task, run_end_cause::NotStarted, now);
     switch (result) {
     case start_result::Accepted: {
         task->phase = task_phase::Running;
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -206,6 +206,13 @@
     std::string why;
 };
 
+// Explanations of jobs whose wait has passed a bound, and the number of those left out.
+struct job_explanations
+{
+    std::vector<job_explanation> jobs;
+    std::size_t leftOut = 0;
+};
+
 // Figures for metrics and the load log.
 struct scheduler_load
 {
@@ -306,6 +313,10 @@
     // Explains jobs past their objective, at most maxJobs, each by one step: first the jobs with a
     // step that waits and has nothing running, of those the longest past its objective first.
     std::vector<job_explanation> explainOverdue(std::size_t maxJobs, time_point now) const;
+    // Notes since when steps wait with nothing running; called about once a second. Returns lines
+    // for jobs that wait beyond their objective, beyond three objectives, and then every few
+    // seconds; at most maxLines, first the jobs whose last line is longest ago.
+    job_explanations observeWaits(std::size_t maxLines, time_point now);
     const job_run *job(const std::string &id) const;
 
 private:
@@ -400,6 +411,9 @@
     start_order makeStartOrder(const task_run &task, time_point now) const;
     const queue_definition &queueOf(const job_run &job) const;
     std::string explainStep(const step_run &step, time_point now) const;
+    // Notes why a run of the step has ended, or was not started, while the task still has its
+    // worker. Of a gang the first end of a run counts.
+    void recordRunEnd(const task_run &task, run_end_cause cause, time_point now);
 
     scheduler_options m_options;
     std::uint64_t m_term = 0;
