Count calls, tickets, waits and broken gangs by kind of step

It could not be told which steps spend the calls of the advisor, or how many tickets lapse without a start. Counted now for each queue, gangs apart: calls, workers named, tickets granted, used by a start and unused (each granted ticket is exactly one of used, unused or held); steps that wait, are late, or are kept from a call because all instances are busy; the time waited; gangs broken, by cause. In /metrics and, for kinds whose figures have changed, in leader.load_by_kind once a second. The room of the partition is in /metrics, too.

The dispatcher notes on the step that no instance was free; no decision depends on it.

--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -82,7 +82,10 @@
     awaitable<void> renewLeaseLoop(std::string id);
     awaitable<void> planPeriodically();
     awaitable<void> logLoad();
-    void logWaits(time_point now);
+    void logWaits(const jobs::job_explanations &waits, time_point now);
+    // Logs the figures of each kind of step that have changed.
+    void logFigures();
+    void addFigures(std::string &metrics) const;
     awaitable<void> loadEndedJobs();
 
     // Writes to the store; a write without a reply is hedged by further attempts.
@@ -177,6 +180,8 @@
     std::multimap<std::string, std::shared_ptr<boost::asio::steady_timer>> m_storeWaiters;
     follower_table m_followers;
     std::map<std::string, std::uint64_t> m_counters;
+    // As last logged.
+    jobs::figures_by_queue m_loggedFigures;
 };
 
 } // namespace plantaingap::cell
--- a/src/cell/leader_log.cpp
+++ b/src/cell/leader_log.cpp
@@ -1,7 +1,9 @@
 #include "cell/leader.h"
 #include "support/log.h"
 
-// The leader's log about jobs that wait.
+#include <array>
+
+// The leader's log and metrics about jobs that wait and what is spent on them.
 namespace plantaingap::cell {
 
 using support::log_event;
@@ -11,14 +13,90 @@
 
 // Jobs past their objective that are explained with each load log, one line each.
 constexpr std::size_t overdueJobsLogged = 4;
-// Jobs whose wait has passed a bound that are explained with each load log.
-constexpr std::size_t waitingJobsLogged = 8;
+
+struct figure
+{
+    std::string_view name;
+    std::string_view metric;
+    std::uint64_t jobs::kind_figures::*value;
+};
+
+constexpr std::array<figure, 8> figures {
+    {{"advice_calls", "step_advice_calls_total", &jobs::kind_figures::adviceCalls},
+     {"workers_named", "step_workers_named_total", &jobs::kind_figures::workersNamed},
+     {"tickets_granted", "step_tickets_granted_total", &jobs::kind_figures::ticketsGranted},
+     {"tickets_used", "step_tickets_used_total", &jobs::kind_figures::ticketsUsed},
+     {"tickets_unused", "step_tickets_unused_total", &jobs::kind_figures::ticketsUnused},
+     {"waiting", "steps_waiting", &jobs::kind_figures::waiting},
+     {"late", "steps_late", &jobs::kind_figures::late},
+     {"awaiting_instance", "steps_awaiting_instance", &jobs::kind_figures::awaitingInstance}}};
+
+// Causes from this one on break a gang; the ones before tell that no cause is known.
+constexpr auto firstBreak = static_cast<std::size_t>(jobs::run_end_cause::NotStarted);
+
+std::string inSeconds(duration span)
+{
+    return std::to_string(std::chrono::duration<double>(span).count());
+}
+
+template<class Function>
+void forEachKind(const jobs::figures_by_queue &queues, Function function)
+{
+    for (const auto &[name, queue] : queues) {
+        function(name, false, queue.tasks);
+        function(name, true, queue.gangs);
+    }
+}
 
 } // namespace
 
-void leader::logWaits(time_point now)
+void leader::logFigures()
+{
+    forEachKind(m_scheduler.figures(),
+                [this](const std::string &queue, bool gang, const jobs::kind_figures &kind) {
+                    const auto &logged = m_loggedFigures[queue];
+                    if (kind == (gang ? logged.gangs : logged.tasks))
+                        return;
+                    log_event line(log_level::Info, "leader.load_by_kind");
+                    line.field("partition", m_options.partition.index)
+                        .field("queue", queue)
+                        .field("gang", gang ? 1 : 0);
+                    for (const auto &[name, metric, value] : figures)
+                        line.field(name, kind.*value);
+                    line.field("waited_s", inSeconds(kind.waited));
+                    for (auto cause = firstBreak; gang && cause < jobs::runEndCauses; ++cause) {
+                        const auto name = jobs::runEndName(static_cast<jobs::run_end_cause>(cause));
+                        line.field("broken_" + std::string(name), kind.gangsBroken[cause]);
+                    }
+                });
+    m_loggedFigures = m_scheduler.figures();
+}
+
+void leader::addFigures(std::string &metrics) const
+{
+    const auto partition = "partition=\"" + std::to_string(m_options.partition.index) + "\"";
+    forEachKind(m_scheduler.figures(),
+                [&](const std::string &queue, bool gang, const jobs::kind_figures &kind) {
+                    const auto labels =
+                        partition + ",queue=\"" + queue + "\",gang=\"" + (gang ? "1" : "0") + "\"";
+                    const auto add = [&](std::string_view name, std::string_view further,
+                                         const std::string &value) {
+                        metrics.append("plantaingap_").append(name).append("{").append(labels);
+                        metrics.append(further).append("} ").append(value).append("\n");
+                    };
+                    for (const auto &[name, metric, value] : figures)
+                        add(metric, {}, std::to_string(kind.*value));
+                    add("steps_waited_seconds_total", {}, inSeconds(kind.waited));
+                    for (auto cause = firstBreak; gang && cause < jobs::runEndCauses; ++cause) {
+                        const auto name = jobs::runEndName(static_cast<jobs::run_end_cause>(cause));
+                        add("gangs_broken_total", ",cause=\"" + std::string(name) + "\"",
+                            std::to_string(kind.gangsBroken[cause]));
+                    }
+                });
+}
+
+void leader::logWaits(const jobs::job_explanations &waits, time_point now)
 {
-    const auto waits = m_scheduler.observeWaits(waitingJobsLogged, now);
     const auto log = [this](std::string_view event, const jobs::job_explanation &line) {
         log_event(log_level::Info, event)
             .field("partition", m_options.partition.index)
--- a/src/cell/leader_orders.cpp
+++ b/src/cell/leader_orders.cpp
@@ -33,6 +33,8 @@
 constexpr milliseconds loadLogInterval {1000};
 // Scheduler events logged individually after one placement pass; the rest are counted.
 constexpr std::size_t maxEventsPerPass = 40;
+// Jobs whose wait has passed a bound that are explained with each load log.
+constexpr std::size_t waitingJobsLogged = 8;
 
 } // namespace
 
@@ -95,6 +97,7 @@
             m_yielded = true;
             resign();
         }
+        const auto waits = m_scheduler.observeWaits(waitingJobsLogged, now);
         const auto load = m_scheduler.load(now);
         const auto openAdviceCalls = m_scheduler.advisorCallRouter().openCalls();
         log_event(log_level::Info, "leader.load")
@@ -118,7 +121,8 @@
             .field("starts", m_counters["starts"])
             .field("starts_rejected", m_counters["starts_not_accepted"])
             .field("write_ms", std::chrono::duration_cast<milliseconds>(m_lastWriteTime).count());
-        logWaits(now);
+        logFigures();
+        logWaits(waits, now);
     }
 }
 
@@ -276,6 +280,15 @@
     add("occupying_tasks", load.occupyingTasks);
     add("waiting_suspects", load.waitingSuspects);
     add("isolating_workers", load.isolatingWorkers);
+    const auto cores = [](std::int64_t milliCores) {
+        return static_cast<std::uint64_t>(std::max<std::int64_t>(milliCores, 0) / 1000);
+    };
+    add("cores", cores(load.capacity.milliCores));
+    add("cores_used", cores(load.used.milliCores));
+    add("cores_reserved", cores(load.reservedMilliCores));
+    add("memory_mib", static_cast<std::uint64_t>(load.capacity.memoryMib));
+    add("memory_mib_used", static_cast<std::uint64_t>(load.used.memoryMib));
+    addFigures(out);
     return out;
 }
 
--- a/src/jobs/dispatcher_advice.cpp
+++ b/src/jobs/dispatcher_advice.cpp
@@ -40,10 +40,12 @@
 
 bool dispatcher::canRequestAdvice(const ready_step &ready) const
 {
-    const auto &advice = ready.step->advice;
+    auto &advice = ready.step->advice;
+    advice.awaitsInstance = false;
     if (!ready.queue->advisor || advice.callPending || advice.retryAt > m_now)
         return false;
-    return !m_callClassBusy[callClass(callDuration(ready, minWorkersPerCall))];
+    advice.awaitsInstance = m_callClassBusy[callClass(callDuration(ready, minWorkersPerCall))];
+    return !advice.awaitsInstance;
 }
 
 std::chrono::microseconds dispatcher::callDuration(const ready_step &ready, std::size_t workers)
@@ -193,6 +195,7 @@
     request.serviceTime = callDuration(ready, request.workers.size());
     const auto instance = m_scheduler.m_callRouter.chooseInstance(request.serviceTime, m_now);
     if (!instance) {
+        step.advice.awaitsInstance = true;
         m_callClassBusy[callClass(request.serviceTime)] = true;
         return;
     }
--- a/src/jobs/job_changes.cpp
+++ b/src/jobs/job_changes.cpp
@@ -108,6 +108,7 @@
                 task.phase = task_phase::Ordered;
                 task.orderedAt = now;
                 recordStartAccounting(task);
+                countTicketUse(task);
                 starts.push_back(makeStartOrder(task, now));
                 task.assignedWorker->leaseEndMs =
                     std::max(task.assignedWorker->leaseEndMs, starts.back().leaseEndMs);
@@ -138,13 +139,20 @@
 {
     if (job.definition.occurrences == 0 || m_effects.contains(job.definition.id))
         return;
-    std::erase_if(job.occurrences, [](const auto &entry) {
-        const auto &occurrence = entry.second;
+    const auto finished = [](const occurrence_run &occurrence) {
         return occurrence.stepsDone == occurrence.steps.size()
                && std::ranges::none_of(occurrence.steps, [](const step_run &step) {
                       return std::ranges::any_of(step.tasks, &task_run::assignedWorker);
                   });
-    });
+    };
+    for (auto it = job.occurrences.begin(); it != job.occurrences.end();) {
+        if (!finished(it->second)) {
+            ++it;
+            continue;
+        }
+        countUnusedTickets(it->second);
+        it = job.occurrences.erase(it);
+    }
 }
 
 scheduler_load job_scheduler::load(time_point now) const
--- a/src/jobs/job_explanation.cpp
+++ b/src/jobs/job_explanation.cpp
@@ -187,6 +187,7 @@
            + std::to_string(withCapacity) + " allowed=" + std::to_string(advice.allowed.size())
            + " tickets=" + std::to_string(valid) + " not_allowed="
            + std::to_string(advice.rejected.size()) + (advice.callPending ? " advice_pending" : "")
+           + (advice.awaitsInstance && !advice.callPending ? " advice_awaits_instance" : "")
            + (advice.retryAt > now ? " advice_retry_in_ms=" + inMilliseconds(advice.retryAt - now)
                                    : std::string())
            + (step.definition->gang && step.waiting > 0
--- a/src/jobs/job_progress.h
+++ b/src/jobs/job_progress.h
@@ -95,6 +95,11 @@
 {
     std::string text;
     time_point expires {};
+    // Whether a start order has carried it, or it has been counted as unused.
+    bool used = false;
+    bool countedUnused = false;
+
+    bool awaitsUse() const { return !used && !countedUnused; }
 };
 
 // A result has no value to the caller after this many times the span of the objective.
@@ -109,6 +114,10 @@
     bool callPending = false;
     // After a failed call: the earliest time of the next one.
     time_point retryAt {};
+    // For metrics: as of the last placement pass, all instances for a call were busy, and when the
+    // first ticket expires that has not been counted.
+    bool awaitsInstance = false;
+    time_point nextExpiry = time_point::max();
 };
 
 // What became of the last plan of a waiting gang.
--- a/src/jobs/job_runs.cpp
+++ b/src/jobs/job_runs.cpp
@@ -470,7 +470,7 @@
         return;
     }
     case start_result::NoTicket:
-        step.advice.allowed.erase(order.worker.id);
+        dropTicket(step, order.worker.id);
         [[fallthrough]];
     case start_result::Refused:
     case start_result::OtherIncarnation:
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -50,6 +50,7 @@
 {
     m_term = term;
     m_previousLeaderLeaseEnd = now + m_options.previousLeaderLease;
+    m_waitsObservedAt = now;
 }
 
 void job_scheduler::configure(cell_configuration configuration)
@@ -283,6 +284,8 @@
     if (!job || job->definitionSent || job->stored)
         return false;
     dropUnstoredState(*job);
+    for (auto &[number, occurrence] : job->occurrences)
+        countUnusedTickets(occurrence);
     m_jobs.erase(id);
     return true;
 }
@@ -396,8 +399,13 @@
 // A finished job is kept until none of its tasks can still be running.
 void job_scheduler::removeClosedJobs()
 {
-    std::erase_if(m_jobs, [](const auto &entry) {
-        return entry.second->closed && entry.second->occupying == 0 && !entry.second->dirty;
+    std::erase_if(m_jobs, [this](const auto &entry) {
+        auto &job = *entry.second;
+        if (!job.closed || job.occupying > 0 || job.dirty)
+            return false;
+        for (auto &[number, occurrence] : job.occurrences)
+            countUnusedTickets(occurrence);
+        return true;
     });
 }
 
@@ -431,12 +439,18 @@
         observed.smoothed += (share - observed.smoothed) * allowedShareSmoothing;
         observed.asked += asked;
     }
+    auto &figures = figuresOf(*task->step);
     for (const auto &id : request.workers) {
         const auto ticket = tickets.find(id);
-        if (ticket != tickets.end())
-            advice.allowed[id] = {ticket->second, expires};
-        else if (std::ranges::find(advice.rejected, id) == advice.rejected.end())
+        if (ticket != tickets.end()) {
+            auto &held = advice.allowed[id];
+            figures.ticketsUnused += held.expires != time_point {} && held.awaitsUse() ? 1 : 0;
+            ++figures.ticketsGranted;
+            held = {ticket->second, expires};
+            advice.nextExpiry = std::min(advice.nextExpiry, expires);
+        } else if (std::ranges::find(advice.rejected, id) == advice.rejected.end()) {
             advice.rejected.push_back(id);
+        }
     }
 }
 
@@ -502,6 +516,8 @@
     expireLeases(now);
     countLostByQueue();
     dispatcher(*this, now, orders).run();
+    for (const auto &request : orders.advice)
+        countAdviceCall(request);
     retryStops(now, orders);
     std::ranges::move(m_stopsOfReported, std::back_inserter(orders.stops));
     m_stopsOfReported.clear();
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -5,6 +5,7 @@
 #include "jobs/duration_estimator.h"
 #include "jobs/fleet.h"
 #include "jobs/job_record.h"
+#include "jobs/kind_figures.h"
 
 #include <array>
 #include <cstdint>
@@ -317,6 +318,8 @@
     // for jobs that wait beyond their objective, beyond three objectives, and then every few
     // seconds; at most maxLines, first the jobs whose last line is longest ago.
     job_explanations observeWaits(std::size_t maxLines, time_point now);
+    // Counts since the start of the term, and gauges as of the last call of observeWaits().
+    const figures_by_queue &figures() const { return m_figures; }
     const job_run *job(const std::string &id) const;
 
 private:
@@ -414,6 +417,14 @@
     // Notes why a run of the step has ended, or was not started, while the task still has its
     // worker. Of a gang the first end of a run counts.
     void recordRunEnd(const task_run &task, run_end_cause cause, time_point now);
+    kind_figures &figuresOf(const step_run &step);
+    void observeStep(step_run &step, time_point now);
+    void countAdviceCall(const advice_request &request);
+    void countTicketUse(const task_run &task);
+    void dropTicket(step_run &step, const std::string &worker);
+    // Counts the tickets of a step that expire by then and have not been used.
+    void countUnusedTickets(step_run &step, time_point expiresBy);
+    void countUnusedTickets(occurrence_run &occurrence);
 
     scheduler_options m_options;
     std::uint64_t m_term = 0;
@@ -445,6 +456,8 @@
     // last placement pass.
     std::map<std::string, std::size_t, std::less<>> m_lostByQueue;
     std::vector<scheduler_event> m_events;
+    time_point m_waitsObservedAt {};
+    figures_by_queue m_figures;
     std::uint64_t m_workerCrashes = 0;
     std::uint64_t m_tasksGivenUp = 0;
     accounting_counts m_accounting;
--- a/src/jobs/job_waits.cpp
+++ b/src/jobs/job_waits.cpp
@@ -58,13 +58,12 @@
            < std::tie(right->wait.loggedAt, right->onTimeUntil);
 }
 
-// Observes all steps of a job; returns the one that a line is due for, null for none.
-step_run *observeJob(job_run &job, time_point now)
+// The step of a job that a line is due for, null for none.
+step_run *findStepWithLine(job_run &job, time_point now)
 {
     step_run *due = nullptr;
     for (auto &[number, occurrence] : job.occurrences) {
         for (auto &step : occurrence.steps) {
-            observeWait(step, now);
             if (lineDue(step, now) && (!due || goesBefore(&step, due)))
                 due = &step;
         }
@@ -86,6 +85,8 @@
                          && wait.endedAttempt == task.attempt;
     if (sameRun && wait.lastEnd != run_end_cause::MemberEnded)
         return;
+    if (task.step->definition->gang && cause != run_end_cause::MemberEnded)
+        ++figuresOf(*task.step).gangsBroken[static_cast<std::size_t>(cause)];
     wait.lastEnd = cause;
     wait.endedAt = now;
     wait.endedAttempt = task.attempt;
@@ -93,15 +94,101 @@
     wait.endedOn = task.assignedWorker ? task.assignedWorker->entry.id : std::string();
 }
 
+kind_figures &job_scheduler::figuresOf(const step_run &step)
+{
+    auto &queue = m_figures[step.occurrence->job->definition.queue];
+    return step.definition->gang ? queue.gangs : queue.tasks;
+}
+
+void job_scheduler::countAdviceCall(const advice_request &request)
+{
+    const auto name = task_name::parse(request.step + ".0");
+    const auto *task = name ? find(*name) : nullptr;
+    if (!task)
+        return;
+    auto &figures = figuresOf(*task->step);
+    ++figures.adviceCalls;
+    figures.workersNamed += request.workers.size();
+}
+
+void job_scheduler::countTicketUse(const task_run &task)
+{
+    auto &allowed = task.step->advice.allowed;
+    const auto held = allowed.find(task.assignedWorker->entry.id);
+    if (held == allowed.end() || held->second.text != task.ticket || !held->second.awaitsUse())
+        return;
+    held->second.used = true;
+    ++figuresOf(*task.step).ticketsUsed;
+}
+
+void job_scheduler::dropTicket(step_run &step, const std::string &worker)
+{
+    auto &allowed = step.advice.allowed;
+    const auto held = allowed.find(worker);
+    if (held == allowed.end())
+        return;
+    figuresOf(step).ticketsUnused += held->second.awaitsUse() ? 1 : 0;
+    allowed.erase(held);
+}
+
+void job_scheduler::countUnusedTickets(step_run &step, time_point expiresBy)
+{
+    auto &advice = step.advice;
+    advice.nextExpiry = time_point::max();
+    for (auto &[worker, held] : advice.allowed) {
+        if (!held.awaitsUse())
+            continue;
+        if (held.expires > expiresBy) {
+            advice.nextExpiry = std::min(advice.nextExpiry, held.expires);
+            continue;
+        }
+        held.countedUnused = true;
+        ++figuresOf(step).ticketsUnused;
+    }
+}
+
+// Counts all that are left, before the occurrence is dropped.
+void job_scheduler::countUnusedTickets(occurrence_run &occurrence)
+{
+    for (auto &step : occurrence.steps)
+        countUnusedTickets(step, time_point::max());
+}
+
+void job_scheduler::observeStep(step_run &step, time_point now)
+{
+    observeWait(step, now);
+    if (step.advice.nextExpiry <= now)
+        countUnusedTickets(step, now);
+    if (!step.ready || step.waiting == 0)
+        return;
+    auto &figures = figuresOf(step);
+    figures.awaitingInstance += step.advice.awaitsInstance && !step.advice.callPending ? 1 : 0;
+    if (!step.waits())
+        return;
+    ++figures.waiting;
+    const bool late = !step.definition->longRunning && now + step.remainingChain > step.onTimeUntil;
+    figures.late += late ? 1 : 0;
+    figures.waited += now - std::max(*step.wait.since, m_waitsObservedAt);
+}
+
 job_explanations job_scheduler::observeWaits(std::size_t maxLines, time_point now)
 {
+    for (auto &[queue, figures] : m_figures) {
+        for (auto *kind : {&figures.tasks, &figures.gangs})
+            kind->waiting = kind->late = kind->awaitingInstance = 0;
+    }
     std::vector<step_run *> due;
     for (auto &[id, job] : m_jobs) {
         if (job->state > job_state::Running)
             continue;
-        if (auto *step = observeJob(*job, now))
+        for (auto &[number, occurrence] : job->occurrences) {
+            for (auto &step : occurrence.steps)
+                observeStep(step, now);
+        }
+        if (auto *step = findStepWithLine(*job, now))
             due.push_back(step);
     }
+    m_waitsObservedAt = now;
     const auto count = std::min(maxLines, due.size());
     std::partial_sort(due.begin(), due.begin() + static_cast<std::ptrdiff_t>(count), due.end(),
                       goesBefore);
