Explain unfinished jobs when a leader resigns

The log ended without a word about the jobs that were accepted and not done. A leader that resigns, as it does when it yields or its instance stops, logs one line for each (job.unfinished): why, since when, its claims and the room of the partition; waiting jobs first, at most 100, and the number of those left out (leader.unfinished_jobs).

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -114,6 +114,13 @@
                   > std::max<duration>(storeUnavailableThreshold, m_lastWriteTime * 3);
 }
 
+void leader::resign()
+{
+    if (!m_resigning && ready())
+        logUnfinished();
+    m_resigning = true;
+}
+
 awaitable<void> leader::run()
 {
     const auto self = shared_from_this();
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -56,7 +56,7 @@
     // Loads the state and serves until another instance leads or resign() has completed.
     awaitable<void> run();
     // Stops accepting new jobs; run() returns once pending changes and the resignation are stored.
-    void resign() { m_resigning = true; }
+    void resign();
 
     // The leader resigned in favour of a follower.
     bool yielded() const { return m_yielded; }
@@ -83,6 +83,8 @@
     awaitable<void> planPeriodically();
     awaitable<void> logLoad();
     void logWaits(const jobs::job_explanations &waits, time_point now);
+    // Logs a line for each accepted job that is not done, up to a bound.
+    void logUnfinished() const;
     // Logs the figures of each kind of step that have changed.
     void logFigures();
     void addFigures(std::string &metrics) const;
--- a/src/cell/leader_log.cpp
+++ b/src/cell/leader_log.cpp
@@ -1,4 +1,5 @@
 #include "cell/leader.h"
+#include "support/boot_time.h"
 #include "support/log.h"
 
 #include <array>
@@ -13,6 +14,8 @@
 
 // Jobs past their objective that are explained with each load log, one line each.
 constexpr std::size_t overdueJobsLogged = 4;
+// Jobs that are not done and are explained when the leader resigns, one line each.
+constexpr std::size_t unfinishedJobsLogged = 100;
 
 struct figure
 {
@@ -114,4 +117,27 @@
     }
 }
 
+void leader::logUnfinished() const
+{
+    const auto now = support::bootNow();
+    const auto load = m_scheduler.load(now);
+    const auto unfinished = m_scheduler.explainUnfinished(unfinishedJobsLogged, now);
+    const auto addRoom = [&load, this](log_event &line) {
+        line.field("partition", m_options.partition.index)
+            .field("cores_used", load.used.milliCores / 1000)
+            .field("cores_reserved", load.reservedMilliCores / 1000)
+            .field("cores", load.capacity.milliCores / 1000);
+    };
+    for (const auto &[job, why] : unfinished.jobs) {
+        log_event line(log_level::Info, "job.unfinished");
+        addRoom(line);
+        line.field("job", job).field("why", why);
+    }
+    log_event line(log_level::Info, "leader.unfinished_jobs");
+    addRoom(line);
+    line.field("term", m_row.term)
+        .field("explained", static_cast<std::uint64_t>(unfinished.jobs.size()))
+        .field("left_out", static_cast<std::uint64_t>(unfinished.leftOut));
+}
+
 } // namespace plantaingap::cell
--- a/src/jobs/job_explanation.cpp
+++ b/src/jobs/job_explanation.cpp
@@ -133,19 +133,6 @@
     return {};
 }
 
-// The step that explains why a job is not done.
-struct explaining_step
-{
-    bool atWork = false;
-    time_point onTimeUntil {};
-    const step_run *step = nullptr;
-
-    bool operator<(const explaining_step &other) const
-    {
-        return std::tie(atWork, onTimeUntil) < std::tie(other.atWork, other.onTimeUntil);
-    }
-};
-
 std::optional<explaining_step> findExplainingStep(const job_run &job)
 {
     std::optional<explaining_step> best;
@@ -165,6 +152,11 @@
 
 } // namespace
 
+bool explaining_step::operator<(const explaining_step &other) const
+{
+    return std::tie(atWork, onTimeUntil) < std::tie(other.atWork, other.onTimeUntil);
+}
+
 std::string job_scheduler::explainStep(const step_run &step, time_point now) const
 {
     const auto &jobRun = *step.occurrence->job;
@@ -222,12 +214,34 @@
         if (found && found->onTimeUntil < now)
             overdue.push_back(*found);
     }
-    const auto count = std::min(maxJobs, overdue.size());
-    std::partial_sort(overdue.begin(), overdue.begin() + static_cast<std::ptrdiff_t>(count),
-                      overdue.end());
+    return explainFirst(std::move(overdue), maxJobs, now);
+}
+
+job_explanations job_scheduler::explainUnfinished(std::size_t maxJobs, time_point now) const
+{
+    std::vector<explaining_step> unfinished;
+    job_explanations explained;
+    for (const auto &[id, job] : m_jobs) {
+        if (job->state > job_state::Running || !job->stored)
+            continue;
+        ++explained.leftOut;
+        if (const auto found = findExplainingStep(*job))
+            unfinished.push_back(*found);
+    }
+    explained.jobs = explainFirst(std::move(unfinished), maxJobs, now);
+    explained.leftOut -= explained.jobs.size();
+    return explained;
+}
+
+std::vector<job_explanation> job_scheduler::explainFirst(std::vector<explaining_step> steps,
+                                                         std::size_t maxJobs, time_point now) const
+{
+    const auto count = std::min(maxJobs, steps.size());
+    std::partial_sort(steps.begin(), steps.begin() + static_cast<std::ptrdiff_t>(count),
+                      steps.end());
     std::vector<job_explanation> lines;
     for (std::size_t i = 0; i < count; ++i) {
-        const auto &step = *overdue[i].step;
+        const auto &step = *steps[i].step;
         lines.push_back({step.occurrence->job->definition.id, explainStep(step, now)});
     }
     return lines;
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -200,6 +200,17 @@
 // How a lease renewal got no report.
 enum class renewal_failure : std::uint8_t { ConnectionBroken, NoReply };
 
+// The step that explains why a job is not done: one that waits goes before one at work, the longest
+// past its objective before others.
+struct explaining_step
+{
+    bool atWork = false;
+    time_point onTimeUntil {};
+    const step_run *step = nullptr;
+
+    bool operator<(const explaining_step &other) const;
+};
+
 // Why a job is not done.
 struct job_explanation
 {
@@ -207,7 +218,7 @@
     std::string why;
 };
 
-// Explanations of jobs whose wait has passed a bound, and the number of those left out.
+// Explanations of some jobs, and the number of jobs that are left out.
 struct job_explanations
 {
     std::vector<job_explanation> jobs;
@@ -314,6 +325,9 @@
     // Explains jobs past their objective, at most maxJobs, each by one step: first the jobs with a
     // step that waits and has nothing running, of those the longest past its objective first.
     std::vector<job_explanation> explainOverdue(std::size_t maxJobs, time_point now) const;
+    // Explains accepted jobs that are not done, in the same order, at most maxJobs. Left out are
+    // also long-running jobs at work.
+    job_explanations explainUnfinished(std::size_t maxJobs, time_point now) const;
     // Notes since when steps wait with nothing running; called about once a second. Returns lines
     // for jobs that wait beyond their objective, beyond three objectives, and then every few
     // seconds; at most maxLines, first the jobs whose last line is longest ago.
@@ -414,6 +428,9 @@
     start_order makeStartOrder(const task_run &task, time_point now) const;
     const queue_definition &queueOf(const job_run &job) const;
     std::string explainStep(const step_run &step, time_point now) const;
+    // Explains the first of them, after sorting as many as are explained.
+    std::vector<job_explanation> explainFirst(std::vector<explaining_step> steps,
+                                              std::size_t maxJobs, time_point now) const;
     // Notes why a run of the step has ended, or was not started, while the task still has its
     // worker. Of a gang the first end of a run counts.
     void recordRunEnd(const task_run &task, run_end_cause cause, time_point now);
