Answer why jobs are not done at any instance

Operators had to find the leader of a job's partition and its log. GET /jobs at ready_listen now asks the leaders of all partitions, /jobs/JOB that of the job.

Measured: cell.cell_instance_test, 4 questions at 2 instances with 3 partitions, and a caller that sends the method itself gets 405.

--- a/src/cell/cell_instance.cpp
+++ b/src/cell/cell_instance.cpp
@@ -50,24 +50,14 @@
 // one could wait for ever while the rest of the cell has room.
 constexpr double maxGangShareOfPartition = 0.8;
 
-constexpr std::size_t jobIdLength = 16;
 constexpr unsigned statusUnavailable = 503;
 constexpr std::uint32_t joiningRetrySeconds = 1;
+// Questions of operators, at the listener of metrics.
+constexpr std::string_view jobsPath = "/jobs";
+constexpr milliseconds explainTimeout {1500};
 
 const row_key layoutKey {"cell", "layout", {}};
 
-// The job that a request's path ends with, empty if it ends with none.
-std::string_view jobIdOf(std::string_view target)
-{
-    const auto path = support::targetPath(target);
-    if (path.size() <= jobIdLength)
-        return {};
-    const auto id = path.substr(path.size() - jobIdLength);
-    const bool hexadecimal =
-        id.find_first_not_of("0123456789abcdefABCDEF") == std::string_view::npos;
-    return hexadecimal ? id : std::string_view();
-}
-
 time_point callerDeadline(const support::http_request &request)
 {
     const auto text = request[std::string(cell_instance::deadlineHeader)];
@@ -332,6 +322,8 @@
     caller_request forwarded;
     forwarded.deadline = callerDeadline(request);
     forwarded.method = std::string(request.method_string());
+    if (forwarded.method == leader::explainMethod)
+        co_return support::makeResponse(http::status::method_not_allowed, "text/plain", {});
     forwarded.host = std::string(request[http::field::host]);
     forwarded.target = std::string(request.target());
     forwarded.body = std::move(request.body());
@@ -365,9 +357,36 @@
     return text;
 }
 
+awaitable<support::http_response> cell_instance::explainJobs(std::string path)
+{
+    const auto count = static_cast<std::uint32_t>(m_partitions.size());
+    const auto id = jobIdOf(path);
+    if (path != jobsPath && id.empty())
+        co_return support::makeResponse(http::status::not_found, "text/plain", "not found\n");
+    std::string body;
+    bool complete = count > 0;
+    for (std::uint32_t index = 0; index < count; ++index) {
+        if (!id.empty() && index != partitionOfJob(id, count))
+            continue;
+        caller_request question;
+        question.method = std::string(leader::explainMethod);
+        question.target = path;
+        question.deadline = clock::now() + explainTimeout;
+        const auto response = co_await routeToPartition(index, std::move(question));
+        const bool answered = response.status == static_cast<unsigned>(http::status::ok);
+        complete = complete && answered;
+        body += answered ? response.body
+                         : "partition=" + std::to_string(index) + " leader= no answer\n";
+    }
+    co_return support::makeResponse(complete ? http::status::ok : http::status::service_unavailable,
+                                    "text/plain", body);
+}
+
 awaitable<support::http_response> cell_instance::serveReady(support::http_request request)
 {
     const auto path = support::targetPath(request.target());
+    if (path.starts_with(jobsPath))
+        co_return co_await explainJobs(std::string(path));
     if (path == "/metrics")
         co_return support::makeResponse(http::status::ok, "text/plain", metrics());
     if (path != "/ready")
--- a/src/cell/cell_instance.h
+++ b/src/cell/cell_instance.h
@@ -71,6 +71,9 @@
     awaitable<caller_response> routeRequest(caller_request request);
     awaitable<caller_response> routeToPartition(std::uint32_t index, caller_request request);
     awaitable<caller_response> routeToAll(caller_request request);
+    // Asks the leader of each partition, or of that of the job that the path ends with, why jobs
+    // are not done.
+    awaitable<support::http_response> explainJobs(std::string path);
     awaitable<support::http_response> serveReady(support::http_request request);
     awaitable<void> sleepFor(std::chrono::milliseconds period);
     partition_member *partition(std::uint32_t index);
--- a/src/cell/cell_layout.cpp
+++ b/src/cell/cell_layout.cpp
@@ -1,6 +1,7 @@
 #include "cell/cell_layout.h"
 
 #include "jobs/fleet.h"
+#include "support/http_message.h"
 
 #include <algorithm>
 #include <boost/crc.hpp>
@@ -18,6 +19,7 @@
 constexpr std::int64_t workersPerCore = 800;
 constexpr std::int64_t workersPerMbps = 50;
 constexpr std::int64_t maxPartitions = 64;
+constexpr std::size_t jobIdLength = 16;
 
 // CRC-32 is the same in every version of the program; stored layouts depend on it.
 std::uint32_t checksum(std::string_view text)
@@ -62,6 +64,17 @@
     return count == 1 ? std::string() : "p" + std::to_string(index);
 }
 
+std::string_view jobIdOf(std::string_view target)
+{
+    const auto path = support::targetPath(target);
+    if (path.size() <= jobIdLength)
+        return {};
+    const auto id = path.substr(path.size() - jobIdLength);
+    const bool hexadecimal =
+        id.find_first_not_of("0123456789abcdefABCDEF") == std::string_view::npos;
+    return hexadecimal ? id : std::string_view();
+}
+
 std::uint32_t partitionOfJob(std::string_view jobId, std::uint32_t partitions)
 {
     return checksum(jobId) % partitions;
--- a/src/cell/cell_layout.h
+++ b/src/cell/cell_layout.h
@@ -48,6 +48,8 @@
     std::string storePart() const;
 };
 
+// The job that the path of a request ends with, empty if it ends with none.
+std::string_view jobIdOf(std::string_view target);
 // The partition of a job. Jobs are found by their identifier alone, at any instance.
 std::uint32_t partitionOfJob(std::string_view jobId, std::uint32_t partitions);
 // The partition of a worker. Workers of one rack are in one partition.
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -63,6 +63,9 @@
     // The state is loaded and requests can be served.
     bool ready() const { return m_ready && !m_ended; }
     awaitable<caller_response> handleRequest(caller_request request);
+    // Method of requests by which an instance asks why jobs are not done: the one that the target
+    // ends with, otherwise all. Not accepted from callers.
+    static constexpr std::string_view explainMethod = "EXPLAIN";
     heartbeat_reply handleHeartbeat(const heartbeat_request &request);
     std::string metrics() const;
     // The leader's row as this leader last wrote it.
@@ -85,6 +88,9 @@
     void logWaits(const jobs::job_explanations &waits, time_point now);
     // Logs a line for each accepted job that is not done, up to a bound.
     void logUnfinished() const;
+    // Answers a request with explainMethod.
+    caller_response explainJobs(std::string_view target) const;
+    std::string explainJob(const std::string &id, time_point now) const;
     // Logs the figures of each kind of step that have changed.
     void logFigures();
     void addFigures(std::string &metrics) const;
--- a/src/cell/leader_log.cpp
+++ b/src/cell/leader_log.cpp
@@ -14,7 +14,8 @@
 
 // Jobs past their objective that are explained with each load log, one line each.
 constexpr std::size_t overdueJobsLogged = 4;
-// Jobs that are not done and are explained when the leader resigns, one line each.
+constexpr unsigned statusOk = 200;
+// Jobs that are not done and are explained when the leader resigns or is asked, one line each.
 constexpr std::size_t unfinishedJobsLogged = 100;
 
 struct figure
@@ -42,6 +43,12 @@
     return std::to_string(std::chrono::duration<double>(span).count());
 }
 
+void addExplanation(const jobs::job_explanation &explanation, std::string &text)
+{
+    text.append("job=").append(explanation.job).append(" why=\"").append(explanation.why);
+    text.append("\"\n");
+}
+
 template<class Function>
 void forEachKind(const jobs::figures_by_queue &queues, Function function)
 {
@@ -117,6 +124,43 @@
     }
 }
 
+std::string leader::explainJob(const std::string &id, time_point now) const
+{
+    const auto state = m_scheduler.state(id);
+    const std::string_view unstored = m_scheduler.awaitingStore(id) ? "not_stored" : "unknown";
+    auto text = " job=" + id + " state=" + std::string(state ? jobs::stateName(*state) : unstored);
+    text += "\n";
+    if (state && *state > jobs::job_state::Running)
+        return text;
+    for (const auto &why : m_scheduler.explain(id, now))
+        addExplanation({id, why}, text);
+    return text;
+}
+
+caller_response leader::explainJobs(std::string_view target) const
+{
+    const auto now = support::bootNow();
+    const auto load = m_scheduler.load(now);
+    caller_response response;
+    response.leads = true;
+    response.status = statusOk;
+    response.body = "partition=" + std::to_string(m_options.partition.index)
+                    + " leader=" + m_options.instance + " term=" + std::to_string(m_row.term)
+                    + " cores_used=" + std::to_string(load.used.milliCores / 1000)
+                    + " cores_reserved=" + std::to_string(load.reservedMilliCores / 1000)
+                    + " cores=" + std::to_string(load.capacity.milliCores / 1000);
+    if (const auto id = jobIdOf(target); !id.empty()) {
+        response.body += explainJob(std::string(id), now);
+        return response;
+    }
+    const auto unfinished = m_scheduler.explainUnfinished(unfinishedJobsLogged, now);
+    response.body += " explained=" + std::to_string(unfinished.jobs.size())
+                     + " left_out=" + std::to_string(unfinished.leftOut) + "\n";
+    for (const auto &explanation : unfinished.jobs)
+        addExplanation(explanation, response.body);
+    return response;
+}
+
 void leader::logUnfinished() const
 {
     const auto now = support::bootNow();
--- a/src/cell/leader_requests.cpp
+++ b/src/cell/leader_requests.cpp
@@ -73,6 +73,8 @@
 awaitable<caller_response> leader::handleRequest(caller_request request)
 {
     const auto self = shared_from_this();
+    if (request.method == explainMethod)
+        co_return ready() ? explainJobs(request.target) : caller_response {};
     auto response = co_await handleInConfiguration(std::move(request));
     response.configurationVersion = m_scheduler.configuration().version;
     co_return response;
--- a/tests/cell/cell_instance_test.cpp
+++ b/tests/cell/cell_instance_test.cpp
@@ -56,6 +56,7 @@
         options.takeoverDelay = takeoverDelay;
         options.stopAcceptDelay = milliseconds(1);
         callers.push_back(options.callerListen);
+        operators.push_back(options.readyListen);
         instances.push_back(
             std::make_unique<cell_instance>(context, options, store, workers, advisor, codec,
                                             platform_tables {{"op", "config", {}}, "servers"}));
@@ -88,13 +89,17 @@
 
     // Sends a caller's request to one of the instances.
     reply request(std::size_t instance, http::verb method, const std::string &target)
+    {
+        return send(callers[instance], support::makeRequest(method, target, "{}"));
+    }
+
+    reply send(asio::ip::tcp::endpoint to, support::http_request message)
     {
         std::optional<reply> received;
         asio::co_spawn(
             context,
             [&]() -> awaitable<void> {
-                support::http_client client(context, callers[instance], 1);
-                auto message = support::makeRequest(method, target, "{}");
+                support::http_client client(context, to, 1);
                 const auto outcome =
                     co_await client.fetch(std::move(message), clock::now() + patience);
                 received = outcome ? reply {outcome->result_int(), outcome->body()} : reply {};
@@ -110,6 +115,8 @@
     tests::unresponsive_advisor advisor;
     tests::fixed_codec codec;
     std::vector<asio::ip::tcp::endpoint> callers;
+    // Listeners for metrics and questions of operators.
+    std::vector<asio::ip::tcp::endpoint> operators;
     std::vector<std::unique_ptr<cell_instance>> instances;
 };
 
@@ -185,6 +192,56 @@
     }
 }
 
+TEST_CASE("Any instance tells an operator why jobs of all partitions are not done")
+{
+    constexpr std::uint32_t partitions = 3;
+    cell_fixture fixture({{layoutKey, R"({"partitions":3})"}}, 0);
+    fixture.start("one");
+    fixture.start("two");
+    REQUIRE(fixture.runUntil([&] { return fixture.allLed(partitions); }));
+    const std::vector<std::string> jobs {"00000000000000f1", "00000000000000f2", "00000000000000f3",
+                                         "00000000000000f4", "00000000000000f5"};
+    for (const auto &job : jobs)
+        REQUIRE(fixture.request(0, http::verb::post, "/q/" + job).status == 200);
+    struct question_row
+    {
+        const char *name;
+        std::string path;
+        unsigned status;
+        std::vector<std::string> parts;
+    };
+    std::vector<std::string> allJobs {
+        "partition=0 leader=", "partition=1 leader=", "partition=2 leader="};
+    for (const auto &job : jobs)
+        allJobs.push_back("job=" + job + " why=\"" + job + ".0.0.0 waiting=1 ");
+    const question_row rows[] = {
+        {"all jobs", "/jobs", 200, allJobs},
+        {"one job",
+         "/jobs/" + jobs[2],
+         200,
+         {" job=" + jobs[2] + " state=queued\n", "why=\"" + jobs[2] + ".0.0.0 waiting=1 "}},
+        {"a job that is not known",
+         "/jobs/00000000000000ff",
+         200,
+         {" job=00000000000000ff state=unknown\n"}},
+        {"no job", "/jobs/any", 404, {}},
+    };
+    for (std::size_t instance = 0; instance < 2; ++instance) {
+        for (const auto &row : rows) {
+            CAPTURE(std::string(row.name));
+            const auto answer = fixture.send(fixture.operators[instance],
+                                             support::makeRequest(http::verb::get, row.path, {}));
+            CHECK(answer.status == row.status);
+            INFO(answer.body);
+            for (const auto &part : row.parts)
+                CHECK(answer.body.find(part) != std::string::npos);
+        }
+        auto forged = support::makeRequest(http::verb::get, "/jobs", {});
+        forged.method_string(leader::explainMethod);
+        CHECK(fixture.send(fixture.callers[instance], std::move(forged)).status == 405);
+    }
+}
+
 TEST_CASE("Jobs stay in their partitions when an instance stops")
 {
     constexpr std::uint32_t partitions = 2;
