--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -56,13 +56,16 @@
     // Loads the state and serves until another instance leads or resign() has completed.
     awaitable<void> run();
     // Stops accepting new jobs; run() returns once pending changes and the resignation are stored.
-    void resign() { m_resigning = true; }
+    void resign();
 
     // The leader resigned in favour of a follower.
     bool yielded() const { return m_yielded; }
     // The state is loaded and requests can be served.
     bool ready() const { return m_ready && !m_ended; }
     awaitable<caller_response> handleRequest(caller_request request);
+    // Method of requests by which an instance asks why jobs are not done: the one that the target
+    // ends with, otherwise all. Not accepted from callers.
+    static constexpr std::string_view explainMethod = "EXPLAIN";
     heartbeat_reply handleHeartbeat(const heartbeat_request &request);
     std::string metrics() const;
     // The leader's row as this leader last wrote it.
@@ -82,6 +85,15 @@
     awaitable<void> renewLeaseLoop(std::string id);
     awaitable<void> planPeriodically();
     awaitable<void> logLoad();
+    void logWaits(const jobs::job_explanations &waits, time_point now);
+    // Logs a line for each accepted job that is not done, up to a bound.
+    void logUnfinished() const;
+    // Answers a request with explainMethod.
+    caller_response explainJobs(std::string_view target) const;
+    std::string explainJob(const std::string &id, time_point now) const;
+    // Logs the figures of each kind of step that have changed.
+    void logFigures();
+    void addFigures(std::string &metrics) const;
     awaitable<void> loadEndedJobs();
 
     // Writes to the store; a write without a reply is hedged by further attempts.
@@ -176,6 +188,8 @@
     std::multimap<std::string, std::shared_ptr<boost::asio::steady_timer>> m_storeWaiters;
     follower_table m_followers;
     std::map<std::string, std::uint64_t> m_counters;
+    // As last logged.
+    jobs::figures_by_queue m_loggedFigures;
 };
 
 } // namespace plantaingap::cell
--- a/src/jobs/job_explanation.cpp
+++ b/src/jobs/job_explanation.cpp
@@ -3,7 +3,9 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 #include <set>
+#include <tuple>
 
 // Explains to operators and in logs why a job is not done.
 namespace plantaingap::jobs {
@@ -102,6 +104,25 @@
     return out;
 }
 
+// Since when the step waits, how far it is past its objective, and what ended its last run.
+std::string explainWait(const step_run &step, time_point now)
+{
+    std::string out;
+    const auto &wait = step.wait;
+    if (step.waits() && wait.since)
+        out += " waiting_ms=" + inMilliseconds(now - *wait.since);
+    out += " overdue_ms=" + inMilliseconds(now - step.onTimeUntil);
+    const bool startedBefore =
+        std::ranges::any_of(step.tasks, [](const task_run &task) { return task.attempt > 0; });
+    if (wait.lastEnd == run_end_cause::NeverStarted)
+        return out + (startedBefore ? "" : " last_end=never_started");
+    const auto &job = step.occurrence->job->definition.id;
+    return out + " last_end=" + std::string(runEndName(wait.lastEnd)) + " last_end_task="
+           + task_name {job, step.occurrence->number, step.number, wait.endedIndex}.text()
+           + " last_end_attempt=" + std::to_string(wait.endedAttempt) + " last_end_worker="
+           + wait.endedOn + " last_end_ms_ago=" + inMilliseconds(now - wait.endedAt);
+}
+
 // Names the worker of the first task that is assigned to an unresponsive worker.
 std::string unresponsiveWorker(const step_run &step)
 {
@@ -112,60 +133,118 @@
     return {};
 }
 
+std::optional<explaining_step> findExplainingStep(const job_run &job)
+{
+    std::optional<explaining_step> best;
+    for (const auto &[number, occurrence] : job.occurrences) {
+        for (const auto &step : occurrence.steps) {
+            // A long-running step is never done, and lacks nothing while all its tasks are at work.
+            const bool complete = step.definition->longRunning && step.waiting == 0;
+            if (!step.ready || step.finished() || complete)
+                continue;
+            const explaining_step found {!step.waits(), step.onTimeUntil, &step};
+            if (!best || found < *best)
+                best = found;
+        }
+    }
+    return best;
+}
+
 } // namespace
 
+bool explaining_step::operator<(const explaining_step &other) const
+{
+    return std::tie(atWork, onTimeUntil) < std::tie(other.atWork, other.onTimeUntil);
+}
+
+std::string job_scheduler::explainStep(const step_run &step, time_point now) const
+{
+    const auto &jobRun = *step.occurrence->job;
+    const auto &queue = queueOf(jobRun);
+    std::size_t usable = 0;
+    std::size_t withCapacity = 0;
+    std::size_t claimed = 0;
+    for (const auto &[name, worker] : m_fleet.all()) {
+        claimed += worker->reservedFor == &step && worker->reservedUntil > now ? 1 : 0;
+        const bool matches = worker->usable(now) && worker->entry.service == queue.service
+                             && worker->hasLabel(step.definition->label);
+        usable += matches ? 1 : 0;
+        withCapacity += matches && step.definition->demand.fitsIn(worker->free()) ? 1 : 0;
+    }
+    const auto &advice = step.advice;
+    const auto valid = std::ranges::count_if(
+        advice.allowed, [now](const auto &entry) { return entry.second.expires > now; });
+    return task_name {jobRun.definition.id, step.occurrence->number, step.number, 0}.text()
+           + phaseCounts(step) + " usable_workers=" + std::to_string(usable) + " with_capacity="
+           + std::to_string(withCapacity) + " allowed=" + std::to_string(advice.allowed.size())
+           + " tickets=" + std::to_string(valid) + " not_allowed="
+           + std::to_string(advice.rejected.size()) + (advice.callPending ? " advice_pending" : "")
+           + (advice.awaitsInstance && !advice.callPending ? " advice_awaits_instance" : "")
+           + (advice.retryAt > now ? " advice_retry_in_ms=" + inMilliseconds(advice.retryAt - now)
+                                   : std::string())
+           + (step.definition->gang && step.waiting > 0
+                  ? explainGang(step, m_fleet, now) + " claimed_workers=" + std::to_string(claimed)
+                  : std::string())
+           + explainWait(step, now) + unresponsiveWorker(step);
+}
+
 std::vector<std::string> job_scheduler::explain(const std::string &id, time_point now) const
 {
     std::vector<std::string> lines;
     const auto *jobRun = job(id);
     if (!jobRun)
         return lines;
-    const auto &queue = queueOf(*jobRun);
     for (const auto &[number, occurrence] : jobRun->occurrences) {
         for (const auto &step : occurrence.steps) {
-            if (!step.ready || step.finished())
-                continue;
-            std::size_t usable = 0;
-            std::size_t withCapacity = 0;
-            for (const auto &[name, worker] : m_fleet.all()) {
-                const bool matches = worker->usable(now) && worker->entry.service == queue.service
-                                     && worker->hasLabel(step.definition->label);
-                usable += matches ? 1 : 0;
-                withCapacity += matches && step.definition->demand.fitsIn(worker->free()) ? 1 : 0;
-            }
-            const auto &advice = step.advice;
-            const auto valid = std::ranges::count_if(
-                advice.allowed, [now](const auto &entry) { return entry.second.expires > now; });
-            lines.push_back(
-                task_name {id, number, step.number, 0}.text() + phaseCounts(step)
-                + " usable_workers=" + std::to_string(usable) + " with_capacity="
-                + std::to_string(withCapacity) + " allowed=" + std::to_string(advice.allowed.size())
-                + " tickets=" + std::to_string(valid)
-                + " not_allowed=" + std::to_string(advice.rejected.size())
-                + (advice.callPending ? " advice_pending" : "")
-                + (step.definition->gang && step.waiting > 0 ? explainGang(step, m_fleet, now)
-                                                             : std::string())
-                + unresponsiveWorker(step));
+            if (step.ready && !step.finished())
+                lines.push_back(explainStep(step, now));
         }
     }
     return lines;
 }
 
-std::vector<std::string> job_scheduler::mostOverdue(std::size_t maxJobs, time_point now) const
+std::vector<job_explanation> job_scheduler::explainOverdue(std::size_t maxJobs,
+                                                           time_point now) const
 {
-    std::vector<std::pair<time_point, std::string>> late;
+    std::vector<explaining_step> overdue;
     for (const auto &[id, job] : m_jobs) {
-        if (job->state > job_state::Running || job->occurrences.empty())
+        if (job->state > job_state::Running)
             continue;
-        const auto &steps = job->occurrences.begin()->second.steps;
-        if (!steps.empty() && steps.front().onTimeUntil < now)
-            late.emplace_back(steps.front().onTimeUntil, id);
+        const auto found = findExplainingStep(*job);
+        if (found && found->onTimeUntil < now)
+            overdue.push_back(*found);
     }
-    std::ranges::sort(late);
-    std::vector<std::string> ids;
-    for (std::size_t i = 0; i < std::min(maxJobs, late.size()); ++i)
-        ids.push_back(late[i].second);
-    return ids;
+    return explainFirst(std::move(overdue), maxJobs, now);
+}
+
+job_explanations job_scheduler::explainUnfinished(std::size_t maxJobs, time_point now) const
+{
+    std::vector<explaining_step> unfinished;
+    job_explanations explained;
+    for (const auto &[id, job] : m_jobs) {
+        if (job->state > job_state::Running || !job->stored)
+            continue;
+        ++explained.leftOut;
+        if (const auto found = findExplainingStep(*job))
+            unfinished.push_back(*found);
+    }
+    explained.jobs = explainFirst(std::move(unfinished), maxJobs, now);
+    explained.leftOut -= explained.jobs.size();
+    return explained;
+}
+
+std::vector<job_explanation> job_scheduler::explainFirst(std::vector<explaining_step> steps,
+                                                         std::size_t maxJobs, time_point now) const
+{
+    const auto count = std::min(maxJobs, steps.size());
+    std::partial_sort(steps.begin(), steps.begin() + static_cast<std::ptrdiff_t>(count),
+                      steps.end());
+    std::vector<job_explanation> lines;
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto &step = *steps[i].step;
+        lines.push_back({step.occurrence->job->definition.id, explainStep(step, now)});
+    }
+    return lines;
 }
 
 } // namespace plantaingap::jobs
--- a/src/jobs/job_progress.h
+++ b/src/jobs/job_progress.h
@@ -3,6 +3,7 @@
 
 #include "jobs/crash_history.h"
 #include "jobs/job.h"
+#include "jobs/step_wait.h"
 
 #include <cstdint>
 #include <deque>
@@ -94,6 +95,11 @@
 {
     std::string text;
     time_point expires {};
+    // Whether a start order has carried it, or it has been counted as unused.
+    bool used = false;
+    bool countedUnused = false;
+
+    bool awaitsUse() const { return !used && !countedUnused; }
 };
 
 // A result has no value to the caller after this many times the span of the objective.
@@ -108,6 +114,10 @@
     bool callPending = false;
     // After a failed call: the earliest time of the next one.
     time_point retryAt {};
+    // For metrics: as of the last placement pass, all instances for a call were busy, and when the
+    // first ticket expires that has not been counted.
+    bool awaitsInstance = false;
+    time_point nextExpiry = time_point::max();
 };
 
 // What became of the last plan of a waiting gang.
@@ -175,6 +185,7 @@
     duration failedTime {0};
     step_advice advice;
     gang_plan gang;
+    step_wait wait;
     // End of the objective of the occurrence, and the time after which its result has no value.
     time_point onTimeUntil {};
     time_point lateUntil {};
@@ -190,6 +201,8 @@
     std::vector<std::string> crashedAt;
 
     bool finished() const { return done == tasks.size(); }
+    // Its turn has come and no task that is left may be running.
+    bool waits() const { return ready && waiting > 0 && waiting + done == tasks.size(); }
     bool suspectedGang() const;
 };
 
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -5,6 +5,7 @@
 #include "jobs/duration_estimator.h"
 #include "jobs/fleet.h"
 #include "jobs/job_record.h"
+#include "jobs/kind_figures.h"
 
 #include <array>
 #include <cstdint>
@@ -199,6 +200,31 @@
 // How a lease renewal got no report.
 enum class renewal_failure : std::uint8_t { ConnectionBroken, NoReply };
 
+// The step that explains why a job is not done: one that waits goes before one at work, the longest
+// past its objective before others.
+struct explaining_step
+{
+    bool atWork = false;
+    time_point onTimeUntil {};
+    const step_run *step = nullptr;
+
+    bool operator<(const explaining_step &other) const;
+};
+
+// Why a job is not done.
+struct job_explanation
+{
+    std::string job;
+    std::string why;
+};
+
+// Explanations of some jobs, and the number of jobs that are left out.
+struct job_explanations
+{
+    std::vector<job_explanation> jobs;
+    std::size_t leftOut = 0;
+};
+
 // Figures for metrics and the load log.
 struct scheduler_load
 {
@@ -296,8 +322,18 @@
     // Explains why a job is not done: one line for each unfinished step whose dependencies are
     // done.
     std::vector<std::string> explain(const std::string &id, time_point now) const;
-    // Ids of the jobs that exceed their objective the most, at most maxJobs.
-    std::vector<std::string> mostOverdue(std::size_t maxJobs, time_point now) const;
+    // Explains jobs past their objective, at most maxJobs, each by one step: first the jobs with a
+    // step that waits and has nothing running, of those the longest past its objective first.
+    std::vector<job_explanation> explainOverdue(std::size_t maxJobs, time_point now) const;
+    // Explains accepted jobs that are not done, in the same order, at most maxJobs. Left out are
+    // also long-running jobs at work.
+    job_explanations explainUnfinished(std::size_t maxJobs, time_point now) const;
+    // Notes since when steps wait with nothing running; called about once a second. Returns lines
+    // for jobs that wait beyond their objective, beyond three objectives, and then every few
+    // seconds; at most maxLines, first the jobs whose last line is longest ago.
+    job_explanations observeWaits(std::size_t maxLines, time_point now);
+    // Counts since the start of the term, and gauges as of the last call of observeWaits().
+    const figures_by_queue &figures() const { return m_figures; }
     const job_run *job(const std::string &id) const;
 
 private:
@@ -391,6 +427,21 @@
     static task_name nameOf(const task_run &task);
     start_order makeStartOrder(const task_run &task, time_point now) const;
     const queue_definition &queueOf(const job_run &job) const;
+    std::string explainStep(const step_run &step, time_point now) const;
+    // Explains the first of them, after sorting as many as are explained.
+    std::vector<job_explanation> explainFirst(std::vector<explaining_step> steps,
+                                              std::size_t maxJobs, time_point now) const;
+    // Notes why a run of the step has ended, or was not started, while the task still has its
+    // worker. Of a gang the first end of a run counts.
+    void recordRunEnd(const task_run &task, run_end_cause cause, time_point now);
+    kind_figures &figuresOf(const step_run &step);
+    void observeStep(step_run &step, time_point now);
+    void countAdviceCall(const advice_request &request);
+    void countTicketUse(const task_run &task);
+    void dropTicket(step_run &step, const std::string &worker);
+    // Counts the tickets of a step that expire by then and have not been used.
+    void countUnusedTickets(step_run &step, time_point expiresBy);
+    void countUnusedTickets(occurrence_run &occurrence);
 
     scheduler_options m_options;
     std::uint64_t m_term = 0;
@@ -422,6 +473,8 @@
     // last placement pass.
     std::map<std::string, std::size_t, std::less<>> m_lostByQueue;
     std::vector<scheduler_event> m_events;
+    time_point m_waitsObservedAt {};
+    figures_by_queue m_figures;
     std::uint64_t m_workerCrashes = 0;
     std::uint64_t m_tasksGivenUp = 0;
     accounting_counts m_accounting;
