Estimate the start of a job before it is accepted

Cause: admission counted only work that could still be on time, and divided its core time by all cores. A backlog of late gangs counted nothing, and a gang of whole workers among the few that the advisor allows was taken for its cores.

Change: start_estimate estimates when each step can start: gangs before it (late ones included), how many of a width run side by side on their allowed share, 1 + floor((N - w/s) / w), repeated runs of broken gangs, the runs at work and the advisor's call. Single tasks wait only for what is placed before them and fit beside gangs. `job.rejected` logs estimate, backlog and bound, `gang.started` the predicted and real start.

gang_test: the late gang of "gets its capacity while much of the fleet is free" was submitted behind tasks of 90 s on its only workers, so it is now refused, which the test didn't notice. It is submitted first now, and the tasks go before it by priority; the checks are the same, and its acceptance is required.

--- a/src/cell/leader_requests.cpp
+++ b/src/cell/leader_requests.cpp
@@ -168,11 +168,13 @@
     const auto result = m_scheduler.submit(std::move(definition), now, m_wallClock.estimate(now));
     if (result.status == jobs::submit_status::Refused) {
         ++m_counters["submissions_refused"];
-        log_event(log_level::Info, "job.rejected")
-            .field("job", id)
+        log_event line(log_level::Info, "job.rejected");
+        line.field("job", id)
             .field("queue", queue)
             .field("reason", result.reason)
             .field("retry_after_s", result.retryAfterSeconds);
+        for (const auto &[key, value] : result.fields)
+            line.field(key, value);
         co_return makeResponse(statusTooMany, {}, result.retryAfterSeconds);
     }
     if (result.status == jobs::submit_status::AlreadyAccepted)
--- a/src/jobs/admission.h
+++ b/src/jobs/admission.h
@@ -1,23 +1,17 @@
 #ifndef PLANTAINGAP_JOBS_ADMISSION_H
 #define PLANTAINGAP_JOBS_ADMISSION_H
 
-#include "jobs/duration_estimator.h"
-#include "jobs/fleet.h"
-#include "jobs/job_progress.h"
+#include "jobs/start_estimate.h"
 
 #include <cstdint>
-#include <map>
-#include <memory>
 #include <optional>
-#include <set>
-#include <string>
 
 // Admission control. It targets bursts of one kind of job well above the capacity of the fleet,
-// where jobs that can no longer finish in useful time would take capacity from those that can.
+// where jobs that can no longer finish in useful time would take capacity from those that can. The
+// callers of refused jobs retry at little cost, while an accepted job that is not served in time is
+// lost to its caller.
 namespace plantaingap::jobs {
 
-using job_map = std::map<std::string, std::unique_ptr<job_run>, std::less<>>;
-
 // Retry delay, in seconds, for a job that cannot run in any state of the present fleet; only a
 // change of the fleet helps.
 inline constexpr std::uint32_t unsatisfiableRetrySeconds = 10;
@@ -27,12 +21,19 @@
 // for ever once it is accepted.
 bool gangsFit(const job_definition &job, const fleet &workers, double share);
 
-// Returns the seconds after which the caller should retry when the job must be refused, or nothing
-// when it can be accepted. Jobs of topPriorityQueues (priority 0) are placed before all others.
-std::optional<std::uint32_t>
-admissionRetryDelay(const job_definition &job, const queue_definition &queue,
-                    const std::set<std::string> &topPriorityQueues, const job_map &jobs,
-                    const fleet &workers, const duration_estimator &durations, time_point now);
+struct admission_decision
+{
+    // Seconds after which the caller should retry a refused job; none if it can be accepted.
+    std::optional<std::uint32_t> retryAfterSeconds;
+    // Empty for scheduled jobs and where a step fits no worker.
+    job_estimate estimate;
+    // Time from now until the latest end with which a job is accepted.
+    milliseconds latestEnd {0};
+};
+
+// Refuses a job that fits no worker or that is not expected to end in useful time.
+admission_decision decideAdmission(const job_definition &job, const queue_definition &queue,
+                                   const estimate_inputs &inputs);
 
 } // namespace plantaingap::jobs
 
--- a/src/jobs/job_changes.cpp
+++ b/src/jobs/job_changes.cpp
@@ -107,6 +107,7 @@
                 task.phase = task_phase::Ordered;
                 task.orderedAt = now;
                 recordStartAccounting(task);
+                recordGangStart(task, now);
                 starts.push_back(makeStartOrder(task, now));
                 task.assignedWorker->leaseEndMs =
                     std::max(task.assignedWorker->leaseEndMs, starts.back().leaseEndMs);
@@ -132,6 +133,29 @@
     return starts;
 }
 
+// Called for each member; the first one stands for the gang.
+void job_scheduler::recordGangStart(const task_run &member, time_point now)
+{
+    auto &step = *member.step;
+    if (!step.definition->gang || step.definition->longRunning || member.index != 0)
+        return;
+    const bool afterFailure = std::ranges::count(step.failedAttempts, member.attempt - 1) > 0;
+    if (afterFailure || step.predictedStart)
+        m_gangHistory.runStarted(step.occurrence->job->definition.queue, afterFailure);
+    if (!step.predictedStart)
+        return;
+    const auto sinceDue = [&step](time_point time) {
+        return std::to_string(
+            std::chrono::duration_cast<milliseconds>(time - step.occurrence->due).count());
+    };
+    recordEvent("gang.started", member, "its first run");
+    auto &fields = m_events.back().fields;
+    fields.emplace_back("tasks", std::to_string(step.tasks.size()));
+    fields.emplace_back("predicted_ms", sinceDue(*step.predictedStart));
+    fields.emplace_back("started_ms", sinceDue(now));
+    step.predictedStart.reset();
+}
+
 // Called when no batch is being stored, so that no effect refers to a task of the occurrences.
 void job_scheduler::dropFinishedOccurrences(job_run &job)
 {
--- a/src/jobs/job_progress.h
+++ b/src/jobs/job_progress.h
@@ -175,6 +175,8 @@
     duration failedTime {0};
     step_advice advice;
     gang_plan gang;
+    // For a gang that has not started: the start that was expected when its job was accepted.
+    std::optional<time_point> predictedStart;
     // End of the objective of the occurrence, and the time after which its result has no value.
     time_point onTimeUntil {};
     time_point lateUntil {};
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -10,10 +10,6 @@
 
 namespace {
 
-// The expected duration of a chain includes, for each step, one advisor call that names this many
-// workers.
-constexpr int estimatedAdvisedWorkers = 30;
-
 // Assumed share of workers that an advisor allows, until calls are observed.
 constexpr double initialAllowedShare = 0.4;
 // Weight of the newest call in the average; about 20 calls count.
@@ -25,13 +21,18 @@
 // Workers that crashed are back within seconds.
 constexpr std::uint32_t lostWorkersRetrySeconds = 3;
 
-milliseconds adviceDuration(const queue_definition &queue)
+std::vector<std::pair<std::string_view, std::string>>
+estimateFields(const admission_decision &decision)
 {
-    if (!queue.advisor)
-        return milliseconds(0);
-    const auto callTime =
-        queue.advisor->perCall + queue.advisor->perWorker * estimatedAdvisedWorkers;
-    return std::chrono::duration_cast<milliseconds>(callTime);
+    const auto &estimate = decision.estimate;
+    if (estimate.starts.empty())
+        return {};
+    return {{"start_in_ms", std::to_string(estimate.starts.front().count())},
+            {"end_in_ms", std::to_string(estimate.end.count())},
+            {"latest_end_in_ms", std::to_string(decision.latestEnd.count())},
+            {"gangs_ahead", std::to_string(estimate.gangsAhead)},
+            {"gang_backlog_ms", std::to_string(estimate.gangBacklog.count())},
+            {"task_backlog_ms", std::to_string(estimate.taskBacklog.count())}};
 }
 
 time_point steadyTime(wall_time wallTime, time_point now, wall_time wallNow)
@@ -59,10 +60,6 @@
             m_removedQueues[queue.name] = queue;
     }
     m_configuration = std::move(configuration);
-    for (const auto &queue : m_configuration.queues) {
-        if (queue.priority == 0)
-            m_topPriorityQueues.insert(queue.name);
-    }
 }
 
 const queue_definition &job_scheduler::queueOf(const job_run &job) const
@@ -108,7 +105,7 @@
 void job_scheduler::setObjectives(job_run &job, occurrence_run &occurrence)
 {
     const auto &queue = queueOf(job);
-    const auto advice = adviceDuration(queue);
+    const auto advice = adviceInObjective(queue);
     milliseconds longestChain {0};
     for (std::size_t i = occurrence.steps.size(); i-- > 0;) {
         auto &step = occurrence.steps[i];
@@ -246,6 +243,21 @@
     return name.index < step.tasks.size() ? &step.tasks[name.index] : nullptr;
 }
 
+queue_outlooks job_scheduler::outlooks() const
+{
+    queue_outlooks found;
+    const auto add = [&](const queue_definition &queue) {
+        found[queue.name] = {queue.service, queue.priority == 0,
+                             queue.advisor ? allowedShare(queue.name) : 1.0,
+                             m_gangHistory.runsPerGang(queue.name)};
+    };
+    for (const auto &[name, queue] : m_removedQueues)
+        add(queue);
+    for (const auto &queue : m_configuration.queues)
+        add(queue);
+    return found;
+}
+
 submit_result job_scheduler::submit(job_definition definition, time_point now, wall_time wallNow)
 {
     if (const auto *existing = findJob(definition.id))
@@ -263,16 +275,24 @@
     if (!gangsFit(definition, m_fleet, admittedGangShare(*queue)))
         return {submit_status::Refused, unsatisfiableRetrySeconds,
                 "a gang is wider than the workers it is expected to be allowed"};
-    if (const auto retryDelay = admissionRetryDelay(definition, *queue, m_topPriorityQueues, m_jobs,
-                                                    m_fleet, m_durations, now))
-        return {submit_status::Refused, *retryDelay, "cannot finish within its objective"};
+    const auto decision =
+        decideAdmission(definition, *queue, {m_jobs, m_fleet, m_durations, outlooks(), now});
+    if (decision.retryAfterSeconds) {
+        return {submit_status::Refused, *decision.retryAfterSeconds,
+                "cannot finish within its objective", estimateFields(decision)};
+    }
     auto newJob = std::make_unique<job_run>();
     auto &job = *newJob;
     job.definition = std::move(definition);
     job.acceptedAt = wallNow;
     m_jobs[job.definition.id] = std::move(newJob);
-    if (job.definition.occurrences == 0)
-        createOccurrence(job, 0, now);
+    if (job.definition.occurrences == 0) {
+        auto &occurrence = createOccurrence(job, 0, now);
+        for (auto &step : occurrence.steps) {
+            if (step.definition->gang && step.number < decision.estimate.starts.size())
+                step.predictedStart = now + decision.estimate.starts[step.number];
+        }
+    }
     markChanged(job);
     return {submit_status::AwaitingStore, 0, {}};
 }
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -5,6 +5,7 @@
 #include "jobs/duration_estimator.h"
 #include "jobs/fleet.h"
 #include "jobs/job_record.h"
+#include "jobs/start_estimate.h"
 
 #include <array>
 #include <cstdint>
@@ -81,6 +82,8 @@
     // When refused: seconds after which the caller should retry, and the reason for the log.
     std::uint32_t retryAfterSeconds = 0;
     std::string_view reason;
+    // Further fields of the log line.
+    std::vector<std::pair<std::string_view, std::string>> fields = {};
 };
 
 // An action that is allowed once a change is stored.
@@ -307,6 +310,9 @@
     occurrence_run &createOccurrence(job_run &job, std::uint32_t number, time_point due);
     void setObjectives(job_run &job, occurrence_run &occurrence);
     void createDueOccurrences(time_point now, wall_time wallNow);
+    queue_outlooks outlooks() const;
+    // A gang is being started for the first time, or again after a failed run.
+    void recordGangStart(const task_run &member, time_point now);
     void releaseSteps(occurrence_run &occurrence);
     void restoreProgress(job_run &job, const recorded_progress &progress, time_point now,
                          wall_time wallNow);
@@ -396,7 +402,6 @@
     std::uint64_t m_term = 0;
     time_point m_previousLeaderLeaseEnd {};
     cell_configuration m_configuration;
-    std::set<std::string> m_topPriorityQueues;
     fleet m_fleet;
     // Share of the fleet's cores in use as of the last placement pass. Summing it up for each
     // report would take time that grows with the square of the fleet.
@@ -405,6 +410,7 @@
     time_point m_forgetEndedJobsAt {};
     advisor_call_router m_callRouter;
     duration_estimator m_durations;
+    gang_history m_gangHistory;
     std::map<std::string, std::unique_ptr<job_run>, std::less<>> m_jobs;
     // Final states of finished jobs, and when to drop them.
     struct ended_job
--- /dev/null
+++ b/src/jobs/start_estimate.cpp
@@ -0,0 +1,422 @@
+#include "jobs/start_estimate.h"
+
+#include "jobs/task_capacity.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace plantaingap::jobs {
+
+namespace {
+
+// Weight kept by older gangs for each new one; about 50 gangs count.
+constexpr double historyDecay = 0.98;
+// Weight of the prior "one run each", in gangs.
+constexpr double historyPrior = 5;
+// Max number of runs that are assumed for each gang.
+constexpr double maxRunsPerGang = 3;
+
+// A run past its expected end is assumed to end after this time.
+constexpr milliseconds overrunAllowance {200};
+// Workers that crashed, were cut off or shrank are assumed to have their capacity back after this
+// time.
+constexpr milliseconds recoveryAllowance {4000};
+// Gangs get at least this share of the workers however many other tasks run.
+constexpr double minGangShare = 0.3;
+
+// The objective includes, for each step, one advisor call that names this many workers.
+constexpr int workersInObjective = 30;
+// Capacity of the workers named in a call, as a multiple of the demand, and the platform limit.
+constexpr double namedForGang = 2.6;
+constexpr double namedForTasks = 1.4;
+constexpr double maxNamed = 100;
+
+// Durations in milliseconds, and work in milliseconds of a whole worker.
+using fractional_ms = double;
+
+milliseconds rounded(fractional_ms value)
+{
+    return milliseconds(std::llround(value));
+}
+
+// The workers of a service.
+struct worker_pool
+{
+    double workers = 0;
+    // Mean capacity of a worker without its long-running tasks.
+    resources capacity;
+};
+
+bool counts(const worker &worker, const std::string &service)
+{
+    return worker.listed && !worker.entry.draining && worker.entry.service == service;
+}
+
+worker_pool poolOf(const fleet &workers, const std::string &service)
+{
+    std::int64_t count = 0;
+    resources sum;
+    for (const auto &[id, worker] : workers.all()) {
+        if (!counts(*worker, service))
+            continue;
+        ++count;
+        sum += worker->fullCapacity - worker->usedByLongRunning;
+    }
+    if (count == 0)
+        return {};
+    return {static_cast<double>(count),
+            {sum.milliCores / count, sum.memoryMib / count, sum.accelerators / count}};
+}
+
+double tasksPerWorker(const step_definition &step, const worker_pool &pool)
+{
+    auto count = tasksThatFit(effectiveDemand(step), pool.capacity);
+    if (step.maxPerWorker > 0)
+        count = std::min(count, step.maxPerWorker);
+    return std::max<std::uint32_t>(count, 1);
+}
+
+// Part of a worker that a task occupies, by the resource of which it needs the largest part.
+double partOfWorker(const step_definition &step, const worker_pool &pool)
+{
+    const auto demand = effectiveDemand(step);
+    const auto part = [](std::int64_t needed, std::int64_t available) {
+        return available > 0 ? static_cast<double>(needed) / static_cast<double>(available) : 0.0;
+    };
+    const auto largest = std::max({part(demand.milliCores, pool.capacity.milliCores),
+                                   part(demand.memoryMib, pool.capacity.memoryMib),
+                                   part(demand.accelerators, pool.capacity.accelerators)});
+    return std::min(largest, 1.0);
+}
+
+// Whole workers that a gang occupies.
+double widthOf(const step_definition &gang, const worker_pool &pool)
+{
+    return std::ceil(static_cast<double>(gang.tasks) / tasksPerWorker(gang, pool));
+}
+
+// Number of gangs of that width that run side by side while many of them wait. Each may use its own
+// random share of the workers. It finds `width` free ones among these once width / share of all
+// workers are free, so all others may be occupied when it starts.
+double gangsSideBySide(double width, double share, const worker_pool &pool)
+{
+    constexpr double roundingMargin = 1e-6;
+    const auto occupied = std::max(pool.workers - width / share, 0.0);
+    return 1 + std::floor(occupied / width + roundingMargin);
+}
+
+// Waiting work that is placed before a new job.
+struct waiting_work
+{
+    // Time until all of the gangs have run, one beside the other, and their sum over the workers.
+    fractional_ms gangTime = 0;
+    fractional_ms gangWork = 0;
+    std::size_t gangs = 0;
+    fractional_ms taskWork = 0;
+
+    waiting_work &operator+=(const waiting_work &other)
+    {
+        gangTime += other.gangTime;
+        gangWork += other.gangWork;
+        gangs += other.gangs;
+        taskWork += other.taskWork;
+        return *this;
+    }
+};
+
+struct work_ahead
+{
+    // Of steps that can still be on time.
+    waiting_work onTime;
+    // Of late ones.
+    waiting_work late;
+    // Part of the workers on which single tasks run.
+    double runningTasks = 0;
+};
+
+// What decides the order of a step among others.
+struct step_rank
+{
+    bool topPriority = false;
+    time_point latestStart {};
+};
+
+void addStep(const step_run &step, const queue_outlook &outlook, const step_rank &rank,
+             const worker_pool &pool, time_point now, work_ahead &ahead)
+{
+    const auto &definition = *step.definition;
+    if (definition.bestEffort || definition.longRunning || step.finished())
+        return;
+    const auto part = partOfWorker(definition, pool);
+    if (!definition.gang) {
+        const auto running = static_cast<double>(step.tasks.size() - step.waiting - step.done);
+        ahead.runningTasks += running * part / pool.workers;
+    }
+    if (step.waiting == 0 || (rank.topPriority && !outlook.topPriority))
+        return;
+    const auto end = now + step.remainingChain;
+    const bool late = end > step.onTimeUntil;
+    const bool first = outlook.topPriority && !rank.topPriority;
+    if (!late && !first && step.onTimeUntil - step.remainingChain > rank.latestStart)
+        return;
+    auto &bucket = late ? ahead.late : ahead.onTime;
+    const auto runTime = static_cast<fractional_ms>(step.expectedDuration.count());
+    if (definition.gang) {
+        const auto width = widthOf(definition, pool);
+        const auto time = runTime * outlook.runsPerGang;
+        bucket.gangTime += time / gangsSideBySide(width, outlook.allowedShare, pool);
+        bucket.gangWork += time * width;
+        ++bucket.gangs;
+    } else if (end <= step.lateUntil) {
+        // Results without value come last.
+        bucket.taskWork += part * runTime * static_cast<double>(step.waiting);
+    }
+}
+
+work_ahead workAhead(const step_rank &rank, const std::string &service, const worker_pool &pool,
+                     const estimate_inputs &inputs)
+{
+    work_ahead ahead;
+    for (const auto &[id, job] : inputs.jobs) {
+        const auto outlook = inputs.queues.find(job->definition.queue);
+        if (job->state > job_state::Running || outlook == inputs.queues.end()
+            || outlook->second.service != service)
+            continue;
+        for (const auto &[number, occurrence] : job->occurrences) {
+            for (const auto &step : occurrence.steps)
+                addStep(step, outlook->second, rank, pool, inputs.now, ahead);
+        }
+    }
+    return ahead;
+}
+
+// Gangs use a part of the workers at a time, and other tasks the rest.
+fractional_ms gangBacklog(const waiting_work &work, double runningTasks, const worker_pool &pool)
+{
+    const auto gangShare = std::max(1.0 - runningTasks, minGangShare);
+    return std::max(work.gangTime / gangShare, (work.gangWork + work.taskWork) / pool.workers);
+}
+
+// Single tasks fit beside the gangs before them, which do not use all workers.
+fractional_ms taskBacklog(const waiting_work &work, const worker_pool &pool)
+{
+    const auto usedByGangs = work.gangTime > 0 ? work.gangWork / work.gangTime : 0;
+    const auto behindGangs = (work.taskWork + work.gangWork) / pool.workers;
+    const auto besideGangs = work.taskWork / std::max(pool.workers - usedByGangs, 1.0);
+    return std::min(behindGangs, besideGangs);
+}
+
+milliseconds callTime(const queue_definition &queue, int workersNamed)
+{
+    if (!queue.advisor)
+        return milliseconds(0);
+    const auto time = queue.advisor->perCall + queue.advisor->perWorker * workersNamed;
+    return std::chrono::duration_cast<milliseconds>(time);
+}
+
+// Duration of the first advisor call of a step.
+milliseconds firstCallTime(const queue_definition &queue, const step_definition &step,
+                           const worker_pool &pool, double allowedShare)
+{
+    const auto needed = step.tasks / tasksPerWorker(step, pool) / allowedShare;
+    const auto named = std::min(needed * (step.gang ? namedForGang : namedForTasks), maxNamed);
+    return callTime(queue, static_cast<int>(std::ceil(named)));
+}
+
+using slot_release = std::pair<milliseconds, double>;
+
+// Adds the slots for tasks of the step on the worker, now and as its runs end.
+void addReleases(const step_definition &step, const worker &worker, time_point now,
+                 std::vector<slot_release> &found)
+{
+    const auto demand = effectiveDemand(step);
+    const auto slotsIn = [&](const resources &free) {
+        const auto count = tasksThatFit(demand, free);
+        return step.maxPerWorker > 0 ? std::min(count, step.maxPerWorker) : count;
+    };
+    const auto all = slotsIn(worker.fullCapacity - worker.usedByLongRunning);
+    std::uint32_t count = 0;
+    const auto addUpTo = [&](std::uint32_t slots, milliseconds from) {
+        slots = std::min(slots, all);
+        if (slots > count)
+            found.emplace_back(from, slots - count);
+        count = std::max(count, slots);
+    };
+    if (worker.responsive) {
+        auto free = worker.free();
+        addUpTo(slotsIn(free), milliseconds(0));
+        std::vector<std::pair<milliseconds, const task_run *>> ends;
+        for (const auto *run : worker.runs) {
+            if (run->step->definition->longRunning)
+                continue;
+            const bool started = run->startedAt != time_point {};
+            const auto end = started ? expectedEnd(*run) - now : run->step->expectedDuration;
+            ends.emplace_back(
+                std::max(std::chrono::duration_cast<milliseconds>(end), overrunAllowance), run);
+        }
+        std::ranges::sort(ends, {}, &std::pair<milliseconds, const task_run *>::first);
+        for (const auto &[end, run] : ends) {
+            free += effectiveDemand(*run->step->definition);
+            addUpTo(slotsIn(free), end);
+        }
+    }
+    addUpTo(all, recoveryAllowance);
+}
+
+// Time until the allowed share of the workers has slots for all members of the gang if nothing else
+// starts.
+milliseconds timeUntilRoom(const step_definition &gang, const std::string &service, double share,
+                           const estimate_inputs &inputs)
+{
+    std::vector<slot_release> releases;
+    for (const auto &[id, worker] : inputs.workers.all()) {
+        if (counts(*worker, service) && worker->hasLabel(gang.label))
+            addReleases(gang, *worker, inputs.now, releases);
+    }
+    std::ranges::sort(releases);
+    double slots = 0;
+    for (const auto &[from, added] : releases) {
+        slots += added;
+        if (slots * share >= gang.tasks)
+            return from;
+    }
+    return releases.empty() ? milliseconds(0) : releases.back().first;
+}
+
+// A job whose steps are estimated.
+class job_estimator
+{
+public:
+    job_estimator(const job_definition &job, const queue_definition &queue,
+                  const estimate_inputs &inputs)
+        : m_job(job)
+        , m_queue(queue)
+        , m_inputs(inputs)
+        , m_pool(poolOf(inputs.workers, queue.service))
+    {
+        if (const auto found = inputs.queues.find(queue.name); found != inputs.queues.end())
+            m_outlook = found->second;
+        for (const auto &step : job.steps) {
+            m_runTimes.push_back(inputs.durations.estimate(queue.name, step.estimate));
+            m_adviceTimes.push_back(firstCallTime(queue, step, m_pool, m_outlook.allowedShare));
+        }
+    }
+
+    job_estimate estimate()
+    {
+        job_estimate result;
+        const auto steps = m_job.steps.size();
+        const std::vector<milliseconds> calls(steps, adviceInObjective(m_queue));
+        const auto longestChain = chain(calls, calls, result.starts);
+        result.objective =
+            m_queue.slack + rounded(static_cast<double>(longestChain.count()) * m_queue.stretch);
+        result.end = longestChain;
+        if (m_pool.workers == 0)
+            return result;
+        std::vector<milliseconds> room(steps, milliseconds(0));
+        for (std::size_t i = 0; i < steps; ++i) {
+            if (m_job.steps[i].gang)
+                room[i] = timeUntilRoom(m_job.steps[i], m_queue.service, m_outlook.allowedShare,
+                                        m_inputs);
+        }
+        const auto latestStart = m_inputs.now + (result.objective - longestChain);
+        const auto ahead =
+            workAhead({m_queue.priority == 0, latestStart}, m_queue.service, m_pool, m_inputs);
+        // While the job can be on time, late tasks yield to it, but late gangs do not.
+        auto before = ahead.onTime;
+        before += ahead.late;
+        const auto lateTaskWork = ahead.late.taskWork;
+        before.taskWork -= lateTaskWork;
+        addWaits(before, ahead.runningTasks, room, result);
+        if (result.end > result.objective) {
+            before.taskWork += lateTaskWork;
+            addWaits(before, ahead.runningTasks, room, result);
+        }
+        return result;
+    }
+
+private:
+    void addWaits(const waiting_work &before, double runningTasks,
+                  const std::vector<milliseconds> &room, job_estimate &result) const
+    {
+        const auto gangs = rounded(gangBacklog(before, runningTasks, m_pool));
+        const auto tasks = rounded(taskBacklog(before, m_pool));
+        std::vector<milliseconds> first;
+        std::vector<milliseconds> later;
+        for (std::size_t i = 0; i < m_job.steps.size(); ++i) {
+            const bool gang = m_job.steps[i].gang;
+            // Tickets for a gang are requested while it waits.
+            const auto wait =
+                gang ? std::max(gangs + room[i], m_adviceTimes[i]) : tasks + m_adviceTimes[i];
+            // Long-running tasks are placed before all others.
+            first.push_back(m_job.steps[i].longRunning ? m_adviceTimes[i] : wait);
+            later.push_back(std::max(room[i], m_adviceTimes[i]));
+        }
+        result.end = chain(first, later, result.starts);
+        result.gangBacklog = gangs;
+        result.gangsAhead = before.gangs;
+        result.taskBacklog = tasks;
+    }
+
+    // Returns the end of the last step, with the time that each step waits for its start as a first
+    // step or as a later one.
+    milliseconds chain(const std::vector<milliseconds> &firstWaits,
+                       const std::vector<milliseconds> &laterWaits,
+                       std::vector<milliseconds> &starts) const
+    {
+        const auto steps = m_job.steps.size();
+        starts.assign(steps, milliseconds(0));
+        milliseconds last {0};
+        for (std::size_t i = 0; i < steps; ++i) {
+            milliseconds ready {0};
+            for (const auto earlier : m_job.steps[i].after) {
+                if (earlier < i)
+                    ready = std::max(ready, starts[earlier] + m_runTimes[earlier]);
+            }
+            starts[i] = ready + (m_job.steps[i].after.empty() ? firstWaits[i] : laterWaits[i]);
+            last = std::max(last, starts[i] + m_runTimes[i]);
+        }
+        return last;
+    }
+
+    const job_definition &m_job;
+    const queue_definition &m_queue;
+    const estimate_inputs &m_inputs;
+    worker_pool m_pool;
+    queue_outlook m_outlook;
+    // By step.
+    std::vector<milliseconds> m_runTimes;
+    std::vector<milliseconds> m_adviceTimes;
+};
+
+} // namespace
+
+void gang_history::runStarted(const std::string &queue, bool afterFailure)
+{
+    auto &sums = m_queues[queue];
+    sums.gangs = sums.gangs * historyDecay + (afterFailure ? 0 : 1);
+    sums.repeatedRuns = sums.repeatedRuns * historyDecay + (afterFailure ? 1 : 0);
+}
+
+double gang_history::runsPerGang(const std::string &queue) const
+{
+    const auto found = m_queues.find(queue);
+    if (found == m_queues.end())
+        return 1;
+    const auto &sums = found->second;
+    return std::min(1 + sums.repeatedRuns / (sums.gangs + historyPrior), maxRunsPerGang);
+}
+
+milliseconds adviceInObjective(const queue_definition &queue)
+{
+    return callTime(queue, workersInObjective);
+}
+
+job_estimate estimateJob(const job_definition &job, const queue_definition &queue,
+                         const estimate_inputs &inputs)
+{
+    return job_estimator(job, queue, inputs).estimate();
+}
+
+} // namespace plantaingap::jobs
--- a/tests/jobs/admission_test.cpp
+++ b/tests/jobs/admission_test.cpp
@@ -145,3 +145,231 @@
             CHECK(submission.retryAfterSeconds == jobs::unsatisfiableRetrySeconds);
     }
 }
+
+namespace {
+
+constexpr milliseconds gangRunTime {4000};
+// Of a queue of this world with one step of gangRunTime: three times the objective.
+constexpr milliseconds usefulSpan {(2 * 4000 + 600) * jobs::lateSpanFactor};
+const resources wholeWorkers {16'000, 32'768, 0};
+
+jobs::step_definition gangOf(std::uint32_t tasks, const resources &demand)
+{
+    auto created =
+        scheduler_world::step(tasks, demand.milliCores, static_cast<int>(gangRunTime.count()));
+    created.demand = demand;
+    created.gang = true;
+    return created;
+}
+
+// Gangs of one kind arrive at an interval, more than can run one after the other.
+struct gang_load_row
+{
+    const char *name;
+    int workers;
+    std::uint32_t tasks;
+    resources demand;
+    milliseconds interval;
+    // Gangs of the load that run side by side.
+    int sideBySide;
+};
+
+const gang_load_row gangLoads[] = {
+    {"gangs of two thirds of the workers", 60, 40, {16'000, 1000, 0}, milliseconds(2000), 1},
+    {"gangs of just over half of the workers", 60, 31, {16'000, 1000, 0}, milliseconds(2000), 1},
+    {"gangs of whole workers by memory", 60, 31, {6000, 17'000, 0}, milliseconds(2000), 1},
+    {"gangs of two members to a worker by memory",
+     60,
+     62,
+     {2000, 16'000, 0},
+     milliseconds(2000),
+     1},
+    {"gangs of a fifth of the workers", 60, 12, {16'000, 1000, 0}, milliseconds(500), 5},
+};
+
+// A world in which gangs of one kind have arrived for a time.
+class gang_load_world
+{
+public:
+    explicit gang_load_world(const gang_load_row &row)
+        : world(row.workers, wholeWorkers)
+        , m_row(row)
+    {
+        world.runTime = gangRunTime;
+        world.advanceStep = milliseconds(100);
+        world.begin();
+    }
+
+    void tick()
+    {
+        world.elapsed += world.advanceStep;
+        world.endDueRuns();
+        world.renewAllLeases();
+        world.settle();
+    }
+
+    void load(milliseconds span)
+    {
+        const auto until = world.elapsed + span;
+        while (world.elapsed < until) {
+            if (world.elapsed % m_row.interval < world.advanceStep)
+                submitGang();
+            tick();
+        }
+    }
+
+    submit_status submitGang()
+    {
+        const auto id = identifier(++m_submitted);
+        const auto status = world.submit(id, "large", {gangOf(m_row.tasks, m_row.demand)}).status;
+        if (status != submit_status::Refused)
+            ++accepted;
+        return status;
+    }
+
+    std::size_t waitingGangs() const { return world.scheduler.waitingJobs("large"); }
+
+    scheduler_world world;
+    int accepted = 0;
+
+private:
+    const gang_load_row &m_row;
+    int m_submitted = 0;
+};
+
+} // namespace
+
+// Load: wide gangs above what can run one after the other, for longer than their objective, so
+// that most of those that wait are late. Guards against accepting gangs that can't be started in
+// useful time (LOST on ctrs-sched-large).
+TEST_CASE("A backlog of wide gangs stays within what can start in useful time")
+{
+    for (const auto &row : gangLoads) {
+        CAPTURE(std::string(row.name));
+        gang_load_world loaded(row);
+        loaded.load(milliseconds(60'000));
+        const auto rounds = usefulSpan / gangRunTime;
+        CHECK(loaded.waitingGangs() <= static_cast<std::size_t>(rounds * row.sideBySide));
+        // The fleet is kept at work.
+        CHECK(loaded.accepted >= 60'000 / gangRunTime.count() * row.sideBySide);
+    }
+}
+
+// What is submitted while that backlog waits.
+struct beside_gangs_row
+{
+    const char *name;
+    const char *queue;
+    jobs::step_definition step;
+    bool accepted;
+};
+
+const beside_gangs_row besideGangs[] = {
+    {"a wide gang is refused", "large", gangOf(40, {16'000, 1000, 0}), false},
+    {"a narrow quick step is accepted", "quick", scheduler_world::step(2, 2000, 500), true},
+    {"a narrow step of lower priority is accepted", "middle", scheduler_world::step(4, 4000, 1000),
+     true},
+    {"a narrow quick gang is accepted", "quick", gangOf(2, {4000, 1000, 0}), true},
+};
+
+// Load: small steps beside a backlog of wide gangs, which they can overtake.
+TEST_CASE("A backlog of wide gangs holds up other wide gangs only")
+{
+    for (const auto &row : besideGangs) {
+        CAPTURE(std::string(row.name));
+        gang_load_world loaded(gangLoads[0]);
+        loaded.load(milliseconds(60'000));
+        while (loaded.submitGang() != submit_status::Refused && loaded.accepted < 100)
+            continue;
+        const auto submission = loaded.world.submit(identifier(900), row.queue, {row.step});
+        CHECK((submission.status != submit_status::Refused) == row.accepted);
+        if (!row.accepted) {
+            CHECK(submission.retryAfterSeconds >= 1);
+            CHECK(submission.retryAfterSeconds <= 8);
+            CHECK_FALSE(submission.fields.empty());
+        }
+    }
+}
+
+TEST_CASE("Wide gangs are accepted again once a backlog of them has gone")
+{
+    for (const auto &row : gangLoads) {
+        CAPTURE(std::string(row.name));
+        gang_load_world loaded(row);
+        loaded.load(milliseconds(60'000));
+        const auto end = loaded.world.elapsed + usefulSpan;
+        while (loaded.world.elapsed < end)
+            loaded.tick();
+        CHECK(loaded.waitingGangs() == 0);
+        CHECK(loaded.submitGang() == submit_status::AwaitingStore);
+    }
+}
+
+// Gangs that are submitted to a fleet with room for them.
+struct idle_fleet_row
+{
+    const char *name;
+    int workers;
+    jobs::step_definition step;
+    // Share of the workers that are cut off, in percent.
+    int percentLost;
+};
+
+const idle_fleet_row idleFleets[] = {
+    {"a gang of all workers of an empty fleet", 12, gangOf(12, {16'000, 1000, 0}), 0},
+    {"a gang by memory of all workers of an empty fleet", 12, gangOf(24, {1000, 16'000, 0}), 0},
+    {"a gang of half of a fleet with most workers cut off", 12, gangOf(6, {16'000, 1000, 0}), 75},
+};
+
+TEST_CASE("A gang is accepted on an idle fleet")
+{
+    for (const auto &row : idleFleets) {
+        CAPTURE(std::string(row.name));
+        scheduler_world world(row.workers);
+        world.begin();
+        int number = 0;
+        for (auto &[id, worker] : world.fleet)
+            worker.reachable = 100 * number++ >= row.percentLost * row.workers;
+        world.renewAllLeases();
+        CHECK(world.submit(identifier(1), "large", {row.step}).status
+              == submit_status::AwaitingStore);
+    }
+}
+
+// Counts and times of the events by which the estimate is judged.
+struct judged_starts
+{
+    int gangs = 0;
+    long long worstError = 0;
+
+    void add(const std::vector<jobs::scheduler_event> &events)
+    {
+        for (const auto &event : events) {
+            if (event.event != "gang.started")
+                continue;
+            ++gangs;
+            std::map<std::string_view, std::string> fields(event.fields.begin(),
+                                                           event.fields.end());
+            worstError = std::max(worstError, std::abs(std::stoll(fields.at("predicted_ms"))
+                                                       - std::stoll(fields.at("started_ms"))));
+        }
+    }
+};
+
+TEST_CASE("The predicted start of a gang is near its real start")
+{
+    for (const auto &row : gangLoads) {
+        CAPTURE(std::string(row.name));
+        gang_load_world loaded(row);
+        judged_starts judged;
+        // A burst that can be on time, so that gangs start in the order of their arrival.
+        for (int i = 0; i < 2 * row.sideBySide; ++i)
+            loaded.submitGang();
+        for (milliseconds passed {0}; passed < usefulSpan; passed += loaded.world.advanceStep) {
+            loaded.tick();
+            judged.add(loaded.world.scheduler.takeEvents());
+        }
+        CHECK(judged.gangs == 2 * row.sideBySide);
+        CHECK(judged.worstError <= gangRunTime.count());
+    }
+}
--- a/tests/jobs/gang_test.cpp
+++ b/tests/jobs/gang_test.cpp
@@ -244,11 +244,12 @@
         return std::string(12, '0') + std::to_string(1000 + number);
     };
     // Tasks whose end is far off keep the gang from its capacity until it is late.
+    // They are submitted later and go first by their priority.
+    REQUIRE(world.submit(id, "large", {gang}).status == jobs::submit_status::AwaitingStore);
     for (int i = 0; i < 4; ++i)
-        world.submit(name(i), "middle", {scheduler_world::step(1, 8000, 90'000)});
+        world.submit(name(i), "quick", {scheduler_world::step(1, 8000, 90'000)});
     world.settle();
     world.percent = 1;
-    world.submit(id, "large", {gang});
     for (int pass = 0; pass < 160; ++pass) {
         world.elapsed += milliseconds(200);
         world.percent = 1 + static_cast<std::uint32_t>(pass) / 4;
