Add bursts and a table of figures to the model of a backlog

Workers that leave alone are rows of their own. The bound for the end of all jobs follows from the work that was sent. Starts that bring a worker over its capacity are counted and checked.

LOST jobs are counted by whether the workers that they are allowed in their own partition have room at that moment, and whether that partition has over half of its cores in use. The traffic is a class of its own.

--- a/tests/jobs/backlog_partition.cpp
+++ b/tests/jobs/backlog_partition.cpp
@@ -137,7 +137,9 @@
 {
     const auto found = std::ranges::find_if(
         m_queues, [&](const auto &candidate) { return candidate.definition.name == queue; });
-    return uniformHash(worker + "/" + step, m_seed) < found->allowedShare;
+    // A worker that has come back under another name is the same machine to the advisor.
+    const auto machine = worker.substr(0, worker.find('+'));
+    return uniformHash(machine + "/" + step, m_seed) < found->allowedShare;
 }
 
 bool backlog_partition::holdsGangsTwice(const jobs::job_definition &job) const
@@ -157,20 +159,36 @@
     return true;
 }
 
+resources backlog_partition::freeOn(const fake_worker &worker) const
+{
+    auto free = worker.entry.capacity;
+    for (const auto &[task, run] : worker.active)
+        free -= jobs::effectiveDemand(definitionOf(task));
+    return free;
+}
+
 std::vector<resources> backlog_partition::freeCapacity() const
 {
     std::vector<resources> found;
     for (const auto &[id, worker] : fleet) {
-        if (!worker.reachable || !worker.listed)
-            continue;
-        auto free = worker.entry.capacity;
-        for (const auto &[task, run] : worker.active)
-            free -= jobs::effectiveDemand(definitionOf(task));
-        found.push_back(free);
+        if (worker.reachable && worker.listed)
+            found.push_back(freeOn(worker));
     }
     return found;
 }
 
+std::uint32_t backlog_partition::freeAllowedSlots(const jobs::step_run &step) const
+{
+    const auto &job = step.occurrence->job->definition;
+    const auto name = stepName(job.id, step.number);
+    std::uint32_t slots = 0;
+    for (const auto &[id, worker] : fleet) {
+        if (worker.reachable && worker.listed && allowed(id, name, job.queue))
+            slots += jobs::tasksThatFit(step.definition->demand, freeOn(worker));
+    }
+    return slots;
+}
+
 resources backlog_partition::upCapacity() const
 {
     resources sum;
@@ -310,8 +328,11 @@
     execute(order);
     const auto &worker = fleet.at(order.worker.id);
     const auto run = worker.active.find(order.task);
-    if (run != worker.active.end() && run->second.attempt == order.attempt)
-        startWork(order);
+    if (run == worker.active.end() || run->second.attempt != order.attempt)
+        return;
+    if (!resources {}.fitsIn(freeOn(worker)))
+        ++counts.startsOverCapacity;
+    startWork(order);
 }
 
 void backlog_partition::startWork(const jobs::start_order &order)
--- a/tests/jobs/backlog_partition.h
+++ b/tests/jobs/backlog_partition.h
@@ -37,6 +37,8 @@
 {
     std::uint64_t starts = 0;
     std::uint64_t startsRejected = 0;
+    // Starts that brought a worker over its capacity.
+    std::uint64_t startsOverCapacity = 0;
     std::uint64_t runsFailed = 0;
     std::uint64_t gangsBroken = 0;
     std::uint64_t adviceCalls = 0;
@@ -64,6 +66,8 @@
     duration timeLostByFailures(const backlog_job &job) const;
     // Workers that are up, with what is free there.
     std::vector<resources> freeCapacity() const;
+    // Tasks of the step that fit now on workers that it is allowed.
+    std::uint32_t freeAllowedSlots(const jobs::step_run &step) const;
     // Capacity of the workers that are up.
     resources upCapacity() const;
     resources activeDemand() const;
@@ -107,6 +111,7 @@
     const jobs::step_definition &definitionOf(const std::string &task) const;
     bool allowed(const std::string &worker, const std::string &step,
                  const std::string &queue) const;
+    resources freeOn(const fake_worker &worker) const;
     void renewDueLeases();
     void requestAdvice(const std::vector<jobs::advice_request> &requests);
     void deliverAdvice();
--- a/tests/jobs/gang_backlog_test.cpp
+++ b/tests/jobs/gang_backlog_test.cpp
@@ -6,8 +6,9 @@
 #include <iostream>
 
 using namespace plantaingap;
-using plantaingap::tests::backlog_figures;
 using plantaingap::tests::backlog_options;
+using plantaingap::tests::backlog_traffic;
+using plantaingap::tests::backlogKinds;
 using plantaingap::tests::gang_backlog_world;
 
 namespace {
@@ -23,12 +24,15 @@
 const backlog_row rows[] = {
     {"three quarters of the usual traffic", 0.75, false, false},
     {"three quarters, members fail", 0.75, true, false},
+    {"three quarters, workers leave", 0.75, false, true},
     {"three quarters, members fail and workers leave", 0.75, true, true},
     {"the usual traffic", 1.0, false, false},
     {"the usual traffic, members fail", 1.0, true, false},
+    {"the usual traffic, workers leave", 1.0, false, true},
     {"the usual traffic, members fail and workers leave", 1.0, true, true},
     {"too much traffic", 1.3, false, false},
     {"too much traffic, members fail", 1.3, true, false},
+    {"too much traffic, workers leave", 1.3, false, true},
     {"too much traffic, members fail and workers leave", 1.3, true, true},
 };
 
@@ -54,7 +58,7 @@
 void forEachRun(Function function)
 {
     const auto first = numberFromEnvironment("GANG_BACKLOG_FIRST_SEED", 1);
-    const auto seeds = numberFromEnvironment("GANG_BACKLOG_SEEDS", 1);
+    const auto seeds = numberFromEnvironment("GANG_BACKLOG_SEEDS", 2);
     const auto only = numberFromEnvironment("GANG_BACKLOG_ROW", std::size(rows));
     for (auto seed = first; seed < first + seeds; ++seed) {
         for (std::size_t i = 0; i < std::size(rows); ++i) {
@@ -75,32 +79,88 @@
     return std::chrono::duration<double, std::micro>(sorted[index]).count();
 }
 
-void print(const backlog_row &row, std::uint64_t seed, const gang_backlog_world &world)
+// Figures of one run, or sums over several.
+struct summed_figures
+{
+    int runs = 0;
+    std::size_t lost = 0;
+    std::size_t lostBesideAllowed = 0;
+    std::size_t lostInBusyPartition = 0;
+    std::size_t unfinished = 0;
+    // The longest of all runs.
+    double longestGangWait = 0;
+    double drainTime = 0;
+    std::array<plantaingap::tests::backlog_outcomes, backlogKinds> kinds;
+    std::uint64_t starts = 0;
+    std::uint64_t adviceCalls = 0;
+    std::uint64_t tickets = 0;
+    std::uint64_t unusedTickets = 0;
+    // The highest of all runs.
+    double passMedian = 0;
+    double passP99 = 0;
+};
+
+void add(summed_figures &sum, const gang_backlog_world &world)
 {
     const auto figures = world.figures();
-    std::cout << std::fixed << std::setprecision(3) << row.name << ", seed " << seed << "\n"
-              << "  lost " << world.lost << " unfinished " << world.unfinished.size()
-              << " longest gang wait " << inSeconds(figures.longestGangWait) << " s, drained after "
-              << inSeconds(figures.drainTime) << " s\n";
+    const auto &counts = figures.counts;
+    ++sum.runs;
+    sum.lost += world.lost;
+    sum.lostBesideAllowed += world.lostBesideAllowed;
+    sum.lostInBusyPartition += world.lostInBusyPartition;
+    sum.unfinished += world.unfinished.size();
+    sum.longestGangWait = std::max(sum.longestGangWait, inSeconds(figures.longestGangWait));
+    sum.drainTime = std::max(sum.drainTime, inSeconds(figures.drainTime));
+    for (std::size_t kind = 0; kind < backlogKinds; ++kind) {
+        auto &to = sum.kinds[kind];
+        const auto &from = figures.kinds[kind];
+        to.sent += from.sent;
+        to.accepted += from.accepted;
+        to.refusedForGood += from.refusedForGood;
+        to.onTime += from.onTime;
+        to.late += from.late;
+        to.worthless += from.worthless;
+        to.worthOwed += from.worthOwed;
+        to.worthEarned += from.worthEarned;
+    }
+    sum.starts += counts.starts;
+    sum.adviceCalls += counts.adviceCalls;
+    sum.tickets += counts.ticketsGranted;
+    sum.unusedTickets += counts.ticketsGranted - counts.ticketsUsed;
+    sum.passMedian = std::max(sum.passMedian, inMicroseconds(counts.planTimes, 0.5));
+    sum.passP99 = std::max(sum.passP99, inMicroseconds(counts.planTimes, 0.99));
+}
+
+void printTitle()
+{
+    std::cout << "load fail leave seed | LOST, of these with room on allowed workers, in a busy "
+                 "partition; not ended | longest gang wait s, drained s | of each kind: sent "
+                 "accepted refused, on time late worthless, worth | worth | starts calls tickets "
+                 "unused | pass us p50 p99\n";
+}
+
+// One line in the order of the title.
+void print(const backlog_row &row, const std::string &seed, const summed_figures &figures)
+{
+    std::cout << std::fixed << std::setprecision(2) << row.load << ' ' << row.membersFail << ' '
+              << row.workersLeave << ' ' << seed << " | " << figures.lost << ' '
+              << figures.lostBesideAllowed << ' ' << figures.lostInBusyPartition << ' '
+              << figures.unfinished << " | " << std::setprecision(1) << figures.longestGangWait
+              << ' ' << figures.drainTime << std::setprecision(3);
     double owed = 0;
     double earned = 0;
-    for (std::size_t kind = 0; kind < figures.kinds.size(); ++kind) {
+    for (std::size_t kind = 0; kind < backlogKinds; ++kind) {
         const auto &outcomes = figures.kinds[kind];
         owed += outcomes.worthOwed;
         earned += outcomes.worthEarned;
-        std::cout << "  " << std::setw(6) << gang_backlog_world::nameOfKind(kind) << ": sent "
-                  << outcomes.sent << " accepted " << outcomes.accepted << " refused "
-                  << outcomes.refusedForGood << " on time " << outcomes.onTime << " late "
-                  << outcomes.late << " worthless " << outcomes.worthless << " worth "
-                  << outcomes.worthEarned / outcomes.worthOwed << "\n";
+        std::cout << " | " << backlog_traffic::nameOfKind(kind) << ' ' << outcomes.sent << ' '
+                  << outcomes.accepted << ' ' << outcomes.refusedForGood << ", " << outcomes.onTime
+                  << ' ' << outcomes.late << ' ' << outcomes.worthless << ", "
+                  << outcomes.worthEarned / outcomes.worthOwed;
     }
-    const auto &counts = figures.counts;
-    std::cout << "  worth " << earned / owed << " starts " << counts.starts << " rejected "
-              << counts.startsRejected << " failed runs " << counts.runsFailed << " broken gangs "
-              << counts.gangsBroken << " advice calls " << counts.adviceCalls << " tickets "
-              << counts.ticketsGranted << " unused " << counts.ticketsGranted - counts.ticketsUsed
-              << " pass p50 " << inMicroseconds(counts.planTimes, 0.5) << " us p99 "
-              << inMicroseconds(counts.planTimes, 0.99) << " us\n"
+    std::cout << " | " << earned / owed << " | " << figures.starts << ' ' << figures.adviceCalls
+              << ' ' << figures.tickets << ' ' << figures.unusedTickets << " | "
+              << std::setprecision(0) << figures.passMedian << ' ' << figures.passP99 << '\n'
               << std::flush;
 }
 
@@ -125,19 +185,29 @@
             CHECK_MESSAGE(false, "a job has not ended");
         }
         CHECK(world.startedTwice().empty());
+        CHECK(world.figures().counts.startsOverCapacity == 0);
     });
 }
 
-// Prints figures by which policies can be compared; GANG_BACKLOG_TRACE adds the load each second.
+// Prints figures by which policies can be compared, of each run and of all seeds of a row;
+// GANG_BACKLOG_TRACE adds the load each second and what the scheduler says of lost jobs.
 TEST_CASE("Figures of a backlog of gangs" * doctest::skip())
 {
-    forEachRun([](const backlog_row &row, std::uint64_t seed) {
+    const bool traced = std::getenv("GANG_BACKLOG_TRACE") != nullptr;
+    std::map<const backlog_row *, summed_figures> sums;
+    printTitle();
+    forEachRun([&](const backlog_row &row, std::uint64_t seed) {
         gang_backlog_world world(optionsOf(row, seed));
-        if (std::getenv("GANG_BACKLOG_TRACE"))
+        if (traced)
             world.observer = [&world] { std::cout << world.loadText() << "\n"; };
         world.run();
-        print(row, seed, world);
-        for (const auto &text : world.lostExamples)
+        summed_figures single;
+        add(single, world);
+        add(sums[&row], world);
+        print(row, std::to_string(seed), single);
+        for (const auto &text : traced ? world.lostExamples : std::vector<std::string> {})
             std::cout << "  " << text << "\n";
     });
+    for (const auto &[row, sum] : sums)
+        print(*row, "all" + std::to_string(sum.runs), sum);
 }
--- a/tests/jobs/gang_backlog_world.cpp
+++ b/tests/jobs/gang_backlog_world.cpp
@@ -3,35 +3,22 @@
 #include "jobs/task_capacity.h"
 
 #include <algorithm>
-#include <cmath>
-#include <numbers>
 
 namespace plantaingap::tests {
 
 namespace {
 
-using std::chrono::microseconds;
 using std::chrono::seconds;
 
-constexpr resources workerCapacity {64'000, 131'072, 0};
-// Size of the deployment whose traffic the kinds below describe.
-constexpr double modelledWorkers = 1100;
-constexpr double modelledPartitions = 3;
-
 constexpr milliseconds trafficTime {34'000};
 // From the rule: from this time after the end of traffic on, no job may be without a run for this
 // long while there is capacity for it twice over and under half of all cores are in use.
 constexpr milliseconds finishTime {14'000};
 constexpr milliseconds maxIdle {3000};
 constexpr std::uint32_t capacityFactor = 2;
-// All jobs have ended by this time after the end of traffic.
-constexpr milliseconds drainBound {90'000};
 
 constexpr int maxSends = 5;
 constexpr milliseconds clientBudget {8000};
-// Traffic swings by this share with this period.
-constexpr double swing = 0.15;
-constexpr double swingPeriod = 11;
 
 // Waves of crashes, of this share of the workers, which are down for this long.
 constexpr milliseconds crashTimes[] = {milliseconds(7000), milliseconds(15'000),
@@ -39,174 +26,29 @@
 constexpr double crashShare = 0.14;
 constexpr milliseconds downTime {4500};
 
-// The widest gang needs this share of the workers of a partition as whole workers.
-constexpr double maxGangShare = 0.125;
 constexpr double lateWorthShare = 0.2;
-constexpr double minWorthShare = 0.3;
-constexpr double maxWorthFactor = 4;
-constexpr int adviceWorkersInChain = 30;
 constexpr int maxIdDraws = 300;
 constexpr std::uint64_t ticksPerCheck = 4;
 constexpr std::uint64_t ticksPerSecond = 1000 / backlog_partition::tickLength.count();
 constexpr std::size_t maxListed = 3;
 
-struct distribution
-{
-    double mean;
-    double spread;
-    double max;
-};
-
-struct job_kind
-{
-    const char *queue;
-    std::uint32_t priority;
-    // Jobs a second of the modelled deployment.
-    double perSecond;
-    // Share of the jobs with a second step.
-    double secondStep;
-    distribution width;
-    // With fewer workers steps are as much narrower; otherwise jobs are as much fewer.
-    bool widthScales;
-    distribution milliCores;
-    distribution memoryMib;
-    distribution workMs;
-    double gangShare;
-    // Standard deviation of the logarithm of estimate / work.
-    double estimateError;
-    // Share of the tasks whose first run fails; a member ends its gang.
-    double failureShare;
-    double stretch;
-    milliseconds slack;
-    microseconds perCall;
-    microseconds perWorker;
-    double allowedShare;
-    double worth;
-};
-
-constexpr std::uint32_t attempts = 3;
-constexpr milliseconds ticketValidity {1500};
-
-constexpr job_kind kinds[backlogKinds] = {
-    {"large",
-     1,
-     8.49,
-     0.2,
-     {40, 0.8, 240},
-     true,
-     {18'000, 0.4, 30'000},
-     {33'000, 0.5, 66'000},
-     {4000, 0.5, 10'000},
-     1,
-     0.9,
-     0.05,
-     2.2,
-     milliseconds(1200),
-     microseconds(380'000),
-     microseconds(5500),
-     0.25,
-     9.24},
-    {"middle",
-     2,
-     11.2,
-     0.5,
-     {40, 0.6, 200},
-     true,
-     {11'000, 0.45, 33'000},
-     {16'000, 0.6, 47'000},
-     {2700, 0.5, 6800},
-     0,
-     0.2,
-     0.005,
-     4,
-     milliseconds(3000),
-     microseconds(140'000),
-     microseconds(2000),
-     0.45,
-     4.38},
-    {"quick",
-     0,
-     177,
-     0,
-     {4.5, 0.8, 27},
-     false,
-     {16'000, 0.45, 47'000},
-     {29'000, 0.6, 86'000},
-     {640, 0.5, 1600},
-     0.3,
-     0.9,
-     0.005,
-     1.5,
-     milliseconds(600),
-     microseconds(8900),
-     microseconds(130),
-     0.7,
-     0.388},
-};
-
-std::vector<backlog_queue> queuesOfKinds()
-{
-    std::vector<backlog_queue> queues;
-    for (const auto &kind : kinds) {
-        const jobs::advisor_cost cost {kind.perCall, kind.perWorker, ticketValidity};
-        queues.push_back({{kind.queue, "host", std::string("/") + kind.queue + "/", "service",
-                           kind.priority, attempts, kind.stretch, kind.slack, cost},
-                          kind.allowedShare});
-    }
-    return queues;
-}
-
-double coreSeconds(const backlog_job &job)
-{
-    double sum = 0;
-    for (std::size_t s = 0; s < job.work.size(); ++s) {
-        const auto &step = job.definition.steps[s];
-        sum += static_cast<double>(step.demand.milliCores) / 1000 * step.tasks
-               * std::chrono::duration<double>(job.work[s]).count();
-    }
-    return sum;
-}
-
-double meanCoreSeconds(const job_kind &kind, double widthFactor)
-{
-    return (1 + kind.secondStep) * kind.width.mean * widthFactor * kind.milliCores.mean / 1000
-           * kind.workMs.mean / 1000;
-}
-
 } // namespace
 
 gang_backlog_world::gang_backlog_world(const backlog_options &options)
     : m_options(options)
-    , m_random(options.seed)
+    , m_traffic(options)
 {
     for (std::uint32_t i = 0; i < options.partitions; ++i) {
         m_partitions.push_back(std::make_unique<backlog_partition>(
-            options.workersPerPartition, workerCapacity, queuesOfKinds(), options.partitions,
-            options.seed * options.partitions + i));
+            options.workersPerPartition, backlog_traffic::workerCapacity, backlog_traffic::queues(),
+            options.partitions, options.seed * options.partitions + i));
     }
 }
 
-const char *gang_backlog_world::nameOfKind(std::size_t kind)
-{
-    return kinds[kind].queue;
-}
-
-double gang_backlog_world::uniform()
-{
-    return static_cast<double>(m_random() >> 11U) / static_cast<double>(1ULL << 53U);
-}
-
-double gang_backlog_world::spreadAround(double mean, double spread, double max)
-{
-    const auto radius = std::sqrt(-2 * std::log(1 - uniform()));
-    const auto normal = radius * std::cos(2 * std::numbers::pi * uniform());
-    return std::min(max, mean * std::exp(spread * normal - spread * spread / 2));
-}
-
 void gang_backlog_world::run()
 {
     constexpr auto ruleEnd = trafficTime + finishTime + maxIdle;
-    while (elapsed() < ruleEnd || (!m_open.empty() && elapsed() < trafficTime + drainBound))
+    while (elapsed() < ruleEnd || (!m_open.empty() && elapsed() < trafficTime + drainBound()))
         tick();
     for (const auto &client : m_open) {
         recordEnd(client, jobs::job_state::Running);
@@ -218,6 +60,14 @@
     }
 }
 
+duration gang_backlog_world::drainBound() const
+{
+    const auto cores = static_cast<double>(backlog_traffic::workerCapacity.milliCores) / 1000
+                       * m_options.workers();
+    const std::chrono::duration<double> halfInUse(m_coreSecondsSent / (cores / 2));
+    return finishTime + std::chrono::duration_cast<duration>(halfInUse);
+}
+
 void gang_backlog_world::tick()
 {
     if (elapsed() < trafficTime) {
@@ -242,90 +92,34 @@
 
 void gang_backlog_world::createJobs()
 {
-    const auto workers = m_options.workersPerPartition * m_options.partitions;
-    const auto now = std::chrono::duration<double>(elapsed()).count();
-    const auto wave = 1 + swing * std::sin(2 * std::numbers::pi * now / swingPeriod);
     for (std::size_t kind = 0; kind < backlogKinds; ++kind) {
-        const auto scale = kinds[kind].widthScales ? m_options.partitions / modelledPartitions
-                                                   : workers / modelledWorkers;
-        const auto rate = kinds[kind].perSecond * scale * m_options.load * wave;
-        std::poisson_distribution<int> arrivals(rate / ticksPerSecond);
-        for (auto left = arrivals(m_random); left > 0; --left)
+        for (auto left = m_traffic.arrivals(kind, elapsed()); left > 0; --left)
             m_unsent.push_back(createJob(kind));
     }
 }
 
 gang_backlog_world::client_job gang_backlog_world::createJob(std::size_t kind)
 {
-    const auto &profile = kinds[kind];
     client_job created;
     created.kind = kind;
     created.firstSent = elapsed();
     created.nextSend = elapsed();
-    created.job.definition.queue = profile.queue;
-    created.job.definition.payload = "payload";
-    created.job.definition.steps = createSteps(kind, created.job);
+    created.job = m_traffic.createJob(kind);
     chooseId(created);
-    duration chain = created.partition->timeLostByFailures(created.job);
-    for (const auto &work : created.job.work)
-        chain += work + profile.perCall + profile.perWorker * adviceWorkersInChain;
-    created.objective = std::chrono::duration_cast<duration>(chain * profile.stretch)
-                        + std::chrono::duration_cast<duration>(profile.slack);
-    const auto workers = m_options.workersPerPartition * m_options.partitions;
-    const auto mean =
-        meanCoreSeconds(profile, profile.widthScales ? workers / modelledWorkers : 1.0);
-    created.worth =
-        profile.worth
-        * std::min(maxWorthFactor,
-                   minWorthShare + (1 - minWorthShare) * coreSeconds(created.job) / mean);
+    const auto timeLost = created.partition->timeLostByFailures(created.job);
+    created.objective = backlog_traffic::objectiveOf(kind, created.job, timeLost);
+    created.worth = m_traffic.worthOf(kind, created.job);
+    m_coreSecondsSent += coreSeconds(created.job) * (timeLost > duration(0) ? 2 : 1);
     ++m_figures.kinds[kind].sent;
     m_figures.kinds[kind].worthOwed += created.worth;
     return created;
 }
 
-std::vector<jobs::step_definition> gang_backlog_world::createSteps(std::size_t kind,
-                                                                   backlog_job &job)
-{
-    const auto &profile = kinds[kind];
-    const auto workers = m_options.workersPerPartition * m_options.partitions;
-    const auto widthFactor = profile.widthScales ? workers / modelledWorkers : 1.0;
-    const auto draw = [this](const distribution &from, double factor = 1) {
-        return spreadAround(from.mean * factor, from.spread, from.max * factor);
-    };
-    const int count = uniform() < profile.secondStep ? 2 : 1;
-    std::vector<jobs::step_definition> steps;
-    for (int s = 0; s < count; ++s) {
-        auto &step = steps.emplace_back();
-        step.tasks = std::max<std::uint32_t>(1, std::lround(draw(profile.width, widthFactor)));
-        step.demand = {std::lround(draw(profile.milliCores)), std::lround(draw(profile.memoryMib)),
-                       0};
-        step.gang = step.tasks > 1 && uniform() < profile.gangShare;
-        if (s > 0)
-            step.after = {static_cast<std::uint32_t>(s - 1)};
-        if (step.gang) {
-            const auto workersAtMost = m_options.workersPerPartition * maxGangShare;
-            const auto tasksAtMost =
-                workersAtMost * jobs::tasksThatFit(step.demand, workerCapacity);
-            step.tasks = std::min(step.tasks, static_cast<std::uint32_t>(tasksAtMost));
-        }
-        const auto work = draw(profile.workMs);
-        job.work.push_back(
-            std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(work)));
-        step.estimate = milliseconds(
-            std::max<long>(1, std::lround(spreadAround(work, profile.estimateError, 10 * work))));
-        // Narrower gangs fail as often as those of the modelled deployment.
-        const auto members = step.gang ? step.tasks / widthFactor : 1;
-        const auto share = 1 - std::pow(1 - profile.failureShare, members);
-        job.failureShare.push_back(m_options.membersFail ? share : 0);
-    }
-    return steps;
-}
-
 // An id whose partition allows the job's gangs enough workers.
 void gang_backlog_world::chooseId(client_job &created)
 {
     for (int i = 0; i < maxIdDraws; ++i) {
-        const auto number = m_random();
+        const auto number = m_traffic.randomNumber();
         auto &id = created.job.definition.id;
         id.clear();
         for (int shift = 60; shift >= 0; shift -= 4)
@@ -419,11 +213,12 @@
     }
 }
 
-bool gang_backlog_world::mustRun(const client_job &client, const std::vector<resources> &free) const
+const jobs::step_run *gang_backlog_world::stepThatMustRun(const client_job &client,
+                                                          const std::vector<resources> &free)
 {
     const auto *job = client.partition->scheduler.job(client.job.definition.id);
     if (!job || job->occurrences.empty())
-        return false;
+        return nullptr;
     const auto hasCapacity = [&free](const jobs::step_run &step) {
         if (!step.ready || step.finished())
             return false;
@@ -433,7 +228,9 @@
             slots += jobs::tasksThatFit(jobs::effectiveDemand(*step.definition), amount);
         return slots >= needed;
     };
-    return std::ranges::any_of(job->occurrences.begin()->second.steps, hasCapacity);
+    const auto &steps = job->occurrences.begin()->second.steps;
+    const auto found = std::ranges::find_if(steps, hasCapacity);
+    return found == steps.end() ? nullptr : &*found;
 }
 
 void gang_backlog_world::checkRule()
@@ -454,27 +251,37 @@
     const bool mostlyFree = used.milliCores * 2 < capacity.milliCores;
     for (auto &client : m_open) {
         const auto &id = client.job.definition.id;
-        if (!mostlyFree || atWork.contains(id) || !mustRun(client, free)) {
+        const auto *step =
+            mostlyFree && !atWork.contains(id) ? stepThatMustRun(client, free) : nullptr;
+        if (!step) {
             client.idleSince.reset();
             continue;
         }
         if (!client.idleSince)
             client.idleSince = elapsed();
-        if (client.lost || elapsed() - *client.idleSince < maxIdle)
-            continue;
-        client.lost = true;
-        ++lost;
-        if (lostExamples.size() >= maxListed)
-            continue;
-        std::string text =
-            "at " + std::to_string(std::chrono::duration_cast<milliseconds>(elapsed()).count())
-            + " ms:";
-        for (const auto &line : client.partition->scheduler.explain(id, client.partition->now()))
-            text += " " + line;
-        lostExamples.push_back(text);
+        if (!client.lost && elapsed() - *client.idleSince >= maxIdle)
+            recordLost(client, *step);
     }
 }
 
+void gang_backlog_world::recordLost(client_job &client, const jobs::step_run &step)
+{
+    const auto &partition = *client.partition;
+    client.lost = true;
+    ++lost;
+    const auto needed = step.definition->gang ? step.definition->tasks : 1;
+    lostBesideAllowed += partition.freeAllowedSlots(step) >= needed ? 1 : 0;
+    const auto used = partition.activeDemand().milliCores;
+    lostInBusyPartition += used * 2 >= partition.upCapacity().milliCores ? 1 : 0;
+    if (lostExamples.size() >= maxListed)
+        return;
+    auto text = "at " + std::to_string(std::chrono::duration_cast<milliseconds>(elapsed()).count())
+                + " ms:";
+    for (const auto &line : partition.scheduler.explain(client.job.definition.id, partition.now()))
+        text += " " + line;
+    lostExamples.push_back(text);
+}
+
 std::vector<std::string> gang_backlog_world::startedTwice() const
 {
     std::vector<std::string> found;
@@ -489,6 +296,7 @@
     for (const auto &partition : m_partitions) {
         const auto &counts = partition->counts;
         sum.counts.starts += counts.starts;
+        sum.counts.startsOverCapacity += counts.startsOverCapacity;
         sum.counts.startsRejected += counts.startsRejected;
         sum.counts.runsFailed += counts.runsFailed;
         sum.counts.gangsBroken += counts.gangsBroken;
--- a/tests/jobs/gang_backlog_world.h
+++ b/tests/jobs/gang_backlog_world.h
@@ -1,30 +1,16 @@
 #ifndef PLANTAINGAP_TESTS_JOBS_GANG_BACKLOG_WORLD_H
 #define PLANTAINGAP_TESTS_JOBS_GANG_BACKLOG_WORLD_H
 
-#include "jobs/backlog_partition.h"
+#include "jobs/backlog_traffic.h"
 
 #include <array>
 #include <memory>
-#include <random>
 
 // A cell of several partitions under a mix of gangs, wide steps and quick steps, then without
 // traffic; and the rule that no accepted job may be left without a run while most of the cell is
 // free.
 namespace plantaingap::tests {
 
-struct backlog_options
-{
-    // Traffic as a multiple of the usual, which needs 82% of all cores.
-    double load = 1;
-    bool membersFail = false;
-    bool workersLeave = false;
-    std::uint32_t partitions = 3;
-    int workersPerPartition = 64;
-    std::uint64_t seed = 1;
-};
-
-inline constexpr std::size_t backlogKinds = 3;
-
 struct backlog_outcomes
 {
     std::uint64_t sent = 0;
@@ -54,9 +40,9 @@
 public:
     explicit gang_backlog_world(const backlog_options &options);
 
-    // Plays the traffic, and then goes on until all accepted jobs have ended, or the bound.
+    // Plays the traffic, and then goes on until all accepted jobs have ended, but no longer than
+    // finishTime and the time in which half of all cores do all work that was sent.
     void run();
-    static const char *nameOfKind(std::size_t kind);
     backlog_figures figures() const;
     std::vector<std::string> startedTwice() const;
     // Use of each partition and what waits there, for experiments.
@@ -64,6 +50,11 @@
 
     // Jobs left without a run against the rule, with what the scheduler says of some of them.
     std::size_t lost = 0;
+    // Those of them for which the workers that they are allowed in their own partition have
+    // capacity.
+    std::size_t lostBesideAllowed = 0;
+    // Those whose partition has over half of its cores in use.
+    std::size_t lostInBusyPartition = 0;
     std::vector<std::string> lostExamples;
     // Accepted jobs that have not ended by the bound.
     std::vector<std::string> unfinished;
@@ -88,15 +79,12 @@
         bool lost = false;
     };
 
+    duration drainBound() const;
     duration elapsed() const { return m_partitions.front()->elapsed; }
     void tick();
     void createJobs();
     client_job createJob(std::size_t kind);
-    std::vector<jobs::step_definition> createSteps(std::size_t kind, backlog_job &job);
     void chooseId(client_job &created);
-    double uniform();
-    // A log-normal number with that mean, at most max.
-    double spreadAround(double mean, double spread, double max);
     void sendJobs();
     // Returns false while the client goes on trying.
     bool send(client_job &client);
@@ -105,14 +93,19 @@
     void recordEnd(const client_job &client, jobs::job_state state);
     void observeGangs();
     void checkRule();
-    bool mustRun(const client_job &client, const std::vector<resources> &free) const;
+    // A step whose turn has come and for which there is capacity twice over, or null.
+    static const jobs::step_run *stepThatMustRun(const client_job &client,
+                                                 const std::vector<resources> &free);
+    void recordLost(client_job &client, const jobs::step_run &step);
 
     backlog_options m_options;
-    std::mt19937_64 m_random;
+    backlog_traffic m_traffic;
     std::vector<std::unique_ptr<backlog_partition>> m_partitions;
     std::vector<client_job> m_unsent;
     std::vector<client_job> m_open;
     backlog_figures m_figures;
+    // Work of all jobs, twice where a run fails.
+    double m_coreSecondsSent = 0;
     std::uint64_t m_ticks = 0;
     std::size_t m_nextCrash = 0;
 };
