Drop reservations of steps that are removed

A worker kept its reservation for a gang up to 400 ms after the gang's job was cancelled and removed, with a pointer to the freed step. A step created at the same address was taken for its owner. So decisions, and with them replays of random runs, depended on the addresses of the allocator: with nothing else changed, jobs.worker_capacity_random_test started another number of tasks when other test files were linked, or under GLIBC_TUNABLES=glibc.malloc.tcache_count=0.

Reservations are dropped with the occurrence that they are for.

--- a/src/jobs/job_changes.cpp
+++ b/src/jobs/job_changes.cpp
@@ -151,6 +151,7 @@
             continue;
         }
         countUnusedTickets(it->second);
+        dropReservations(it->second);
         it = job.occurrences.erase(it);
     }
 }
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -284,8 +284,10 @@
     if (!job || job->definitionSent || job->stored)
         return false;
     dropUnstoredState(*job);
-    for (auto &[number, occurrence] : job->occurrences)
+    for (auto &[number, occurrence] : job->occurrences) {
         countUnusedTickets(occurrence);
+        dropReservations(occurrence);
+    }
     m_jobs.erase(id);
     return true;
 }
@@ -396,6 +398,18 @@
         job->closed = true;
 }
 
+// Before the occurrence is removed: a step created later may have the address of one of its steps.
+void job_scheduler::dropReservations(const occurrence_run &occurrence)
+{
+    const auto isGang = [](const step_run &step) { return step.definition->gang; };
+    if (std::ranges::none_of(occurrence.steps, isGang))
+        return;
+    for (auto &[id, worker] : m_fleet.all()) {
+        if (worker->reservedFor && worker->reservedFor->occurrence == &occurrence)
+            worker->reservedFor = nullptr;
+    }
+}
+
 // A finished job is kept until none of its tasks can still be running.
 void job_scheduler::removeClosedJobs()
 {
@@ -403,8 +417,10 @@
         auto &job = *entry.second;
         if (!job.closed || job.occupying > 0 || job.dirty)
             return false;
-        for (auto &[number, occurrence] : job.occurrences)
+        for (auto &[number, occurrence] : job.occurrences) {
             countUnusedTickets(occurrence);
+            dropReservations(occurrence);
+        }
         return true;
     });
 }
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -442,6 +442,7 @@
     // Counts the tickets of a step that expire by then and have not been used.
     void countUnusedTickets(step_run &step, time_point expiresBy);
     void countUnusedTickets(occurrence_run &occurrence);
+    void dropReservations(const occurrence_run &occurrence);
 
     scheduler_options m_options;
     std::uint64_t m_term = 0;
