Don't count wider late gangs as placed before a gang

Cause: late gangs were all counted as placed first. One that needs more free workers at the same moment is overtaken by one that needs fewer.

Change: late gangs count only if no more workers must be free for them.

--- a/src/jobs/start_estimate.cpp
+++ b/src/jobs/start_estimate.cpp
@@ -96,13 +96,19 @@
     return std::ceil(static_cast<double>(gang.tasks) / tasksPerWorker(gang, pool));
 }
 
-// Number of gangs of that width that run side by side while many of them wait. Each may use its own
-// random share of the workers. It finds `width` free ones among these once width / share of all
-// workers are free, so all others may be occupied when it starts.
+// Workers that must be free when a gang starts: it may use its own random share of the workers, and
+// needs `width` free ones among these.
+double freeWorkersFor(double width, double share, const worker_pool &pool)
+{
+    return std::min(width / share, pool.workers);
+}
+
+// Number of gangs of that width that run side by side while many of them wait. The workers that
+// need not be free when the next one starts may all be occupied.
 double gangsSideBySide(double width, double share, const worker_pool &pool)
 {
     constexpr double roundingMargin = 1e-6;
-    const auto occupied = std::max(pool.workers - width / share, 0.0);
+    const auto occupied = pool.workers - freeWorkersFor(width, share, pool);
     return 1 + std::floor(occupied / width + roundingMargin);
 }
 
@@ -135,14 +141,16 @@
     double runningTasks = 0;
 };
 
-// What decides the order of a step among others.
-struct step_rank
+// What decides the order of the steps of a job among others.
+struct job_rank
 {
     bool topPriority = false;
     time_point latestStart {};
+    // Workers that must be free for its widest gang; 0 without gangs.
+    double freeWorkers = 0;
 };
 
-void addStep(const step_run &step, const queue_outlook &outlook, const step_rank &rank,
+void addStep(const step_run &step, const queue_outlook &outlook, const job_rank &rank,
              const worker_pool &pool, time_point now, work_ahead &ahead)
 {
     const auto &definition = *step.definition;
@@ -164,6 +172,9 @@
     const auto runTime = static_cast<fractional_ms>(step.expectedDuration.count());
     if (definition.gang) {
         const auto width = widthOf(definition, pool);
+        // A late gang is overtaken by gangs for which less has to be free.
+        if (late && freeWorkersFor(width, outlook.allowedShare, pool) > rank.freeWorkers)
+            return;
         const auto time = runTime * outlook.runsPerGang;
         bucket.gangTime += time / gangsSideBySide(width, outlook.allowedShare, pool);
         bucket.gangWork += time * width;
@@ -174,7 +185,7 @@
     }
 }
 
-work_ahead workAhead(const step_rank &rank, const std::string &service, const worker_pool &pool,
+work_ahead workAhead(const job_rank &rank, const std::string &service, const worker_pool &pool,
                      const estimate_inputs &inputs)
 {
     work_ahead ahead;
@@ -321,8 +332,8 @@
                                         m_inputs);
         }
         const auto latestStart = m_inputs.now + (result.objective - longestChain);
-        const auto ahead =
-            workAhead({m_queue.priority == 0, latestStart}, m_queue.service, m_pool, m_inputs);
+        const auto ahead = workAhead({m_queue.priority == 0, latestStart, freeWorkers()},
+                                     m_queue.service, m_pool, m_inputs);
         // While the job can be on time, late tasks yield to it, but late gangs do not.
         auto before = ahead.onTime;
         before += ahead.late;
@@ -337,6 +348,18 @@
     }
 
 private:
+    // Workers that must be free for the widest gang.
+    double freeWorkers() const
+    {
+        double found = 0;
+        for (const auto &step : m_job.steps) {
+            if (step.gang)
+                found = std::max(
+                    found, freeWorkersFor(widthOf(step, m_pool), m_outlook.allowedShare, m_pool));
+        }
+        return found;
+    }
+
     void addWaits(const waiting_work &before, double runningTasks,
                   const std::vector<milliseconds> &room, job_estimate &result) const
     {
--- a/src/jobs/start_estimate.h
+++ b/src/jobs/start_estimate.h
@@ -79,9 +79,9 @@
 // Duration of the advisor call that the objective of a job includes for each step.
 milliseconds adviceInObjective(const queue_definition &queue);
 
-// Jobs of top priority are placed before all others. Late gangs have claims on workers and are
-// served in the order of their age, so they are placed before the job. Late single tasks yield to
-// a job that can be on time.
+// Jobs of top priority are placed before all others. Late gangs are served in the order of their
+// age, so they are placed before the job, but for those that need more workers at the same moment,
+// beside which it fits. Late single tasks yield to a job that can be on time.
 job_estimate estimateJob(const job_definition &job, const queue_definition &queue,
                          const estimate_inputs &inputs);
 
--- a/tests/jobs/admission_test.cpp
+++ b/tests/jobs/admission_test.cpp
@@ -266,6 +266,7 @@
 
 const beside_gangs_row besideGangs[] = {
     {"a wide gang is refused", "large", gangOf(40, {16'000, 1000, 0}), false},
+    {"a narrow gang is accepted", "large", gangOf(8, {16'000, 1000, 0}), true},
     {"a narrow quick step is accepted", "quick", scheduler_world::step(2, 2000, 500), true},
     {"a narrow step of lower priority is accepted", "middle", scheduler_world::step(4, 4000, 1000),
      true},
