--- a/tests/jobs/admission_test.cpp
+++ b/tests/jobs/admission_test.cpp
@@ -1,21 +1,23 @@
 #include "jobs/admission.h"
+#include "jobs/gang_load_world.h"
 #include "jobs/scheduler_world.h"
 
 #include <doctest/doctest.h>
 
 using namespace plantaingap;
 using plantaingap::jobs::submit_status;
+using plantaingap::tests::gang_load_world;
+using plantaingap::tests::gangLoads;
+using plantaingap::tests::gangOf;
+using plantaingap::tests::gangRunTime;
+using plantaingap::tests::identifier;
+using plantaingap::tests::judged_starts;
 using plantaingap::tests::milliseconds;
 using plantaingap::tests::scheduler_world;
+using plantaingap::tests::usefulSpan;
 
 namespace {
 
-std::string identifier(int number)
-{
-    auto text = std::to_string(number);
-    return std::string(16 - text.size(), '0') + text;
-}
-
 // Many jobs of one kind arrive within two seconds, each with one task of half a worker.
 struct burst_row
 {
@@ -146,99 +148,6 @@
     }
 }
 
-namespace {
-
-constexpr milliseconds gangRunTime {4000};
-// Of a queue of this world with one step of gangRunTime: three times the objective.
-constexpr milliseconds usefulSpan {(2 * 4000 + 600) * jobs::lateSpanFactor};
-const resources wholeWorkers {16'000, 32'768, 0};
-
-jobs::step_definition gangOf(std::uint32_t tasks, const resources &demand)
-{
-    auto created =
-        scheduler_world::step(tasks, demand.milliCores, static_cast<int>(gangRunTime.count()));
-    created.demand = demand;
-    created.gang = true;
-    return created;
-}
-
-// Gangs of one kind arrive at an interval, more than can run one after the other.
-struct gang_load_row
-{
-    const char *name;
-    int workers;
-    std::uint32_t tasks;
-    resources demand;
-    milliseconds interval;
-    // Gangs of the load that run side by side.
-    int sideBySide;
-};
-
-const gang_load_row gangLoads[] = {
-    {"gangs of two thirds of the workers", 60, 40, {16'000, 1000, 0}, milliseconds(2000), 1},
-    {"gangs of just over half of the workers", 60, 31, {16'000, 1000, 0}, milliseconds(2000), 1},
-    {"gangs of whole workers by memory", 60, 31, {6000, 17'000, 0}, milliseconds(2000), 1},
-    {"gangs of two members to a worker by memory",
-     60,
-     62,
-     {2000, 16'000, 0},
-     milliseconds(2000),
-     1},
-    {"gangs of a fifth of the workers", 60, 12, {16'000, 1000, 0}, milliseconds(500), 5},
-};
-
-// A world in which gangs of one kind have arrived for a time.
-class gang_load_world
-{
-public:
-    explicit gang_load_world(const gang_load_row &row)
-        : world(row.workers, wholeWorkers)
-        , m_row(row)
-    {
-        world.runTime = gangRunTime;
-        world.advanceStep = milliseconds(100);
-        world.begin();
-    }
-
-    void tick()
-    {
-        world.elapsed += world.advanceStep;
-        world.endDueRuns();
-        world.renewAllLeases();
-        world.settle();
-    }
-
-    void load(milliseconds span)
-    {
-        const auto until = world.elapsed + span;
-        while (world.elapsed < until) {
-            if (world.elapsed % m_row.interval < world.advanceStep)
-                submitGang();
-            tick();
-        }
-    }
-
-    submit_status submitGang()
-    {
-        const auto id = identifier(++m_submitted);
-        const auto status = world.submit(id, "large", {gangOf(m_row.tasks, m_row.demand)}).status;
-        if (status != submit_status::Refused)
-            ++accepted;
-        return status;
-    }
-
-    std::size_t waitingGangs() const { return world.scheduler.waitingJobs("large"); }
-
-    scheduler_world world;
-    int accepted = 0;
-
-private:
-    const gang_load_row &m_row;
-    int m_submitted = 0;
-};
-
-} // namespace
-
 // Load: wide gangs above what can run one after the other, for longer than their objective, so
 // that most of those that wait are late. Guards against accepting gangs that can't be started in
 // useful time (LOST on ctrs-sched-large).
@@ -298,9 +207,7 @@
         CAPTURE(std::string(row.name));
         gang_load_world loaded(row);
         loaded.load(milliseconds(60'000));
-        const auto end = loaded.world.elapsed + usefulSpan;
-        while (loaded.world.elapsed < end)
-            loaded.tick();
+        loaded.run(usefulSpan);
         CHECK(loaded.waitingGangs() == 0);
         CHECK(loaded.submitGang() == submit_status::AwaitingStore);
     }
@@ -337,26 +244,6 @@
     }
 }
 
-// Counts and times of the events by which the estimate is judged.
-struct judged_starts
-{
-    int gangs = 0;
-    long long worstError = 0;
-
-    void add(const std::vector<jobs::scheduler_event> &events)
-    {
-        for (const auto &event : events) {
-            if (event.event != "gang.started")
-                continue;
-            ++gangs;
-            std::map<std::string_view, std::string> fields(event.fields.begin(),
-                                                           event.fields.end());
-            worstError = std::max(worstError, std::abs(std::stoll(fields.at("predicted_ms"))
-                                                       - std::stoll(fields.at("started_ms"))));
-        }
-    }
-};
-
 TEST_CASE("The predicted start of a gang is near its real start")
 {
     for (const auto &row : gangLoads) {
