Count runs that are missing from a report until a stop has ended

A worker that lists a run neither as active nor as ended while it stops it was ordered more than its capacity: a report without a run was taken as proof that the run is gone once an order for it had been acknowledged.

A missing run stays counted until its end is listed, until a report without it that was requested stop_ms (2% more for the worker's clock) after the answer to its stop or after the first report without it, until another incarnation answers, or until the leases have ended. Each release without an end is logged. After a restart under the same id only runs of the previous incarnation are released at once: an order that was acknowledged after its last report may have reached the new one. A reported run that no task accounts for is kept in the same way, so the first report without it no longer frees the worker. The other members of a gang are stopped as soon as one is missing. The bound is the setting longest_stop, stop_ms on the platform.

--- a/daemons/plantaingap_cell.cpp
+++ b/daemons/plantaingap_cell.cpp
@@ -48,6 +48,7 @@
         options.takeoverDelay = smallInstanceDelay;
     auto &scheduler = options.leader.scheduler;
     scheduler.lease = std::min(scheduler.lease, settings.longestLease);
+    scheduler.maxStopTime = settings.longestStop;
     return options;
 }
 
--- a/src/cell/leader_orders.cpp
+++ b/src/cell/leader_orders.cpp
@@ -274,6 +274,7 @@
     add("runs_released_unlisted_total", accounting.releasedUnlisted);
     add("starts_beside_unaccounted_total", accounting.startsBesideUnaccounted);
     add("workers_with_unaccounted_runs", load.unaccountedWorkers);
+    add("orphan_runs", load.orphanRuns);
     add("jobs", load.jobs);
     add("workers", m_workerEntries.size());
     add("ended_jobs_loaded", m_endedJobsLoaded ? 1 : 0);
--- a/src/jobs/fleet.cpp
+++ b/src/jobs/fleet.cpp
@@ -78,7 +78,8 @@
     std::vector<std::string> removed;
     for (auto it = m_workers.begin(); it != m_workers.end();) {
         const auto &worker = *it->second;
-        if (!worker.listed && worker.runs.empty() && (!worker.responsive || worker.leasesEnded(now))
+        if (!worker.listed && worker.runs.empty() && worker.orphans.empty()
+            && (!worker.responsive || worker.leasesEnded(now))
             && (worker.unresolvedLosses.empty() || worker.unresolvedUntil <= now)) {
             removed.push_back(it->first);
             it = m_workers.erase(it);
--- a/src/jobs/fleet.h
+++ b/src/jobs/fleet.h
@@ -18,6 +18,16 @@
 // platform documentation).
 inline constexpr std::int64_t maxClockDriftPerMille = 20;
 
+// A run on a worker that no task of a live job is assigned to: its job has ended, or a report named
+// it unexpectedly.
+struct orphan_run
+{
+    std::string task;
+    std::uint32_t attempt = 0;
+    // When the first report without it arrived.
+    std::optional<time_point> missingSince;
+};
+
 // State of one worker as known to the leader: its resources, the runs that may exist there, and its
 // leases.
 struct worker
@@ -44,15 +54,18 @@
     };
     std::vector<lost_run> unresolvedLosses;
     time_point unresolvedUntil {};
-    // Number of reports received in this leader's term.
+    // Number of reports received in this leader's term, and when the last one was requested.
     std::uint64_t reports = 0;
+    time_point lastReportAskedAt {};
     // Resources of runs that may exist on the worker.
     resources used;
     // The part of `used` that long-running tasks hold, which does not come free by itself.
     resources usedByLongRunning;
     std::vector<task_run *> runs;
     std::uint32_t isolatedRuns = 0;
-    // Runs in the last report that `used` does not include.
+    // Runs that may exist on the worker and that no task of a live job is assigned to.
+    std::vector<orphan_run> orphans;
+    // Their number; `used` does not include them, since their demands may be unknown.
     std::size_t unaccountedRuns = 0;
 
     // Start of the incarnation that sent the last report, milliseconds since 1970.
--- a/src/jobs/job_changes.cpp
+++ b/src/jobs/job_changes.cpp
@@ -160,6 +160,7 @@
         load.occupyingTasks += worker->runs.size();
         load.isolatingWorkers += worker->isolating() ? 1 : 0;
         load.unaccountedWorkers += worker->unaccountedRuns > 0 ? 1 : 0;
+        load.orphanRuns += worker->orphans.size();
     }
     for (const auto &[id, job] : m_jobs) {
         if (job->state > job_state::Running)
--- a/src/jobs/job_losses.cpp
+++ b/src/jobs/job_losses.cpp
@@ -87,6 +87,7 @@
         else
             returnToWaiting(*task);
     }
+    removeOrphans(worker);
 }
 
 // How strongly the loss of its worker speaks against a run. `freshRuns`: the runs that had been
@@ -235,10 +236,14 @@
     recordEvent("task.cleared", task, "the worker outlived the probation of the run");
 }
 
+// A report need not list a run that is being stopped, so a run that is missing from it stays
+// counted until its end is listed or a stop of it has ended, however long that took.
 void job_scheduler::releaseMissingRuns(worker &worker, const worker_report &report,
-                                       time_point askedAt, run_loss_cause cause, time_point now)
+                                       time_point askedAt, bool restarted, time_point now)
 {
     std::vector<task_run *> missing;
+    std::vector<task_run *> crashed;
+    std::vector<task_run *> gone;
     for (auto *task : worker.runs) {
         if (!task->acknowledgedAt || *task->acknowledgedAt >= askedAt
             || task->phase == task_phase::Recording)
@@ -247,26 +252,55 @@
         const bool active = std::ranges::any_of(report.active, [&](const active_run &run) {
             return run.attempt == task->attempt && run.task == text;
         });
-        if (!active)
-            missing.push_back(task);
-    }
-    for (auto *task : missing) {
-        if (!task->assignedWorker)
+        if (active) {
+            task->missingSince.reset();
             continue;
-        auto &step = *task->step;
-        if (task->phase == task_phase::Done) {
-            releaseDone(*task);
+        }
+        // An order that was acknowledged after the last report of the previous incarnation may have
+        // reached this one.
+        const bool ofPreviousIncarnation = task->firstReportAt != time_point {}
+                                           || *task->acknowledgedAt <= worker.lastReportAskedAt;
+        if (restarted && ofPreviousIncarnation) {
+            crashed.push_back(task);
             continue;
         }
-        if (task->phase == task_phase::Stopping) {
-            recordUnlistedRelease(*task, "missing from the report after its stop was answered");
-            returnToWaiting(*task);
-        } else {
-            loseRun(*task, cause, now);
+        if (!task->missingSince) {
+            task->missingSince = now;
+            missing.push_back(task);
         }
-        if (step.definition->gang)
-            stopStep(step, now);
+        const auto stoppedBy = task->phase == task_phase::Stopping
+                                   ? std::min(*task->acknowledgedAt, *task->missingSince)
+                                   : *task->missingSince;
+        if (stopHasEnded(stoppedBy, askedAt))
+            gone.push_back(task);
+    }
+    for (const auto *task : missing) {
+        if (task->step->definition->gang && task->phase != task_phase::Done)
+            stopPresentMembers(*task->step, now);
+    }
+    for (auto *task : crashed)
+        releaseMissingRun(*task, run_loss_cause::WorkerCrashed, now);
+    for (auto *task : gone)
+        releaseMissingRun(*task, run_loss_cause::NotReported, now);
+}
+
+void job_scheduler::releaseMissingRun(task_run &task, run_loss_cause cause, time_point now)
+{
+    if (!task.assignedWorker)
+        return;
+    auto &step = *task.step;
+    const bool done = task.phase == task_phase::Done;
+    if (done || task.phase == task_phase::Stopping) {
+        recordUnlistedRelease(task, textsOf(cause).reason);
+        if (done)
+            releaseDone(task);
+        else
+            returnToWaiting(task);
+    } else {
+        loseRun(task, cause, now);
     }
+    if (step.definition->gang && !done)
+        stopStep(step, now);
 }
 
 void job_scheduler::leaseRenewalFailed(const std::string &id, renewal_failure failure,
@@ -285,7 +319,8 @@
 void job_scheduler::expireLeases(time_point now)
 {
     for (auto &[id, worker] : m_fleet.all()) {
-        if (worker->responsive || worker->runs.empty() || !worker->leasesEnded(now))
+        const bool empty = worker->runs.empty() && worker->orphans.empty();
+        if (worker->responsive || empty || !worker->leasesEnded(now))
             continue;
         loseLeasedRuns(*worker, now);
     }
@@ -316,6 +351,7 @@
         if (task->assignedWorker == &worker)
             loseRun(*task, run_loss_cause::LeaseExpired, now);
     }
+    removeOrphans(worker);
     worker.unresolvedUntil = now + m_options.unresolvedLossRetention;
 }
 
--- a/src/jobs/job_progress.h
+++ b/src/jobs/job_progress.h
@@ -49,8 +49,11 @@
     // ended: the end of another member of its gang has completed it.
     worker *assignedWorker = nullptr;
     // When the worker last acknowledged an order for this attempt. A report requested later that
-    // lacks the run proves that the run has ended. None before the first acknowledgement.
+    // lacks the run shows that the run is being stopped or is gone. None before the first
+    // acknowledgement.
     std::optional<time_point> acknowledgedAt;
+    // When the first such report arrived.
+    std::optional<time_point> missingSince;
     // When this leader sent the start order of this attempt.
     time_point orderedAt {};
     // For a run of a previous leader: the incarnation of its worker that was ordered to start it; 0
--- a/src/jobs/job_runs.cpp
+++ b/src/jobs/job_runs.cpp
@@ -57,6 +57,7 @@
     std::erase(worker.runs, &task);
     task.assignedWorker = nullptr;
     task.acknowledgedAt.reset();
+    task.missingSince.reset();
     task.fullRun = false;
     task.percent = 0;
     task.firstReportAt = {};
@@ -254,6 +255,14 @@
         stopRun(member, now);
 }
 
+void job_scheduler::stopPresentMembers(step_run &step, time_point now)
+{
+    for (auto &member : step.tasks) {
+        if (!member.missingSince)
+            stopRun(member, now);
+    }
+}
+
 // Reports.
 
 void job_scheduler::onWorkerRestarted(worker &worker, std::int64_t incarnationMs)
@@ -263,6 +272,8 @@
     worker.lastStoredEnd = 0;
     worker.unstoredEnds.clear();
     worker.leaseEndMs = 0;
+    if (worker.reports > 0)
+        removeOrphans(worker);
 }
 
 void job_scheduler::processEnd(worker &worker, const ended_run &end, time_point now)
@@ -412,10 +423,11 @@
         if (const auto cause = processActiveRun(*worker, run, now))
             unaccounted.push_back({&run, *cause});
     }
-    recordUnaccounted(*worker, report, unaccounted);
-    releaseMissingRuns(*worker, report, askedAt,
-                       restarted ? run_loss_cause::WorkerCrashed : run_loss_cause::NotReported,
-                       now);
+    const auto unaccountedBefore = worker->unaccountedRuns;
+    updateOrphans(*worker, report, unaccounted, askedAt, now);
+    recordUnaccounted(*worker, report, unaccounted, unaccountedBefore);
+    releaseMissingRuns(*worker, report, askedAt, restarted, now);
+    worker->lastReportAskedAt = askedAt;
     checkProgress(*worker, now);
 }
 
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -31,6 +31,8 @@
     // which a previous leader may still consider itself the leader, plus the lease and the clock
     // error.
     milliseconds previousLeaderLease {8000};
+    // Longest time that a worker takes to stop a run, on the worker's clock.
+    milliseconds maxStopTime {900};
     // Interval between retries of a stop order without a response.
     milliseconds stopRetryInterval {300};
     // Delay before a failed advisor call is retried.
@@ -216,6 +218,8 @@
     std::size_t isolatingWorkers = 0;
     // Workers whose last report had runs that are not counted there.
     std::size_t unaccountedWorkers = 0;
+    // Runs that may exist on workers and that no task of a live job is assigned to.
+    std::size_t orphanRuns = 0;
     resources used;
     // Free cores that are reserved for gangs, in thousandths.
     std::int64_t reservedMilliCores = 0;
@@ -356,8 +360,17 @@
         unaccounted_cause cause = unaccounted_cause::UnknownJob;
     };
     void orderStop(const worker &worker, const active_run &run);
-    void recordUnaccounted(worker &worker, const worker_report &report,
-                           const std::vector<unaccounted_run> &runs);
+    // A stop that was carried out before `stoppedBy` had ended when the report was requested.
+    bool stopHasEnded(time_point stoppedBy, time_point askedAt) const;
+    void updateOrphans(worker &worker, const worker_report &report,
+                       const std::vector<unaccounted_run> &unaccounted, time_point askedAt,
+                       time_point now);
+    static void removeOrphans(worker &worker);
+    // A task is assigned to the worker with the attempt of the orphan, which it accounts for.
+    bool isAssigned(const worker &worker, const orphan_run &orphan);
+    void recordOrphanRelease(const worker &worker, const orphan_run &orphan);
+    void recordUnaccounted(const worker &worker, const worker_report &report,
+                           const std::vector<unaccounted_run> &runs, std::size_t before);
     void recordUnlistedRelease(const task_run &task, std::string_view reason);
     void recordStartAccounting(const task_run &task);
     void onWorkerRestarted(worker &worker, std::int64_t incarnationMs);
@@ -373,7 +386,10 @@
     void countCrash(const worker::lost_run &lost, const worker &worker, time_point now);
     void endProbation(task_run &task, time_point now);
     void releaseMissingRuns(worker &worker, const worker_report &report, time_point askedAt,
-                            run_loss_cause cause, time_point now);
+                            bool restarted, time_point now);
+    void releaseMissingRun(task_run &task, run_loss_cause cause, time_point now);
+    // Stops the members of a gang that no report has missed.
+    void stopPresentMembers(step_run &step, time_point now);
     void expireLeases(time_point now);
     void retryStops(time_point now, scheduler_orders &orders);
     // Updates the health of a worker after a failed or successful run.
--- a/src/jobs/run_accounting.cpp
+++ b/src/jobs/run_accounting.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 // Compares the runs that workers report with those whose resources are counted for them.
 namespace plantaingap::jobs {
@@ -58,13 +59,75 @@
     return std::nullopt;
 }
 
+bool job_scheduler::stopHasEnded(time_point stoppedBy, time_point askedAt) const
+{
+    return askedAt - stoppedBy >= m_options.maxStopTime * 1000 / (1000 - maxClockDriftPerMille);
+}
+
+// Runs without an assignment.
+
+void job_scheduler::removeOrphans(worker &worker)
+{
+    worker.orphans.clear();
+    worker.unaccountedRuns = 0;
+}
+
+bool job_scheduler::isAssigned(const worker &worker, const orphan_run &orphan)
+{
+    const auto name = task_name::parse(orphan.task);
+    const auto *task = name ? find(*name) : nullptr;
+    return task && task->assignedWorker == &worker && task->attempt == orphan.attempt
+           && task->phase != task_phase::Recording;
+}
+
+// An orphan holds its worker's capacity until its end is listed or a stop of it would have ended.
+void job_scheduler::updateOrphans(worker &worker, const worker_report &report,
+                                  const std::vector<unaccounted_run> &unaccounted,
+                                  time_point askedAt, time_point now)
+{
+    const auto isIn = [](const auto &runs, const orphan_run &orphan) {
+        return std::ranges::any_of(runs, [&orphan](const auto &run) {
+            return run.attempt == orphan.attempt && run.task == orphan.task;
+        });
+    };
+    for (auto &orphan : std::exchange(worker.orphans, {})) {
+        const bool active = isIn(report.active, orphan);
+        const bool settled = isIn(report.ended, orphan) || isAssigned(worker, orphan);
+        const bool stopped = !active && !settled && orphan.missingSince
+                             && stopHasEnded(*orphan.missingSince, askedAt);
+        if (stopped)
+            recordOrphanRelease(worker, orphan);
+        if (settled || stopped)
+            continue;
+        orphan.missingSince =
+            active ? std::nullopt : std::optional(orphan.missingSince.value_or(now));
+        worker.orphans.push_back(std::move(orphan));
+    }
+    for (const auto &[run, cause] : unaccounted) {
+        const orphan_run orphan {run->task, run->attempt, std::nullopt};
+        if (!isIn(worker.orphans, orphan))
+            worker.orphans.push_back(orphan);
+    }
+    worker.unaccountedRuns = worker.orphans.size();
+}
+
+void job_scheduler::recordOrphanRelease(const worker &worker, const orphan_run &orphan)
+{
+    ++m_accounting.releasedUnlisted;
+    m_events.push_back({"run.released_unlisted",
+                        orphan.task,
+                        orphan.attempt,
+                        worker.entry.id,
+                        "missing from the worker report",
+                        {}});
+}
+
 // Logged when the number of unaccounted runs changes, so that a run that takes long to stop is not
 // logged with each report.
-void job_scheduler::recordUnaccounted(worker &worker, const worker_report &report,
-                                      const std::vector<unaccounted_run> &runs)
+void job_scheduler::recordUnaccounted(const worker &worker, const worker_report &report,
+                                      const std::vector<unaccounted_run> &runs, std::size_t before)
 {
-    const bool changed = runs.size() != worker.unaccountedRuns;
-    worker.unaccountedRuns = runs.size();
+    const bool changed = worker.unaccountedRuns != before;
     for (const auto &[run, cause] : runs)
         ++m_accounting.unaccounted[static_cast<std::size_t>(cause)];
     if (!changed || runs.empty())
--- a/src/operator/cell_settings.h
+++ b/src/operator/cell_settings.h
@@ -31,6 +31,8 @@
     std::int64_t linkKbps = 0;
     // The longest lease that a worker takes.
     std::chrono::milliseconds longestLease {10'000};
+    // The longest time that a worker takes to stop a run.
+    std::chrono::milliseconds longestStop {900};
     // From the signal to stop until the process is ended by force.
     std::chrono::milliseconds stopGrace {6'000};
     support::log_level logLevel = support::log_level::Info;
--- a/src/operator/settings_tables.h
+++ b/src/operator/settings_tables.h
@@ -167,6 +167,8 @@
                  "Bandwidth of the instance's own link; 0 when unknown."),
         optional("longest_lease", &cell_settings::longestLease, range(500, 3'600'000),
                  "The longest lease that a worker takes."),
+        optional("longest_stop", &cell_settings::longestStop, range(0, 3'600'000),
+                 "The longest time that a worker takes to stop a run."),
         optional("stop_grace", &cell_settings::stopGrace, range(500, 3'600'000),
                  "From the signal to stop until the process is ended by force."),
         optional("log_level", &cell_settings::logLevel, anyValue, "The lowest level told."));
--- a/tests/jobs/capacity_world.cpp
+++ b/tests/jobs/capacity_world.cpp
@@ -138,7 +138,9 @@
     ++m_term;
     m_leader = std::make_shared<term_state>();
     m_leader->term = m_term;
-    m_leader->scheduler = std::make_unique<jobs::job_scheduler>(jobs::scheduler_options {});
+    jobs::scheduler_options schedulerOptions;
+    schedulerOptions.maxStopTime = m_options.stopTime;
+    m_leader->scheduler = std::make_unique<jobs::job_scheduler>(schedulerOptions);
     auto &next = *m_leader->scheduler;
     jobs::cell_configuration configuration;
     configuration.version = 1;
@@ -613,14 +615,14 @@
     std::erase_if(m_gangs, [&](const auto &entry) { return !groups.contains(entry.first); });
 }
 
-void capacity_world::endGang(const std::string &step, milliseconds later)
+void capacity_world::endGang(const std::string &step, run_outcome outcome, milliseconds later)
 {
     for (const auto &[id, worker] : m_workers) {
         for (auto &[task, run] : worker->active) {
             if (!task.starts_with(step))
                 continue;
             auto &state = m_gangs[{task.substr(0, task.rfind('.')), run.attempt}];
-            run.outcome = run_outcome::Done;
+            run.outcome = outcome;
             run.endsAt = std::exchange(state.ending, true) ? now() + later : now();
         }
     }
--- a/tests/jobs/capacity_world.h
+++ b/tests/jobs/capacity_world.h
@@ -73,8 +73,8 @@
     void submit(const std::string &id, std::vector<jobs::step_definition> steps,
                 milliseconds runTime);
     void cancel(const std::string &id);
-    // Ends the gang of a step as done, its first member now and the others `later`.
-    void endGang(const std::string &step, milliseconds later);
+    // Ends the gang of a step, its first member now and the others `later`.
+    void endGang(const std::string &step, jobs::run_outcome outcome, milliseconds later);
     // The leader's last batch is stored, and another one leads `gap` later.
     void resign(milliseconds gap);
     // The leader is gone; its batch in flight may have been stored.
--- a/tests/jobs/gang_end_test.cpp
+++ b/tests/jobs/gang_end_test.cpp
@@ -62,7 +62,7 @@
             world.advance(settleTime);
             REQUIRE(world.running(first) == 2);
             world.submit(second, {step(2, 16'000)}, longRunTime);
-            world.endGang(first, row.later);
+            world.endGang(first, jobs::run_outcome::Done, row.later);
             world.advance(settleTime + row.later + interval);
             CHECK(world.violation() == "");
             CHECK(world.running(second) == 2);
--- a/tests/jobs/run_loss_test.cpp
+++ b/tests/jobs/run_loss_test.cpp
@@ -50,6 +50,14 @@
          world.fleet[known.entry.id].active.clear();
          world.elapsed += milliseconds(100);
          world.renewLease(known.entry.id);
+         // It may be stopping the run.
+         CHECK(known.used.milliCores == 4000);
+         world.elapsed += jobs::scheduler_options {}.maxStopTime - milliseconds(1);
+         world.renewLease(known.entry.id);
+         CHECK(known.used.milliCores == 4000);
+         world.elapsed += milliseconds(50);
+         world.renewLease(known.entry.id);
+         CHECK(known.used.milliCores == 0);
      },
      run_loss_cause::NotReported, 0},
 };
--- a/tests/operator/cell_settings_test.cpp
+++ b/tests/operator/cell_settings_test.cpp
@@ -13,7 +13,7 @@
     "instance": "edge-1", "region": "north", "data_centre": "north-a",
     "caller_listen": "10.1.0.13:8161", "ready_listen": "10.1.0.13:8167",
     "peer_listen": "10.1.0.13:7720", "store": "10.200.1.7:8169", "advisor": "10.200.1.9:8169",
-    "longest_lease": "10000ms", "stop_grace": "6s"
+    "longest_lease": "10000ms", "longest_stop": "400ms", "stop_grace": "6s"
 })";
 
 std::string replaced(const std::string &from, const std::string &to)
@@ -39,6 +39,7 @@
     CHECK(settings->instance == "edge-1");
     CHECK(settings->peerListen.port() == 7720);
     CHECK(settings->longestLease == std::chrono::milliseconds(10'000));
+    CHECK(settings->longestStop == std::chrono::milliseconds(400));
     CHECK(settings->stopGrace == std::chrono::milliseconds(6'000));
 }
 
