Keep what an ended job or a done gang leaves on workers in the store

After a change of leader a worker that lists a run nowhere while it stops it was ordered more than its capacity: the write that ends a job deletes its rows while its runs are being stopped, and a done task's row does not name the worker of a member that has not ended. The next leader counted neither.

The write that ends a job replaces its progress by the runs that are left, with worker and demand; the next leader counts them, exactly and without blocking the worker, until they are proved gone, and then the row is deleted with the next write, which it does not make due. The row of a step names the workers of done tasks whose runs have not ended. Ruled out: no starts for stop_ms after each take-over, which costs all workers up to 0.9 s for runs that the rows can name.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -226,14 +226,15 @@
         progressById[row.rowKey.key] = row.value;
     const auto now = bootNow();
     for (const auto &row : definitions) {
+        const auto stored = progressById.extract(row.rowKey.key);
         const auto job = jobs::decodeJob(row.value);
         if (!job) {
             log_event(log_level::Error, "job.unreadable").field("job", row.rowKey.key);
             continue;
         }
         std::optional<jobs::recorded_progress> recorded;
-        if (const auto it = progressById.find(row.rowKey.key); it != progressById.end()) {
-            const auto decoded = jobs::decodeProgress(it->second);
+        if (!stored.empty()) {
+            const auto decoded = jobs::decodeProgress(stored.mapped());
             if (!decoded) {
                 log_event(log_level::Error, "progress.unreadable").field("job", row.rowKey.key);
                 continue;
@@ -242,6 +243,18 @@
         }
         m_scheduler.restore(*job, recorded, now, m_wallClock.estimate(now));
     }
+    for (const auto &[id, value] : progressById)
+        restoreRemainingRuns(id, value);
+}
+
+// A job without a definition has ended before its runs.
+void leader::restoreRemainingRuns(std::string_view id, std::string_view value)
+{
+    const auto runs = jobs::decodeRemainingRuns(id, value);
+    if (runs)
+        m_scheduler.restoreRemainingRuns(std::string(id), *runs);
+    else
+        log_event(log_level::Error, "progress.unreadable").field("job", id);
 }
 
 // Writing to the store.
@@ -257,9 +270,16 @@
         const auto definition = rowKey(jobsTable, change.id);
         const auto progress = rowKey(progressTable, change.id);
         const auto ended = rowKey(endedTable, change.id);
+        if (change.remainingRunsGone) {
+            changes.deletions.push_back(progress);
+            continue;
+        }
         if (change.finished) {
             changes.deletions.push_back(definition);
-            changes.deletions.push_back(progress);
+            if (change.progress)
+                changes.puts.emplace_back(progress, *change.progress);
+            else
+                changes.deletions.push_back(progress);
             changes.puts.emplace_back(ended, std::string(jobs::stateName(*change.finished)));
             continue;
         }
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -74,6 +74,7 @@
     awaitable<bool> loadTable(key_range range, std::vector<stored_row> &rows);
     void restoreJobs(const std::vector<stored_row> &definitions,
                      const std::vector<stored_row> &progress);
+    void restoreRemainingRuns(std::string_view id, std::string_view value);
 
     // Background coroutines that end with the term.
     awaitable<void> storeChanges();
--- a/src/jobs/fleet.h
+++ b/src/jobs/fleet.h
@@ -24,6 +24,8 @@
 {
     std::string task;
     std::uint32_t attempt = 0;
+    // None when unknown.
+    std::optional<resources> demand;
     // When the first report without it arrived.
     std::optional<time_point> missingSince;
 };
@@ -65,7 +67,7 @@
     std::uint32_t isolatedRuns = 0;
     // Runs that may exist on the worker and that no task of a live job is assigned to.
     std::vector<orphan_run> orphans;
-    // Their number; `used` does not include them, since their demands may be unknown.
+    // Those whose demands are unknown; `used` includes the others.
     std::size_t unaccountedRuns = 0;
 
     // Start of the incarnation that sent the last report, milliseconds since 1970.
--- a/src/jobs/job_changes.cpp
+++ b/src/jobs/job_changes.cpp
@@ -47,6 +47,14 @@
         ++taken;
     }
     m_dirty.erase(m_dirty.begin(), m_dirty.begin() + static_cast<std::ptrdiff_t>(taken));
+    // These do not make a write due.
+    for (; entries < maxEntries && !m_withoutRemainingRuns.empty(); ++entries) {
+        job_change change;
+        change.id = std::move(m_withoutRemainingRuns.back());
+        change.remainingRunsGone = true;
+        batch.push_back(std::move(change));
+        m_withoutRemainingRuns.pop_back();
+    }
     return batch;
 }
 
@@ -57,6 +65,9 @@
     job.dirty = false;
     if (job.state > job_state::Running) {
         change.finished = job.state;
+        job.remainingRunsStored = job.occupying > 0;
+        if (job.remainingRunsStored)
+            change.progress = encodeRemainingRuns(job);
     } else {
         if (!job.stored)
             change.definition = encodeJob(job.definition, job.acceptedAt);
@@ -120,7 +131,7 @@
                                             : *worker->unstoredEnds.begin() - 1;
             }
         }
-        if (!job)
+        if (!job || change.remainingRunsGone)
             continue;
         job->stored = true;
         dropFinishedOccurrences(*job);
--- a/src/jobs/job_progress.h
+++ b/src/jobs/job_progress.h
@@ -214,6 +214,8 @@
     // The final state is stored, so the caller may be notified of it.
     bool closed = false;
     bool dirty = false;
+    // Runs that may outlive the job are stored; the row is deleted once they are gone.
+    bool remainingRunsStored = false;
     // Number of runs that may exist on workers.
     std::uint32_t occupying = 0;
 };
--- a/src/jobs/job_record.cpp
+++ b/src/jobs/job_record.cpp
@@ -1,6 +1,7 @@
 #include "jobs/job_record.h"
 
 #include "jobs/fleet.h"
+#include "jobs/task_capacity.h"
 
 #include <array>
 #include <boost/json/parse.hpp>
@@ -151,8 +152,9 @@
     const bool checkpoint = !done && !task.checkpoint.empty();
     const bool crashes = !done && !task.crashes.records().empty();
     const bool failures = !task.failedAttempts.empty();
-    if (task.assignedWorker || failures || checkpoint || done || crashes)
-        row.emplace_back(task.assignedWorker ? workers.add(task) : noWorker);
+    const bool placed = !done && task.assignedWorker;
+    if (placed || failures || checkpoint || done || crashes)
+        row.emplace_back(placed ? workers.add(task) : noWorker);
     if (failures || checkpoint || done || crashes)
         row.emplace_back(encodeNumbers(task.failedAttempts));
     if (done)
@@ -164,6 +166,20 @@
     return row;
 }
 
+// Index and worker of each done task whose run may still exist, in one array.
+json::array encodeUnendedRuns(const step_run &step, worker_index &workers)
+{
+    json::array row;
+    for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+        const auto &task = step.tasks[i];
+        if (task.phase != task_phase::Done || !task.assignedWorker)
+            continue;
+        row.emplace_back(i);
+        row.emplace_back(workers.add(task));
+    }
+    return row;
+}
+
 // The workers that a row names, and their incarnations if it has them.
 struct recorded_workers
 {
@@ -171,6 +187,13 @@
     const json::array *incarnations = nullptr;
 };
 
+void setWorker(recorded_task &task, std::size_t index, const recorded_workers &workers)
+{
+    task.worker = workers.names->at(index).as_string().c_str();
+    if (workers.incarnations)
+        task.incarnationMs = workers.incarnations->at(index).to_number<std::int64_t>();
+}
+
 recorded_task decodeTask(const json::value &value, const recorded_workers &workers)
 {
     recorded_task task;
@@ -182,12 +205,8 @@
     const auto &row = value.get_array();
     task.attempt = row.at(0).to_number<std::uint32_t>();
     const auto worker = row.size() > 1 ? row.at(1).to_number<int>() : noWorker;
-    if (worker != noWorker) {
-        const auto index = static_cast<std::size_t>(worker);
-        task.worker = workers.names->at(index).as_string().c_str();
-        if (workers.incarnations)
-            task.incarnationMs = workers.incarnations->at(index).to_number<std::int64_t>();
-    }
+    if (worker != noWorker)
+        setWorker(task, static_cast<std::size_t>(worker), workers);
     if (row.size() > 2)
         task.failedAttempts = decodeNumbers(row.at(2));
     if (row.size() > 3) {
@@ -221,6 +240,11 @@
         step.tasks.push_back(workers.names ? decodeTask(task, workers)
                                            : decodeFirstVersionTask(task.as_array()));
     }
+    if (const auto *unended = row.if_contains("u")) {
+        const auto numbers = decodeNumbers(*unended);
+        for (std::size_t i = 0; i + 1 < numbers.size(); i += 2)
+            setWorker(step.tasks.at(numbers[i]), numbers[i + 1], workers);
+    }
     return step;
 }
 
@@ -285,8 +309,10 @@
             json::array tasks;
             for (const auto &task : step.tasks)
                 tasks.push_back(encodeTask(task, workers));
-            steps.push_back(
-                json::object {{"g", encodeNumbers(step.failedAttempts)}, {"t", std::move(tasks)}});
+            json::object row {{"g", encodeNumbers(step.failedAttempts)}, {"t", std::move(tasks)}};
+            if (auto unended = encodeUnendedRuns(step, workers); !unended.empty())
+                row.emplace("u", std::move(unended));
+            steps.push_back(std::move(row));
         }
         live.emplace(std::to_string(number), std::move(steps));
     }
@@ -320,6 +346,52 @@
     });
 }
 
+std::string encodeRemainingRuns(const job_run &job)
+{
+    json::array steps;
+    worker_index workers;
+    for (const auto &[number, occurrence] : job.occurrences) {
+        for (const auto &step : occurrence.steps) {
+            json::array runs;
+            for (const auto &task : step.tasks) {
+                if (task.assignedWorker)
+                    runs.push_back(json::array {task.index, task.attempt, workers.add(task)});
+            }
+            if (runs.empty())
+                continue;
+            const auto demand = effectiveDemand(*step.definition);
+            steps.push_back(json::array {number, step.number, demand.milliCores, demand.memoryMib,
+                                         demand.accelerators, std::move(runs)});
+        }
+    }
+    return json::serialize(
+        json::object {{"workers", workers.takeNames()}, {"remaining", std::move(steps)}});
+}
+
+result<std::vector<remaining_run>> decodeRemainingRuns(std::string_view job, std::string_view text)
+{
+    return decodeText(text, [job](const json::value &value) {
+        const auto &row = value.as_object();
+        const auto &workers = row.at("workers").as_array();
+        std::vector<remaining_run> runs;
+        for (const auto &entry : row.at("remaining").as_array()) {
+            const auto &step = entry.as_array();
+            task_name name {std::string(job), step.at(0).to_number<std::uint32_t>(),
+                            step.at(1).to_number<std::uint32_t>(), 0};
+            const resources demand {step.at(2).to_number<std::int64_t>(),
+                                    step.at(3).to_number<std::int64_t>(),
+                                    step.at(4).to_number<std::int64_t>()};
+            for (const auto &task : step.at(5).as_array()) {
+                const auto numbers = decodeNumbers(task);
+                name.index = numbers.at(0);
+                runs.push_back({name.text(), numbers.at(1),
+                                workers.at(numbers.at(2)).as_string().c_str(), demand});
+            }
+        }
+        return runs;
+    });
+}
+
 std::string_view stateName(job_state state)
 {
     for (const auto &[value, name] : stateNames) {
--- a/src/jobs/job_record.h
+++ b/src/jobs/job_record.h
@@ -53,12 +53,28 @@
     bool operator==(const recorded_job &) const = default;
 };
 
+// A run of an ended job that may still exist on a worker.
+struct remaining_run
+{
+    std::string task;
+    std::uint32_t attempt = 0;
+    std::string worker;
+    // What it holds there.
+    resources demand;
+
+    bool operator==(const remaining_run &) const = default;
+};
+
 std::string encodeJob(const job_definition &definition, wall_time acceptedAt);
 result<recorded_job> decodeJob(std::string_view text);
 
 std::string encodeProgress(const job_run &job);
 result<recorded_progress> decodeProgress(std::string_view text);
 
+// Replaces the progress of a job that ends before its runs do.
+std::string encodeRemainingRuns(const job_run &job);
+result<std::vector<remaining_run>> decodeRemainingRuns(std::string_view job, std::string_view text);
+
 // Name of a state in rows and for operators.
 std::string_view stateName(job_state state);
 std::optional<job_state> parseState(std::string_view text);
--- a/src/jobs/job_runs.cpp
+++ b/src/jobs/job_runs.cpp
@@ -72,13 +72,13 @@
     --task.step->occurrence->job->occupying;
 }
 
-// The occurrence of a recurring job is dropped with the next change of the job.
+// The row of the job names the worker, and the occurrence of a recurring job is kept, until the
+// next change of the job.
 void job_scheduler::releaseDone(task_run &task)
 {
     auto &job = *task.step->occurrence->job;
     release(task);
-    if (job.definition.occurrences > 0)
-        markChanged(job);
+    markChanged(job);
 }
 
 void job_scheduler::recordEvent(std::string_view event, const task_run &task,
@@ -350,7 +350,7 @@
     auto *task = name ? find(*name) : nullptr;
     if (const auto cause = unaccountedCause(worker, task, run)) {
         orderStop(worker, run);
-        return cause;
+        return isCountedOrphan(worker, run) ? std::nullopt : cause;
     }
     if (task->phase == task_phase::Done) {
         task->acknowledgedAt = task->acknowledgedAt.value_or(now);
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -206,11 +206,7 @@
     task.checkpoint = from.checkpoint;
     task.crashes = from.crashes;
     task.step->crashed = task.step->crashed || !from.crashes.records().empty();
-    if (from.done) {
-        task.phase = task_phase::Done;
-        --task.step->waiting;
-        ++task.step->done;
-    } else if (!from.worker.empty()) {
+    if (!from.worker.empty()) {
         auto &worker = m_fleet.require(from.worker, m_previousLeaderLeaseEnd);
         allocate(task, worker);
         task.phase = task_phase::Doubtful;
@@ -219,6 +215,12 @@
             isolate(task);
         // A worker that has reported in this term rejects orders of previous leaders.
         task.acknowledgedAt = time_point {};
+    } else if (from.done) {
+        --task.step->waiting;
+    }
+    if (from.done) {
+        task.phase = task_phase::Done;
+        ++task.step->done;
     }
 }
 
@@ -396,8 +398,12 @@
 // A finished job is kept until none of its tasks can still be running.
 void job_scheduler::removeClosedJobs()
 {
-    std::erase_if(m_jobs, [](const auto &entry) {
-        return entry.second->closed && entry.second->occupying == 0 && !entry.second->dirty;
+    std::erase_if(m_jobs, [this](const auto &entry) {
+        const auto &job = *entry.second;
+        const bool removed = job.closed && job.occupying == 0 && !job.dirty;
+        if (removed && job.remainingRunsStored)
+            m_withoutRemainingRuns.push_back(entry.first);
+        return removed;
     });
 }
 
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -104,8 +104,10 @@
     // Set for a new job.
     std::optional<std::string> definition;
     std::optional<std::string> progress;
-    // Set when the job has ended; its other rows are deleted.
+    // Set when the job has ended; its definition is deleted, and its progress if none is set.
     std::optional<job_state> finished;
+    // All runs of an ended job are gone; its progress is deleted.
+    bool remainingRunsGone = false;
     std::vector<stored_effect> effects;
 };
 
@@ -237,6 +239,8 @@
     const cell_configuration &configuration() const { return m_configuration; }
     void restore(const recorded_job &job, const std::optional<recorded_progress> &progress,
                  time_point now, wall_time wallNow);
+    // Counts the runs of a job that ended in an earlier term while they were being stopped.
+    void restoreRemainingRuns(const std::string &id, const std::vector<remaining_run> &runs);
 
     // Callers.
     submit_result submit(job_definition definition, time_point now, wall_time wallNow);
@@ -365,7 +369,10 @@
     void updateOrphans(worker &worker, const worker_report &report,
                        const std::vector<unaccounted_run> &unaccounted, time_point askedAt,
                        time_point now);
-    static void removeOrphans(worker &worker);
+    void addOrphan(worker &worker, orphan_run orphan);
+    void removeOrphan(worker &worker, const orphan_run &orphan);
+    void removeOrphans(worker &worker);
+    static bool isCountedOrphan(const worker &worker, const active_run &run);
     // A task is assigned to the worker with the attempt of the orphan, which it accounts for.
     bool isAssigned(const worker &worker, const orphan_run &orphan);
     void recordOrphanRelease(const worker &worker, const orphan_run &orphan);
@@ -432,6 +439,10 @@
     // Ids of jobs with changes that are not stored, in order of the first change.
     std::vector<std::string> m_dirty;
     std::map<std::string, std::vector<stored_effect>> m_effects;
+    // Ended jobs by the number of their runs that a previous leader left to be stopped.
+    std::map<std::string, std::size_t, std::less<>> m_remainingRuns;
+    // Ended jobs whose runs are gone and whose row can be deleted.
+    std::vector<std::string> m_withoutRemainingRuns;
     // Stop orders for reported runs that match no assignment, or whose gang is done.
     std::vector<stop_order> m_stopsOfReported;
     // Workers that were lost right after they started tasks of the queue and of no other, as of the
--- a/src/jobs/run_accounting.cpp
+++ b/src/jobs/run_accounting.cpp
@@ -66,10 +66,41 @@
 
 // Runs without an assignment.
 
+void job_scheduler::addOrphan(worker &worker, orphan_run orphan)
+{
+    if (orphan.demand)
+        worker.used += *orphan.demand;
+    else
+        ++worker.unaccountedRuns;
+    worker.orphans.push_back(std::move(orphan));
+}
+
+void job_scheduler::removeOrphan(worker &worker, const orphan_run &orphan)
+{
+    if (!orphan.demand) {
+        --worker.unaccountedRuns;
+    } else {
+        worker.used -= *orphan.demand;
+        const auto name = task_name::parse(orphan.task);
+        const auto found = m_remainingRuns.find(name->job);
+        if (--found->second == 0) {
+            m_remainingRuns.erase(found);
+            m_withoutRemainingRuns.push_back(name->job);
+        }
+    }
+}
+
 void job_scheduler::removeOrphans(worker &worker)
 {
-    worker.orphans.clear();
-    worker.unaccountedRuns = 0;
+    for (const auto &orphan : std::exchange(worker.orphans, {}))
+        removeOrphan(worker, orphan);
+}
+
+bool job_scheduler::isCountedOrphan(const worker &worker, const active_run &run)
+{
+    return std::ranges::any_of(worker.orphans, [&run](const orphan_run &orphan) {
+        return orphan.demand && orphan.attempt == run.attempt && orphan.task == run.task;
+    });
 }
 
 bool job_scheduler::isAssigned(const worker &worker, const orphan_run &orphan)
@@ -80,6 +111,20 @@
            && task->phase != task_phase::Recording;
 }
 
+void job_scheduler::restoreRemainingRuns(const std::string &id,
+                                         const std::vector<remaining_run> &runs)
+{
+    if (runs.empty()) {
+        m_withoutRemainingRuns.push_back(id);
+        return;
+    }
+    m_remainingRuns[id] = runs.size();
+    for (const auto &run : runs) {
+        addOrphan(m_fleet.require(run.worker, m_previousLeaderLeaseEnd),
+                  {run.task, run.attempt, run.demand, std::nullopt});
+    }
+}
+
 // An orphan holds its worker's capacity until its end is listed or a stop of it would have ended.
 void job_scheduler::updateOrphans(worker &worker, const worker_report &report,
                                   const std::vector<unaccounted_run> &unaccounted,
@@ -97,18 +142,19 @@
                              && stopHasEnded(*orphan.missingSince, askedAt);
         if (stopped)
             recordOrphanRelease(worker, orphan);
-        if (settled || stopped)
+        if (settled || stopped) {
+            removeOrphan(worker, orphan);
             continue;
+        }
         orphan.missingSince =
             active ? std::nullopt : std::optional(orphan.missingSince.value_or(now));
         worker.orphans.push_back(std::move(orphan));
     }
     for (const auto &[run, cause] : unaccounted) {
-        const orphan_run orphan {run->task, run->attempt, std::nullopt};
+        const orphan_run orphan {run->task, run->attempt, std::nullopt, std::nullopt};
         if (!isIn(worker.orphans, orphan))
-            worker.orphans.push_back(orphan);
+            addOrphan(worker, orphan);
     }
-    worker.unaccountedRuns = worker.orphans.size();
 }
 
 void job_scheduler::recordOrphanRelease(const worker &worker, const orphan_run &orphan)
--- a/tests/cell/leader_test.cpp
+++ b/tests/cell/leader_test.cpp
@@ -22,6 +22,7 @@
 const std::string otherId = "00000000000000f2";
 const row_key leaderKey {"cell", "leader", {}};
 const row_key endedKey {"ended", id, {}};
+const row_key remainingKey {"progress", otherId, {}};
 
 leader_row makeRow(const std::string &holder, std::uint64_t term)
 {
@@ -49,9 +50,12 @@
 
 struct leader_fixture
 {
-    explicit leader_fixture(bool endedBefore)
+    // `remainingRuns`: the row of another job that ended before its runs did, empty for none.
+    explicit leader_fixture(bool endedBefore, const std::string &remainingRuns)
     {
         transaction first;
+        if (!remainingRuns.empty())
+            first.puts.emplace_back(remainingKey, remainingRuns);
         if (endedBefore)
             first.puts.emplace_back(endedKey, std::string(jobs::stateName(job_state::Completed)));
         store.unreadableTable = endedBefore ? "ended" : "";
@@ -60,6 +64,7 @@
         const auto revision = store.apply(first).revision;
         leader_options options;
         options.instance = "one";
+        options.scheduler.previousLeaderLease = milliseconds(50);
         leading = std::make_shared<leader>(context, ports, options, makeRow("one", 1), revision);
         asio::co_spawn(context, leading->run(), asio::detached);
         while (!leading->ready())
@@ -87,6 +92,13 @@
                != std::string::npos;
     }
 
+    bool orphanRuns(int count) const
+    {
+        return leading->metrics().find(R"(orphan_runs{partition="0"} )" + std::to_string(count)
+                                       + "\n")
+               != std::string::npos;
+    }
+
     asio::io_context context {1};
     memory_store store {context};
     tests::unresponsive_workers workers;
@@ -104,7 +116,7 @@
 {
     for (const auto &row : cases) {
         CAPTURE(std::string(row.name));
-        leader_fixture fixture(false);
+        leader_fixture fixture(false, {});
         auto &store = fixture.store;
         store.mode = row.mode;
         fixture.submit(id);
@@ -130,7 +142,7 @@
 // Guards against a write that stays blocked on a hanging call after the store has recovered.
 TEST_CASE("A write without a reply is hedged while the first attempt hangs")
 {
-    leader_fixture fixture(false);
+    leader_fixture fixture(false, {});
     auto &store = fixture.store;
     store.mode = memory_store::failure_mode::Unresponsive;
     fixture.submit(id);
@@ -176,7 +188,7 @@
 {
     for (const auto &row : repeatedSubmissions) {
         CAPTURE(std::string(row.name));
-        leader_fixture fixture(true);
+        leader_fixture fixture(true, {});
         auto &store = fixture.store;
         fixture.submit(id);
         if (row.newJobInBatch)
@@ -211,7 +223,7 @@
     for (unsigned seed = 1; seed <= 6; ++seed) {
         CAPTURE(seed);
         std::mt19937 random(seed);
-        leader_fixture fixture(true);
+        leader_fixture fixture(true, {});
         auto &store = fixture.store;
         std::set<row_key> ended {endedKey};
         store.onApplied = [&] {
@@ -239,3 +251,25 @@
         CHECK_FALSE(store.rows.contains({"jobs", id, {}}));
     }
 }
+
+// Guards against rows of ended jobs that stay for ever, and against a loss of what they count.
+TEST_CASE("The runs that an ended job leaves are counted, and their row is removed with them")
+{
+    struct row
+    {
+        const char *name;
+        const char *remaining;
+        int counted;
+    };
+    for (const auto &row :
+         {row {"two runs on a worker that has left",
+               R"({"workers":["w1"],"remaining":[[0,0,4000,100,0,[[0,1,0],[2,1,0]]]]})", 2},
+          row {"none", R"({"workers":[],"remaining":[]})", 0}}) {
+        CAPTURE(std::string(row.name));
+        leader_fixture fixture(false, row.remaining);
+        CHECK(fixture.orphanRuns(row.counted));
+        while (fixture.store.rows.contains(remainingKey))
+            fixture.context.run_one();
+        CHECK(fixture.orphanRuns(0));
+    }
+}
--- a/tests/jobs/capacity_world.cpp
+++ b/tests/jobs/capacity_world.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds lateExecution {1000};
 constexpr milliseconds longestLateness {3000};
 constexpr milliseconds slowStoreTime {1500};
+// A leader without changes writes its row at this interval.
+constexpr milliseconds rowWriteInterval {250};
 constexpr milliseconds endedJobsLoadTime {60};
 constexpr milliseconds longestDownTime {3000};
 constexpr milliseconds longestFreeze {7000};
@@ -154,6 +156,10 @@
             progress = *jobs::decodeProgress(m_progress.at(job));
         next.restore(*jobs::decodeJob(definition), progress, now(), wallAt(m_elapsed));
     }
+    for (const auto &[job, progress] : m_progress) {
+        if (!m_definitions.contains(job))
+            next.restoreRemainingRuns(job, *jobs::decodeRemainingRuns(job, progress));
+    }
     log("term " + std::to_string(m_term) + " begins");
     listWorkers();
     at(endedJobsLoadTime, [this, leader = m_leader] {
@@ -244,8 +250,9 @@
 
 void capacity_world::storeChanges(const leader_ref &leader)
 {
-    if (leader->storing || !leader->scheduler->hasChanges())
+    if (leader->storing || (!leader->scheduler->hasChanges() && now() < m_nextRowWrite))
         return;
+    m_nextRowWrite = now() + rowWriteInterval;
     leader->storing = true;
     const auto batch = std::make_shared<std::vector<jobs::job_change>>(
         leader->scheduler->takeChanges(maxBatchEntries));
@@ -273,9 +280,10 @@
         m_definitions[change.id] = *change.definition;
     if (change.progress)
         m_progress[change.id] = *change.progress;
+    else if (change.finished || change.remainingRunsGone)
+        m_progress.erase(change.id);
     if (change.finished) {
         m_definitions.erase(change.id);
-        m_progress.erase(change.id);
         m_ended[change.id] = *change.finished;
         m_done += *change.finished == jobs::job_state::Completed ? 1 : 0;
         log("stored end of " + change.id + " " + std::string(stateName(*change.finished)));
--- a/tests/jobs/capacity_world.h
+++ b/tests/jobs/capacity_world.h
@@ -169,6 +169,7 @@
     // By due time, then in order of creation.
     std::map<std::pair<time_point, std::uint64_t>, std::function<void()>> m_actions;
     leader_ref m_leader;
+    time_point m_nextRowWrite {};
     std::map<std::string, std::unique_ptr<model_worker>> m_workers;
     // Workers that have left the list for another id at their address.
     std::set<std::string> m_replaced;
--- a/tests/jobs/job_record_test.cpp
+++ b/tests/jobs/job_record_test.cpp
@@ -34,6 +34,13 @@
     {"running after a failure", task_phase::Running, 2, {1}, true, "", {false, 2, {1}, "w1", ""}},
     {"running with a checkpoint", task_phase::Running, 1, {}, true, "a", {false, 1, {}, "w1", "a"}},
     {"done", task_phase::Done, 1, {}, false, "ignored", {true, 1, {}, "", ""}},
+    {"done by another member of its gang while its run is at work",
+     task_phase::Done,
+     1,
+     {},
+     true,
+     "",
+     {true, 1, {}, "w1", ""}},
     {"done after a failure", task_phase::Done, 2, {1}, false, "", {true, 2, {1}, "", ""}},
     {"done by another member of its gang before it started",
      task_phase::Done,
@@ -85,6 +92,28 @@
     }
 }
 
+TEST_CASE("The runs that an ended job leaves to the next leader")
+{
+    job_fixture fixture({"done", task_phase::Done, 3, {}, true, "", {}}, 3);
+    fixture.job.definition.id = "00000000000000a1";
+    auto &step = fixture.job.occurrences.at(0).steps[0];
+    step_definition definition;
+    definition.demand = {2'000, 300, 1};
+    step.definition = &definition;
+    for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
+        step.tasks[i].index = i;
+    step.tasks[1].assignedWorker = nullptr;
+    const auto text = encodeRemainingRuns(fixture.job);
+    const auto decoded = decodeRemainingRuns(fixture.job.definition.id, text);
+    REQUIRE(decoded.has_value());
+    CHECK(*decoded
+          == std::vector<remaining_run> {{"00000000000000a1.0.0.0", 3, "w1", {2'000, 300, 1}},
+                                         {"00000000000000a1.0.0.2", 3, "w1", {2'000, 300, 1}}});
+    // Neither row is mistaken for the other.
+    CHECK_FALSE(decodeProgress(text).has_value());
+    CHECK_FALSE(decodeRemainingRuns("a1", encodeProgress(fixture.job)).has_value());
+}
+
 TEST_CASE("Progress that the first version of the program stored is read")
 {
     const auto decoded = decodeProgress(
--- a/tests/jobs/unlisted_stop_test.cpp
+++ b/tests/jobs/unlisted_stop_test.cpp
@@ -17,6 +17,7 @@
 constexpr milliseconds settleTime {200};
 // From the order of a stop until it is carried out on each worker.
 constexpr milliseconds stopOrderTime {50};
+constexpr milliseconds gap {20};
 // An order without a response is given up within this time.
 constexpr milliseconds unansweredTime {900};
 // A leader stops a member of a done gang that is still reported after this time.
@@ -111,6 +112,57 @@
      2,
      stopMemberOfDoneGang,
      milliseconds(700)},
+    {"the runs of a cancelled job as the leader resigns",
+     {step(4, 4'000)},
+     1,
+     [](capacity_world &world) {
+         world.cancel(first);
+         world.advance(stopOrderTime);
+         world.resign(gap);
+         world.advance(gap + capacity_world::stepTime);
+     },
+     milliseconds(700)},
+    {"the runs of a cancelled job as the leader is killed",
+     {step(4, 4'000)},
+     1,
+     [](capacity_world &world) {
+         world.cancel(first);
+         world.advance(stopOrderTime);
+         world.kill(gap);
+         world.advance(gap + capacity_world::stepTime);
+     },
+     milliseconds(700)},
+    {"the runs of a cancelled job as two leaders are killed",
+     {step(4, 4'000)},
+     1,
+     [](capacity_world &world) {
+         world.cancel(first);
+         world.advance(stopOrderTime);
+         for (int i = 0; i < 2; ++i) {
+             world.kill(gap);
+             world.advance(gap + capacity_world::stepTime);
+         }
+     },
+     milliseconds(700)},
+    {"the last member of a done gang as the leader is killed",
+     {step(2, 16'000, true)},
+     2,
+     [](capacity_world &world) {
+         stopMemberOfDoneGang(world);
+         world.kill(gap);
+         world.advance(gap + capacity_world::stepTime);
+     },
+     milliseconds(700)},
+    {"the last member of a done gang of a job that goes on as the leader is killed",
+     {step(2, 16'000, true), step(1, 16'000)},
+     2,
+     [](capacity_world &world) {
+         stopMemberOfDoneGang(world);
+         world.kill(gap);
+         world.advance(gap + capacity_world::stepTime);
+         world.cancel(first);
+     },
+     milliseconds(900)},
     {"the runs of a cancelled job on a worker that answers no more",
      {step(4, 4'000)},
      1,
