State that workers of plantaingapd list tasks that are being stopped

The owner takes a task that is missing from a worker's answer as stopped and gives its resources to others (updateRunning() in src/backend, R3 of docs/PROTOCOL.md). That is sound only if a task that is being stopped is listed; the proof relied on it ("if X runs, the answer says so") and no page said it. The protocol is our own, so the rule is stated instead of a bound on stops; the worker in src/backend has no stop that takes time. No change of code.

--- a/include/plantaingap/worker_lease.h
+++ b/include/plantaingap/worker_lease.h
@@ -87,6 +87,7 @@
     // The highest epoch that the worker has observed.
     epoch highest;
     worker_timestamp stamp;
+    // Includes a task that is being stopped until its resources are free.
     std::vector<task_id> running;
 };
 
