--- a/src/jobs/job_runs.cpp
+++ b/src/jobs/job_runs.cpp
@@ -74,6 +74,7 @@
     std::erase(worker.runs, &task);
     task.assignedWorker = nullptr;
     task.acknowledgedAt.reset();
+    task.missingSince.reset();
     task.fullRun = false;
     task.percent = 0;
     task.firstReportAt = {};
@@ -88,13 +89,13 @@
     --task.step->occurrence->job->occupying;
 }
 
-// The occurrence of a recurring job is dropped with the next change of the job.
+// The row of the job names the worker, and the occurrence of a recurring job is kept, until the
+// next change of the job.
 void job_scheduler::releaseDone(task_run &task)
 {
     auto &job = *task.step->occurrence->job;
     release(task);
-    if (job.definition.occurrences > 0)
-        markChanged(job);
+    markChanged(job);
 }
 
 void job_scheduler::recordEvent(std::string_view event, const task_run &task,
@@ -271,6 +272,14 @@
         stopRun(member, now);
 }
 
+void job_scheduler::stopPresentMembers(step_run &step, time_point now)
+{
+    for (auto &member : step.tasks) {
+        if (!member.missingSince)
+            stopRun(member, now);
+    }
+}
+
 // Reports.
 
 void job_scheduler::onWorkerRestarted(worker &worker, std::int64_t incarnationMs)
@@ -280,6 +289,8 @@
     worker.lastStoredEnd = 0;
     worker.unstoredEnds.clear();
     worker.leaseEndMs = 0;
+    if (worker.reports > 0)
+        removeOrphans(worker);
 }
 
 void job_scheduler::processEnd(worker &worker, const ended_run &end, time_point now)
@@ -359,7 +370,7 @@
     auto *task = name ? find(*name) : nullptr;
     if (const auto cause = unaccountedCause(worker, task, run)) {
         orderStop(worker, run);
-        return cause;
+        return isCountedOrphan(worker, run) ? std::nullopt : cause;
     }
     if (task->phase == task_phase::Done) {
         task->acknowledgedAt = task->acknowledgedAt.value_or(now);
@@ -432,10 +443,11 @@
         if (const auto cause = processActiveRun(*worker, run, now))
             unaccounted.push_back({&run, *cause});
     }
-    recordUnaccounted(*worker, report, unaccounted);
-    releaseMissingRuns(*worker, report, askedAt,
-                       restarted ? run_loss_cause::WorkerCrashed : run_loss_cause::NotReported,
-                       now);
+    const auto unaccountedBefore = worker->unaccountedRuns;
+    updateOrphans(*worker, report, unaccounted, askedAt, now);
+    recordUnaccounted(*worker, report, unaccounted, unaccountedBefore);
+    releaseMissingRuns(*worker, report, askedAt, restarted, now);
+    worker->lastReportAskedAt = askedAt;
     checkProgress(*worker, now);
 }
 
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -204,11 +204,7 @@
     task.checkpoint = from.checkpoint;
     task.crashes = from.crashes;
     task.step->crashed = task.step->crashed || !from.crashes.records().empty();
-    if (from.done) {
-        task.phase = task_phase::Done;
-        --task.step->waiting;
-        ++task.step->done;
-    } else if (!from.worker.empty()) {
+    if (!from.worker.empty()) {
         auto &worker = m_fleet.require(from.worker, m_previousLeaderLeaseEnd);
         allocate(task, worker);
         task.phase = task_phase::Doubtful;
@@ -217,6 +213,12 @@
             isolate(task);
         // A worker that has reported in this term rejects orders of previous leaders.
         task.acknowledgedAt = time_point {};
+    } else if (from.done) {
+        --task.step->waiting;
+    }
+    if (from.done) {
+        task.phase = task_phase::Done;
+        ++task.step->done;
     }
 }
 
@@ -441,6 +443,8 @@
             countUnusedTickets(occurrence);
             dropReservations(occurrence);
         }
+        if (job.remainingRunsStored)
+            m_withoutRemainingRuns.push_back(entry.first);
         return true;
     });
 }
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -33,6 +33,8 @@
     // which a previous leader may still consider itself the leader, plus the lease and the clock
     // error.
     milliseconds previousLeaderLease {8000};
+    // Longest time that a worker takes to stop a run, on the worker's clock.
+    milliseconds maxStopTime {900};
     // Interval between retries of a stop order without a response.
     milliseconds stopRetryInterval {300};
     // Delay before a failed advisor call is retried.
@@ -106,8 +108,10 @@
     // Set for a new job.
     std::optional<std::string> definition;
     std::optional<std::string> progress;
-    // Set when the job has ended; its other rows are deleted.
+    // Set when the job has ended; its definition is deleted, and its progress if none is set.
     std::optional<job_state> finished;
+    // All runs of an ended job are gone; its progress is deleted.
+    bool remainingRunsGone = false;
     std::vector<stored_effect> effects;
 };
 
@@ -245,6 +249,8 @@
     std::size_t isolatingWorkers = 0;
     // Workers whose last report had runs that are not counted there.
     std::size_t unaccountedWorkers = 0;
+    // Runs that may exist on workers and that no task of a live job is assigned to.
+    std::size_t orphanRuns = 0;
     resources used;
     // Free cores that are reserved for gangs, in thousandths.
     std::int64_t reservedMilliCores = 0;
@@ -262,6 +268,8 @@
     const cell_configuration &configuration() const { return m_configuration; }
     void restore(const recorded_job &job, const std::optional<recorded_progress> &progress,
                  time_point now, wall_time wallNow);
+    // Counts the runs of a job that ended in an earlier term while they were being stopped.
+    void restoreRemainingRuns(const std::string &id, const std::vector<remaining_run> &runs);
 
     // Callers.
     submit_result submit(job_definition definition, time_point now, wall_time wallNow);
@@ -398,8 +406,20 @@
         unaccounted_cause cause = unaccounted_cause::UnknownJob;
     };
     void orderStop(const worker &worker, const active_run &run);
-    void recordUnaccounted(worker &worker, const worker_report &report,
-                           const std::vector<unaccounted_run> &runs);
+    // A stop that was carried out before `stoppedBy` had ended when the report was requested.
+    bool stopHasEnded(time_point stoppedBy, time_point askedAt) const;
+    void updateOrphans(worker &worker, const worker_report &report,
+                       const std::vector<unaccounted_run> &unaccounted, time_point askedAt,
+                       time_point now);
+    void addOrphan(worker &worker, orphan_run orphan);
+    void removeOrphan(worker &worker, const orphan_run &orphan);
+    void removeOrphans(worker &worker);
+    static bool isCountedOrphan(const worker &worker, const active_run &run);
+    // A task is assigned to the worker with the attempt of the orphan, which it accounts for.
+    bool isAssigned(const worker &worker, const orphan_run &orphan);
+    void recordOrphanRelease(const worker &worker, const orphan_run &orphan);
+    void recordUnaccounted(const worker &worker, const worker_report &report,
+                           const std::vector<unaccounted_run> &runs, std::size_t before);
     void recordUnlistedRelease(const task_run &task, std::string_view reason);
     void recordStartAccounting(const task_run &task);
     void onWorkerRestarted(worker &worker, std::int64_t incarnationMs);
@@ -415,7 +435,10 @@
     void countCrash(const worker::lost_run &lost, const worker &worker, time_point now);
     void endProbation(task_run &task, time_point now);
     void releaseMissingRuns(worker &worker, const worker_report &report, time_point askedAt,
-                            run_loss_cause cause, time_point now);
+                            bool restarted, time_point now);
+    void releaseMissingRun(task_run &task, run_loss_cause cause, time_point now);
+    // Stops the members of a gang that no report has missed.
+    void stopPresentMembers(step_run &step, time_point now);
     void expireLeases(time_point now);
     void retryStops(time_point now, scheduler_orders &orders);
     // Updates the health of a worker after a failed or successful run.
@@ -474,6 +497,10 @@
     // Ids of jobs with changes that are not stored, in order of the first change.
     std::vector<std::string> m_dirty;
     std::map<std::string, std::vector<stored_effect>> m_effects;
+    // Ended jobs by the number of their runs that a previous leader left to be stopped.
+    std::map<std::string, std::size_t, std::less<>> m_remainingRuns;
+    // Ended jobs whose runs are gone and whose row can be deleted.
+    std::vector<std::string> m_withoutRemainingRuns;
     // Stop orders for reported runs that match no assignment, or whose gang is done.
     std::vector<stop_order> m_stopsOfReported;
     // Workers that were lost right after they started tasks of the queue and of no other, as of the
--- a/tests/jobs/capacity_world.h
+++ b/tests/jobs/capacity_world.h
@@ -73,8 +73,8 @@
     void submit(const std::string &id, std::vector<jobs::step_definition> steps,
                 milliseconds runTime);
     void cancel(const std::string &id);
-    // Ends the gang of a step as done, its first member now and the others `later`.
-    void endGang(const std::string &step, milliseconds later);
+    // Ends the gang of a step, its first member now and the others `later`.
+    void endGang(const std::string &step, jobs::run_outcome outcome, milliseconds later);
     // The leader's last batch is stored, and another one leads `gap` later.
     void resign(milliseconds gap);
     // The leader is gone; its batch in flight may have been stored.
@@ -169,6 +169,7 @@
     // By due time, then in order of creation.
     std::map<std::pair<time_point, std::uint64_t>, std::function<void()>> m_actions;
     leader_ref m_leader;
+    time_point m_nextRowWrite {};
     std::map<std::string, std::unique_ptr<model_worker>> m_workers;
     // Workers that have left the list for another id at their address.
     std::set<std::string> m_replaced;
