Count lost gangs by the room that the advisor allows

The rule says "capacity for it twice over" and not whether workers that the advisor doesn't allow count. The model checks the wide reading, so it has to be known how many lost jobs are lost under the narrow one.

Counted for each lost job: whether the workers that it would be allowed in all partitions have capacity twice over at that moment. The checks themselves are unchanged.

--- a/tests/jobs/gang_backlog_test.cpp
+++ b/tests/jobs/gang_backlog_test.cpp
@@ -85,6 +85,7 @@
     int runs = 0;
     std::size_t lost = 0;
     std::size_t lostBesideAllowed = 0;
+    std::size_t lostBesideAllowedAnywhere = 0;
     std::size_t lostInBusyPartition = 0;
     std::size_t unfinished = 0;
     // The longest of all runs.
@@ -107,6 +108,7 @@
     ++sum.runs;
     sum.lost += world.lost;
     sum.lostBesideAllowed += world.lostBesideAllowed;
+    sum.lostBesideAllowedAnywhere += world.lostBesideAllowedAnywhere;
     sum.lostInBusyPartition += world.lostInBusyPartition;
     sum.unfinished += world.unfinished.size();
     sum.longestGangWait = std::max(sum.longestGangWait, inSeconds(figures.longestGangWait));
@@ -133,8 +135,9 @@
 
 void printTitle()
 {
-    std::cout << "load fail leave seed | LOST, of these with room on allowed workers, in a busy "
-                 "partition; not ended | longest gang wait s, drained s | of each kind: sent "
+    std::cout << "load fail leave seed | LOST, of these with room on allowed workers, twice on "
+                 "those of all partitions, in a busy partition; not ended | longest gang wait s, "
+                 "drained s | of each kind: sent "
                  "accepted refused, on time late worthless, worth | worth | starts calls tickets "
                  "unused | pass us p50 p99\n";
 }
@@ -144,9 +147,10 @@
 {
     std::cout << std::fixed << std::setprecision(2) << row.load << ' ' << row.membersFail << ' '
               << row.workersLeave << ' ' << seed << " | " << figures.lost << ' '
-              << figures.lostBesideAllowed << ' ' << figures.lostInBusyPartition << ' '
-              << figures.unfinished << " | " << std::setprecision(1) << figures.longestGangWait
-              << ' ' << figures.drainTime << std::setprecision(3);
+              << figures.lostBesideAllowed << ' ' << figures.lostBesideAllowedAnywhere << ' '
+              << figures.lostInBusyPartition << ' ' << figures.unfinished << " | "
+              << std::setprecision(1) << figures.longestGangWait << ' ' << figures.drainTime
+              << std::setprecision(3);
     double owed = 0;
     double earned = 0;
     for (std::size_t kind = 0; kind < backlogKinds; ++kind) {
--- a/tests/jobs/gang_backlog_world.cpp
+++ b/tests/jobs/gang_backlog_world.cpp
@@ -271,6 +271,10 @@
     ++lost;
     const auto needed = step.definition->gang ? step.definition->tasks : 1;
     lostBesideAllowed += partition.freeAllowedSlots(step) >= needed ? 1 : 0;
+    std::uint32_t slotsAnywhere = 0;
+    for (const auto &other : m_partitions)
+        slotsAnywhere += other->freeAllowedSlots(step);
+    lostBesideAllowedAnywhere += slotsAnywhere >= capacityFactor * needed ? 1 : 0;
     const auto used = partition.activeDemand().milliCores;
     lostInBusyPartition += used * 2 >= partition.upCapacity().milliCores ? 1 : 0;
     if (lostExamples.size() >= maxListed)
--- a/tests/jobs/gang_backlog_world.h
+++ b/tests/jobs/gang_backlog_world.h
@@ -53,6 +53,9 @@
     // Those of them for which the workers that they are allowed in their own partition have
     // capacity.
     std::size_t lostBesideAllowed = 0;
+    // Those for which the workers that they would be allowed in all partitions have capacity twice
+    // over.
+    std::size_t lostBesideAllowedAnywhere = 0;
     // Those whose partition has over half of its cores in use.
     std::size_t lostInBusyPartition = 0;
     std::vector<std::string> lostExamples;
