Give all late gangs claims on workers side by side

One overdue gang of a partition at a time could reserve capacity for a start that is far off, and only below 65% use: the others fetched their tickets one after the other (0.8 to 1 s each), and a gang of whole workers was never started while there was traffic.

Below 65% use all late gangs may now reserve however far off their start is, and so get capacity and tickets side by side. At any use the oldest that is still of use to its caller goes first. Whether it could run is judged as if it were first: reservations of younger gangs would otherwise keep a suspected gang from it for ever (jobs.overdue_gang_test failed on the claims without that).

--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -59,6 +59,10 @@
     std::vector<ready_step> readySteps();
     // Moves the overdue gang that holds its capacity first to the front, if there is one.
     void prioritizeOverdueGang(std::vector<ready_step> &ready);
+    // Whether others lose little by capacity that idles for a gang.
+    bool fleetHasRoom() const;
+    // Whether the gang may reserve capacity for a start that is late or far off.
+    bool hasClaim(const ready_step &ready) const;
     // Whether the allowed workers could hold all members once their runs have ended.
     bool couldHoldGang(const ready_step &ready) const;
     void schedule(const ready_step &ready);
@@ -99,10 +103,13 @@
     bool canRequestAdvice(const ready_step &ready) const;
     void requestAdviceForTasks(const ready_step &ready);
     void requestAdviceForGang(const ready_step &ready);
+    void requestAdviceAhead(const ready_step &next);
     bool renewTickets(const ready_step &ready);
     void requestAdviceForNewWorkers(const ready_step &ready);
     void requestAdvice(const ready_step &ready, const std::vector<advice_candidate> &found,
                        double wanted);
+    // Whether a call about the planned workers is of the longest class.
+    static bool longCall(const ready_step &ready);
     static std::chrono::microseconds callDuration(const ready_step &ready, std::size_t workers);
     // Capacity that is free now, or also an estimate of what becomes free later.
     enum class capacity_kind : std::uint8_t { Now, Later };
@@ -129,6 +136,8 @@
     scheduler_orders &m_orders;
     // Call classes for which no instance is available; none becomes available during a pass.
     std::array<bool, advisor_call_router::callClassCount> m_callClassBusy {};
+    // Gangs whose turn comes once tasks end that are at work.
+    std::vector<ready_step> m_nextGangs;
     std::vector<worker *> m_usableWorkers;
     resources m_usableCapacity;
     // Workers on which suspected tasks are at work or which they took down, and their limit.
--- a/src/jobs/dispatcher_gangs.cpp
+++ b/src/jobs/dispatcher_gangs.cpp
@@ -54,24 +54,40 @@
 
 // Without it a wide gang may wait for ever: steps that can still be on time go first, and while
 // nothing is reserved for a start that is far off, other tasks refill the capacity, so that the
-// start stays far off. One gang at a time, the oldest, so that no two hold parts of each other's
-// capacity.
+// start stays far off. Only the oldest goes first and may take what others have reserved, so that
+// no two hold parts of each other's capacity. In a busy fleet it must still be of use, because
+// others lose by the capacity that idles for it.
 void dispatcher::prioritizeOverdueGang(std::vector<ready_step> &ready)
 {
-    if (m_scheduler.m_fleetLoad >= maxLoadForLateReservations)
-        return;
-    auto oldest = ready.end();
+    const int maxLateness = fleetHasRoom() ? 2 : 1;
+    std::vector<std::vector<ready_step>::iterator> late;
     for (auto it = ready.begin(); it != ready.end(); ++it) {
-        const auto &step = *it->step;
-        if (step.definition->gang && it->lateness > 0
-            && (oldest == ready.end() || step.onTimeUntil < oldest->step->onTimeUntil)
-            && couldHoldGang(*it))
-            oldest = it;
+        if (it->step->definition->gang && it->lateness > 0 && it->lateness <= maxLateness)
+            late.push_back(it);
     }
-    if (oldest == ready.end())
+    std::ranges::sort(late, {}, [](auto it) { return it->step->onTimeUntil; });
+    const auto oldest = std::ranges::find_if(late, [this](auto it) {
+        // Workers that are reserved for others count only for the overdue gang.
+        m_overdueGang = it->step;
+        return couldHoldGang(*it);
+    });
+    if (oldest == late.end()) {
+        m_overdueGang = nullptr;
         return;
-    m_overdueGang = oldest->step;
-    std::rotate(ready.begin(), oldest, oldest + 1);
+    }
+    std::rotate(ready.begin(), *oldest, *oldest + 1);
+}
+
+bool dispatcher::fleetHasRoom() const
+{
+    return m_scheduler.m_fleetLoad < maxLoadForLateReservations;
+}
+
+// With a claim on workers of their own, late gangs get their capacity and their tickets side by
+// side instead of one after the other.
+bool dispatcher::hasClaim(const ready_step &ready) const
+{
+    return ready.step == m_overdueGang || (ready.lateness > 0 && fleetHasRoom());
 }
 
 // Places all members or none, on as few workers as possible.
@@ -234,13 +250,10 @@
         plan.workers.push_back(worker->entry.id);
     const bool onTime = startAt + step.remainingChain <= step.onTimeUntil;
     const bool onlyReservation = ready.lateness <= 1 && m_reservedCapacity.milliCores == 0;
-    // While much of the fleet is free, others lose little by a reservation, and without one they
-    // take the capacity of a late gang again and again.
-    const bool fleetHasRoom = m_scheduler.m_fleetLoad < maxLoadForLateReservations;
-    const bool overdue = ready.step == m_overdueGang;
-    if (!overdue && startAt > m_now + maxReservationLead)
+    const bool claim = hasClaim(ready);
+    if (!claim && startAt > m_now + maxReservationLead)
         plan.result = gang_plan_result::TooFarOff;
-    else if (!overdue && !onTime && !onlyReservation && !fleetHasRoom)
+    else if (!claim && !onTime && !onlyReservation)
         plan.result = gang_plan_result::Late;
     else
         reserve(ready, assignment);
