--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -30,6 +30,17 @@
     return step.latencyTarget.count() > 0;
 }
 
+// Whether it is a gang for which only steps are missing that run to their end.
+bool turnComesNext(const step_run &step)
+{
+    const auto &steps = step.occurrence->steps;
+    return step.definition->gang
+           && std::ranges::all_of(step.definition->after, [&steps](std::uint32_t earlier) {
+                  return earlier < steps.size() && steps[earlier].ready
+                         && steps[earlier].waiting == 0;
+              });
+}
+
 bool provedHealthy(const task_run *run)
 {
     return run->step->definition->longRunning && run->speedObserved;
@@ -60,6 +71,8 @@
     prepareIsolation(ready);
     for (const auto &step : ready)
         schedule(step);
+    for (const auto &step : m_nextGangs)
+        requestAdviceAhead(step);
 }
 
 std::vector<dispatcher::ready_step> dispatcher::readySteps()
@@ -70,6 +83,9 @@
             continue;
         for (auto &[number, occurrence] : job->occurrences) {
             for (auto &step : occurrence.steps) {
+                if (!step.ready && turnComesNext(step))
+                    m_nextGangs.push_back(
+                        {&step, &m_scheduler.queueOf(*job), latenessOf(step, m_now), false, false});
                 if (!step.ready || step.waiting == 0)
                     continue;
                 if (step.definition->gang && step.waiting < step.tasks.size())
--- a/tests/jobs/gang_test.cpp
+++ b/tests/jobs/gang_test.cpp
@@ -81,6 +81,21 @@
     CHECK(world.running(id) == 4);
 }
 
+// Guards against a later gang that first waits for the advisor once its turn has come.
+TEST_CASE("The advisor is asked about a later gang while the earlier step runs")
+{
+    scheduler_world world(4, {16'000, 32'768, 0}, advisorCost);
+    world.begin();
+    auto later = gangOf(2, 8000);
+    later.after = {0};
+    world.submit(id, "large", {gangOf(4, 8000), later});
+    world.settle();
+    REQUIRE(world.running(id + ".0.0.") == 4);
+    const auto &steps = world.scheduler.job(id)->occurrences.begin()->second.steps;
+    CHECK_FALSE(steps[1].advice.allowed.empty());
+    CHECK(world.running(id + ".0.1.") == 0);
+}
+
 TEST_CASE("A gang is retried on workers where it failed when no others are allowed")
 {
     scheduler_world world(4, {16'000, 32'768, 0}, advisorCost);
