Refuse gangs behind a backlog that would end past 1.5 objectives

Callers had gangs accepted behind a backlog of 20 s and more, which was LOST at the end of traffic: the bound of 2.4 objectives is 27 s for the widest kind, longer than a fleet has to serve what it accepted.

While gangs wait that are placed before it, a job with gangs is refused if it is expected to end past 1.5 objectives.

--- a/src/jobs/admission.cpp
+++ b/src/jobs/admission.cpp
@@ -12,6 +12,9 @@
 // A job expected to end later than this many objectives after its arrival is refused. Results are
 // useful until three objectives; the difference is a margin for errors of the estimate.
 constexpr double maxCompletionFactor = 2.4;
+// The bound while gangs wait that are placed before those of the job: one that is late would delay
+// others that can be on time, and a backlog must be short enough to be served.
+constexpr double maxCompletionBehindGangs = 1.5;
 // Range of the retry delay of refused jobs, in seconds.
 constexpr double minRetrySeconds = 1;
 constexpr double maxRetrySeconds = 8;
@@ -66,7 +69,10 @@
         return decision;
     decision.estimate = estimateJob(job, queue, inputs);
     const auto objective = static_cast<double>(decision.estimate.objective.count());
-    decision.latestEnd = milliseconds(std::llround(objective * maxCompletionFactor));
+    const bool behindGangs =
+        decision.estimate.gangsAhead > 0 && std::ranges::any_of(job.steps, &step_definition::gang);
+    const auto factor = behindGangs ? maxCompletionBehindGangs : maxCompletionFactor;
+    decision.latestEnd = milliseconds(std::llround(objective * factor));
     if (decision.estimate.end > decision.latestEnd) {
         const std::chrono::duration<double> excess = decision.estimate.end - decision.latestEnd;
         decision.retryAfterSeconds = static_cast<std::uint32_t>(
