Give up claims in a busy fleet and the gate on tickets

So a late gang has a claim below 65% use only, as before, and asks for tickets again.

jobs.accepted_gangs_test needs the claim of the oldest gang at any use; it is red again and listed.

--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -57,7 +57,7 @@
     };
 
     std::vector<ready_step> readySteps();
-    // Moves the overdue gang that holds its capacity first to the front, if there is one.
+    // Moves the overdue gang to the front, if there is one.
     void prioritizeOverdueGang(std::vector<ready_step> &ready);
     // Whether others lose little by capacity that idles for a gang.
     bool fleetHasRoom() const;
@@ -108,8 +108,6 @@
     void requestAdviceForNewWorkers(const ready_step &ready);
     void requestAdvice(const ready_step &ready, const std::vector<advice_candidate> &found,
                        double wanted);
-    // Whether a call about the planned workers is of the longest class.
-    static bool longCall(const ready_step &ready);
     static std::chrono::microseconds callDuration(const ready_step &ready, std::size_t workers);
     // Capacity that is free now, or also an estimate of what becomes free later.
     enum class capacity_kind : std::uint8_t { Now, Later };
--- a/src/jobs/dispatcher_advice.cpp
+++ b/src/jobs/dispatcher_advice.cpp
@@ -108,12 +108,6 @@
     requestAdvice(ready, found, wanted);
 }
 
-bool dispatcher::longCall(const ready_step &ready)
-{
-    return advisor_call_router::classOf(callDuration(ready, ready.step->gang.workers.size()))
-           == advisor_call_router::call_class::Long;
-}
-
 // First finds enough workers for the gang. Tickets are renewed shortly before the capacity becomes
 // free; if that is far off, more workers are requested.
 void dispatcher::requestAdviceForGang(const ready_step &ready)
@@ -122,9 +116,6 @@
         return;
     const auto &plan = ready.step->gang;
     if (plan.startAt) {
-        // Capacity that is not reserved is taken by others before the answer to a long call.
-        if (!plan.reserved && ready.lateness > 0 && longCall(ready))
-            return;
         if (renewTickets(ready) || *plan.startAt <= m_now + longGangWait)
             return;
     }
--- a/src/jobs/dispatcher_gangs.cpp
+++ b/src/jobs/dispatcher_gangs.cpp
@@ -55,14 +55,14 @@
 // Without it a wide gang may wait for ever: steps that can still be on time go first, and while
 // nothing is reserved for a start that is far off, other tasks refill the capacity, so that the
 // start stays far off. Only the oldest goes first and may take what others have reserved, so that
-// no two hold parts of each other's capacity. In a busy fleet it must still be of use, because
-// others lose by the capacity that idles for it.
+// no two hold parts of each other's capacity.
 void dispatcher::prioritizeOverdueGang(std::vector<ready_step> &ready)
 {
-    const int maxLateness = fleetHasRoom() ? 2 : 1;
+    if (!fleetHasRoom())
+        return;
     std::vector<std::vector<ready_step>::iterator> late;
     for (auto it = ready.begin(); it != ready.end(); ++it) {
-        if (it->step->definition->gang && it->lateness > 0 && it->lateness <= maxLateness)
+        if (it->step->definition->gang && it->lateness > 0)
             late.push_back(it);
     }
     std::ranges::sort(late, {}, [](auto it) { return it->step->onTimeUntil; });
@@ -87,7 +87,7 @@
 // side instead of one after the other.
 bool dispatcher::hasClaim(const ready_step &ready) const
 {
-    return ready.step == m_overdueGang || (ready.lateness > 0 && fleetHasRoom());
+    return ready.lateness > 0 && fleetHasRoom();
 }
 
 // Places all members or none, on as few workers as possible.
