Jobs: size in log lines, and outcomes counted by size

No decision reads them; the former submit() is admit(), which submit() counts. Submissions that are turned away while the store is away do not reach the scheduler and are not counted. Declared durations may be far off, so the bands are those that admission sees, not those of the work that a job turns out to be.

--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -96,9 +96,11 @@
     std::string explainJob(const std::string &id, time_point now) const;
     // Logs the figures of each kind of step that have changed.
     void logFigures();
+    void logSizes();
     // Logs the time spent on each duty since the last call.
     void logDuties();
     void addFigures(std::string &metrics) const;
+    void addSizes(std::string &metrics) const;
     awaitable<void> loadEndedJobs();
 
     // Writes to the store; a write without a reply is hedged by further attempts.
@@ -146,7 +148,8 @@
     jobs::submit_result decideSubmission(jobs::job_definition definition, time_point now);
     awaitable<caller_response> submit(caller_request request, jobs::job_definition definition);
     // Rejects a job that was not sent to the store.
-    caller_response rejectUnstored(const std::string &id, std::string_view reason, time_point now);
+    caller_response rejectUnstored(const std::string &id, const jobs::job_size &size,
+                                   std::string_view reason, time_point now);
     awaitable<caller_response> cancel(caller_request request, std::string id);
     awaitable<caller_response> reportState(caller_request request, std::string id);
     awaitable<std::optional<jobs::job_state>> readEndedState(std::string id, bool &storeRead);
@@ -207,6 +210,7 @@
     duration m_greatestLag {};
     // As last logged.
     jobs::figures_by_queue m_loggedFigures;
+    std::map<std::string, jobs::figures_by_size, std::less<>> m_loggedSizes;
     std::array<duration, leaderDuties> m_loggedDuties {};
 };
 
--- a/src/cell/leader_log.cpp
+++ b/src/cell/leader_log.cpp
@@ -35,6 +35,21 @@
      {"late", "steps_late", &jobs::kind_figures::late},
      {"awaiting_instance", "steps_awaiting_instance", &jobs::kind_figures::awaitingInstance}}};
 
+struct size_figure
+{
+    std::string_view name;
+    std::uint64_t jobs::size_figures::*value;
+};
+
+// A metric is named "jobs_", the name, "_total".
+constexpr std::array<size_figure, 6> sizeFigures {
+    {{"submitted", &jobs::size_figures::submitted},
+     {"accepted", &jobs::size_figures::accepted},
+     {"refused", &jobs::size_figures::refused},
+     {"on_time", &jobs::size_figures::onTime},
+     {"late", &jobs::size_figures::late},
+     {"without_value", &jobs::size_figures::withoutValue}}};
+
 // Causes from this one on break a gang; the ones before tell that no cause is known.
 constexpr auto firstBreak = static_cast<std::size_t>(jobs::run_end_cause::NotStarted);
 
@@ -82,6 +97,24 @@
     m_loggedFigures = m_scheduler.figures();
 }
 
+void leader::logSizes()
+{
+    for (const auto &[queue, bands] : m_scheduler.sizes().figures()) {
+        auto &logged = m_loggedSizes[queue];
+        for (std::size_t band = 0; band < jobs::sizeBands; ++band) {
+            if (bands[band] == logged[band])
+                continue;
+            log_event line(log_level::Info, "leader.jobs_by_size");
+            line.field("partition", m_options.partition.index)
+                .field("queue", queue)
+                .field("size", jobs::bandName(static_cast<jobs::size_band>(band)));
+            for (const auto &[name, value] : sizeFigures)
+                line.field(name, bands[band].*value);
+        }
+        logged = bands;
+    }
+}
+
 void leader::logDuties()
 {
     const auto inMilliseconds = [](duration span) {
@@ -121,6 +154,22 @@
                 });
 }
 
+void leader::addSizes(std::string &metrics) const
+{
+    const auto partition = "partition=\"" + std::to_string(m_options.partition.index) + "\"";
+    for (const auto &[queue, bands] : m_scheduler.sizes().figures()) {
+        for (std::size_t band = 0; band < jobs::sizeBands; ++band) {
+            const auto size = jobs::bandName(static_cast<jobs::size_band>(band));
+            for (const auto &[name, value] : sizeFigures) {
+                metrics.append("plantaingap_jobs_").append(name).append("_total{");
+                metrics.append(partition).append(",queue=\"").append(queue);
+                metrics.append("\",size=\"").append(size).append("\"} ");
+                metrics.append(std::to_string(bands[band].*value)).append("\n");
+            }
+        }
+    }
+}
+
 void leader::logWaits(const jobs::job_explanations &waits, time_point now)
 {
     const auto log = [this](std::string_view event, const jobs::job_explanation &line) {
--- a/src/cell/leader_orders.cpp
+++ b/src/cell/leader_orders.cpp
@@ -135,6 +135,7 @@
             .field("workers_examined", m_scheduler.passes().workersExamined)
             .field("write_ms", std::chrono::duration_cast<milliseconds>(m_lastWriteTime).count());
         logFigures();
+        logSizes();
         logDuties();
         logWaits(waits, now);
     }
@@ -313,6 +314,7 @@
     add("memory_mib", static_cast<std::uint64_t>(load.capacity.memoryMib));
     add("memory_mib_used", static_cast<std::uint64_t>(load.used.memoryMib));
     addFigures(out);
+    addSizes(out);
     for (std::size_t duty = 0; duty < leaderDuties; ++duty) {
         out += "plantaingap_leader_seconds_total{partition=\""
                + std::to_string(m_options.partition.index) + "\",duty=\""
--- a/src/cell/leader_requests.cpp
+++ b/src/cell/leader_requests.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <cmath>
 
 // The leader's handling of callers' requests.
 namespace plantaingap::cell {
@@ -68,6 +69,13 @@
     return host.substr(0, host.find(':'));
 }
 
+void addSize(log_event &line, const jobs::job_size &size)
+{
+    line.field("tasks", static_cast<std::uint64_t>(size.tasks))
+        .field("whole_workers", static_cast<std::uint64_t>(size.wholeWorkers))
+        .field("core_s", static_cast<std::int64_t>(std::llround(size.coreSeconds)));
+}
+
 } // namespace
 
 awaitable<caller_response> leader::handleRequest(caller_request request)
@@ -126,9 +134,11 @@
     definition->queue = queue->name;
     if (jobs::encodeJob(*definition, {}).size() > maxRecordBytes) {
         ++m_counters["submissions_too_large"];
-        log_event(log_level::Info, "job.rejected")
-            .field("job", id)
+        log_event line(log_level::Info, "job.rejected");
+        line.field("job", id)
+            .field("queue", queue->name)
             .field("reason", "its record does not fit into a row of the store");
+        addSize(line, m_scheduler.sizeOf(*definition));
         co_return makeResponse(statusBadRequest);
     }
     co_return co_await submit(std::move(request), std::move(*definition));
@@ -142,17 +152,18 @@
         std::clamp(sinceCommit.count(), minRetryAfterSeconds, maxRetryAfterSeconds));
 }
 
-caller_response leader::rejectUnstored(const std::string &id, std::string_view reason,
-                                       time_point now)
+caller_response leader::rejectUnstored(const std::string &id, const jobs::job_size &size,
+                                       std::string_view reason, time_point now)
 {
     ++m_counters["submissions_store_away"];
     const auto seconds = outageRetrySeconds(now);
-    log_event(log_level::Info, "job.rejected")
-        .field("job", id)
+    log_event line(log_level::Info, "job.rejected");
+    line.field("job", id)
         .field("reason", reason)
         .field("committed_ms_ago",
                std::chrono::duration_cast<milliseconds>(now - m_lastCommitSentAt).count())
         .field("retry_after_s", seconds);
+    addSize(line, size);
     return makeResponse(statusUnavailable, {}, seconds);
 }
 
@@ -165,12 +176,13 @@
 awaitable<caller_response> leader::submit(caller_request request, jobs::job_definition definition)
 {
     const auto id = definition.id;
+    const auto size = m_scheduler.sizeOf(definition);
     const auto now = bootNow();
     const bool duplicate = m_scheduler.awaitingStore(id) || m_scheduler.state(id);
     if (!duplicate && m_resigning)
         co_return caller_response {};
     if (!duplicate && (storeUnavailable(now) || m_scheduler.waitingChanges() > maxWaitingChanges)) {
-        co_return rejectUnstored(id, "the store is unavailable", now);
+        co_return rejectUnstored(id, size, "the store is unavailable", now);
     }
     const auto queue = definition.queue;
     const auto result = decideSubmission(std::move(definition), now);
@@ -181,6 +193,7 @@
             .field("queue", queue)
             .field("reason", result.reason)
             .field("retry_after_s", result.retryAfterSeconds);
+        addSize(line, size);
         for (const auto &[key, value] : result.fields)
             line.field(key, value);
         co_return makeResponse(statusTooMany, {}, result.retryAfterSeconds);
@@ -191,13 +204,15 @@
     schedulePlan();
     co_await waitUntilStored(id, std::min(request.deadline, clock::now() + submissionStoreTimeout));
     if (!m_ended && m_scheduler.discardUnstored(id)) {
-        co_return rejectUnstored(id, "not stored in time", bootNow());
+        co_return rejectUnstored(id, size, "not stored in time", bootNow());
     }
     // The job was already sent to the store, so wait for the store's reply.
     co_await waitUntilStored(id, request.deadline);
     if (m_scheduler.state(id)) {
         ++m_counters["submissions_accepted"];
-        log_event(log_level::Info, "job.accepted").field("job", id).field("queue", queue);
+        log_event line(log_level::Info, "job.accepted");
+        line.field("job", id).field("queue", queue);
+        addSize(line, size);
         co_return makeResponse(statusOk);
     }
     if (!m_ended)
--- a/src/jobs/job_progress.h
+++ b/src/jobs/job_progress.h
@@ -3,6 +3,7 @@
 
 #include "jobs/crash_history.h"
 #include "jobs/job.h"
+#include "jobs/size_figures.h"
 #include "jobs/step_advice.h"
 #include "jobs/step_wait.h"
 
@@ -213,6 +214,8 @@
     bool remainingRunsStored = false;
     // Number of runs that may exist on workers.
     std::uint32_t occupying = 0;
+    // Set for a job that runs once and was accepted in this term, for counting.
+    std::optional<size_band> band;
 };
 
 } // namespace plantaingap::jobs
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -261,7 +261,7 @@
     return found;
 }
 
-submit_result job_scheduler::submit(job_definition definition, time_point now, wall_time wallNow)
+submit_result job_scheduler::admit(job_definition definition, time_point now, wall_time wallNow)
 {
     if (const auto *existing = findJob(definition.id))
         return {existing->stored ? submit_status::AlreadyAccepted : submit_status::AwaitingStore,
@@ -305,6 +305,7 @@
     auto *job = findJob(id);
     if (!job || job->definitionSent || job->stored)
         return false;
+    countDiscarded(*job);
     dropUnstoredState(*job);
     for (auto &[number, occurrence] : job->occurrences) {
         countUnusedTickets(occurrence);
@@ -416,8 +417,10 @@
 void job_scheduler::closeJob(const std::string &id, job_state state, time_point now)
 {
     m_endedJobs[id] = {state, now + m_options.endedJobRetention};
-    if (auto *job = findJob(id))
+    if (auto *job = findJob(id)) {
+        countEnded(*job, state, now);
         job->closed = true;
+    }
 }
 
 // Before the occurrence is removed: a step created later may have the address of one of its steps.
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -6,6 +6,7 @@
 #include "jobs/fleet.h"
 #include "jobs/job_record.h"
 #include "jobs/kind_figures.h"
+#include "jobs/size_figures.h"
 #include "jobs/start_estimate.h"
 
 #include <array>
@@ -358,12 +359,17 @@
     job_explanations observeWaits(std::size_t maxLines, time_point now);
     // Counts since the start of the term, and gauges as of the last call of observeWaits().
     const figures_by_queue &figures() const { return m_figures; }
+    const size_counter &sizes() const { return m_sizes; }
+    job_size sizeOf(const job_definition &job) const { return jobs::sizeOf(job, m_fleet); }
     const job_run *job(const std::string &id) const;
 
 private:
     friend class dispatcher;
 
     // Jobs.
+    submit_result admit(job_definition definition, time_point now, wall_time wallNow);
+    void countDiscarded(const job_run &job);
+    void countEnded(const job_run &job, job_state state, time_point now);
     occurrence_run &createOccurrence(job_run &job, std::uint32_t number, time_point due);
     void setObjectives(job_run &job, occurrence_run &occurrence);
     void createDueOccurrences(time_point now, wall_time wallNow);
@@ -522,6 +528,7 @@
     std::vector<scheduler_event> m_events;
     time_point m_waitsObservedAt {};
     figures_by_queue m_figures;
+    size_counter m_sizes;
     std::uint64_t m_workerCrashes = 0;
     std::uint64_t m_tasksGivenUp = 0;
     accounting_counts m_accounting;
--- a/tests/cell/leader_log_test.cpp
+++ b/tests/cell/leader_log_test.cpp
@@ -222,3 +222,33 @@
             fixture.context.run_one();
     }
 }
+
+// Guards against jobs that are refused or late for their size where no line tells the size.
+TEST_CASE("The size of a job, and what becomes of the jobs of its size, is logged")
+{
+    const log_capture log;
+    leader_fixture fixture(3);
+    const auto accepted = log.linesOf("job.accepted");
+    CHECK(accepted.size() == 3);
+    for (const auto &line : accepted) {
+        for (const auto *part : {" queue=queue", " tasks=1", " whole_workers=0", " core_s="}) {
+            CAPTURE(std::string(part));
+            CHECK(contains(line, part));
+        }
+    }
+    const std::string labels = R"(_total{partition="0",queue="queue",size="largest_tenth"} )";
+    while (log.linesOf("leader.jobs_by_size").empty())
+        fixture.context.run_one();
+    const auto lines = log.linesOf("leader.jobs_by_size");
+    // The jobs are of one size, so each is among the largest.
+    REQUIRE(lines.size() == 1);
+    CHECK(contains(lines.front(), " queue=queue size=largest_tenth submitted=3 accepted=3 "
+                                  "refused=0 on_time=0 late=0 without_value=0"));
+    const auto metrics = fixture.leading->metrics();
+    for (const auto *counter : {"submitted", "accepted"})
+        CHECK(contains(metrics, "plantaingap_jobs_" + std::string(counter) + labels + "3\n"));
+    CHECK(contains(metrics, "plantaingap_jobs_refused" + labels + "0\n"));
+    fixture.leading->resign();
+    while (!fixture.ended)
+        fixture.context.run_one();
+}
