--- a/tests/jobs/backlog_traffic.cpp
+++ b/tests/jobs/backlog_traffic.cpp
@@ -3,6 +3,7 @@
 #include "jobs/task_capacity.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <numbers>
 
@@ -12,9 +13,6 @@
 
 using std::chrono::microseconds;
 
-// Size of the deployment whose traffic the kinds below describe.
-constexpr double modelledWorkers = 1100;
-constexpr double modelledPartitions = 3;
 // Traffic swings by this share with this period in seconds.
 constexpr double swing = 0.15;
 constexpr double swingPeriod = 11;
@@ -71,66 +69,143 @@
 constexpr std::uint32_t attempts = 3;
 constexpr milliseconds ticketValidity {1500};
 
-constexpr job_kind kinds[backlogKinds] = {
-    {"large",
-     1,
-     8.49,
-     0.2,
-     {40, 0.8, 240},
-     true,
-     {18'000, 0.4, 30'000},
-     {33'000, 0.5, 66'000},
-     {4000, 0.5, 10'000},
-     1,
-     0.9,
-     0.05,
-     2.2,
-     milliseconds(1200),
-     microseconds(380'000),
-     microseconds(5500),
-     0.25,
-     9.24,
-     {milliseconds(20'000), milliseconds(24'000), 1.7}},
-    {"middle",
-     2,
-     11.2,
-     0.5,
-     {40, 0.6, 200},
-     true,
-     {11'000, 0.45, 33'000},
-     {16'000, 0.6, 47'000},
-     {2700, 0.5, 6800},
-     0,
-     0.2,
-     0.005,
-     4,
-     milliseconds(3000),
-     microseconds(140'000),
-     microseconds(2000),
-     0.45,
-     4.38,
-     {}},
-    {"quick",
-     0,
-     177,
-     0,
-     {4.5, 0.8, 27},
-     false,
-     {16'000, 0.45, 47'000},
-     {29'000, 0.6, 86'000},
-     {640, 0.5, 1600},
-     0.3,
-     0.9,
-     0.005,
-     1.5,
-     milliseconds(600),
-     microseconds(8900),
-     microseconds(130),
-     0.7,
-     0.388,
-     {milliseconds(9000), milliseconds(13'000), 1.8}},
+// Size of a deployment and its kinds of jobs.
+struct site_traffic
+{
+    double workers;
+    double partitions;
+    std::array<job_kind, backlogKinds> kinds;
 };
 
+constexpr site_traffic largeSite {1100,
+                                  3,
+                                  {{
+                                      {"large",
+                                       1,
+                                       8.49,
+                                       0.2,
+                                       {40, 0.8, 240},
+                                       true,
+                                       {18'000, 0.4, 30'000},
+                                       {33'000, 0.5, 66'000},
+                                       {4000, 0.5, 10'000},
+                                       1,
+                                       0.9,
+                                       0.05,
+                                       2.2,
+                                       milliseconds(1200),
+                                       microseconds(380'000),
+                                       microseconds(5500),
+                                       0.25,
+                                       9.24,
+                                       {milliseconds(20'000), milliseconds(24'000), 1.7}},
+                                      {"middle",
+                                       2,
+                                       11.2,
+                                       0.5,
+                                       {40, 0.6, 200},
+                                       true,
+                                       {11'000, 0.45, 33'000},
+                                       {16'000, 0.6, 47'000},
+                                       {2700, 0.5, 6800},
+                                       0,
+                                       0.2,
+                                       0.005,
+                                       4,
+                                       milliseconds(3000),
+                                       microseconds(140'000),
+                                       microseconds(2000),
+                                       0.45,
+                                       4.38,
+                                       {}},
+                                      {"quick",
+                                       0,
+                                       177,
+                                       0,
+                                       {4.5, 0.8, 27},
+                                       false,
+                                       {16'000, 0.45, 47'000},
+                                       {29'000, 0.6, 86'000},
+                                       {640, 0.5, 1600},
+                                       0.3,
+                                       0.9,
+                                       0.005,
+                                       1.5,
+                                       milliseconds(600),
+                                       microseconds(8900),
+                                       microseconds(130),
+                                       0.7,
+                                       0.388,
+                                       {milliseconds(9000), milliseconds(13'000), 1.8}},
+                                  }}};
+
+constexpr site_traffic grownSite {350,
+                                  1,
+                                  {{
+                                      {"large",
+                                       1,
+                                       5.42,
+                                       0.2,
+                                       {20, 0.8, 120},
+                                       true,
+                                       {18'000, 0.4, 30'000},
+                                       {33'000, 0.5, 65'000},
+                                       {4000, 0.5, 10'000},
+                                       1,
+                                       0.9,
+                                       0.05,
+                                       2.2,
+                                       milliseconds(1200),
+                                       microseconds(340'000),
+                                       microseconds(4900),
+                                       0.25,
+                                       10.4,
+                                       {milliseconds(17'000), milliseconds(21'000), 1.9}},
+                                      {"middle",
+                                       2,
+                                       8.95,
+                                       0.5,
+                                       {25, 0.8, 150},
+                                       true,
+                                       {6900, 0.45, 21'000},
+                                       {10'000, 0.6, 30'000},
+                                       {2700, 0.5, 6800},
+                                       0,
+                                       0.2,
+                                       0.005,
+                                       4,
+                                       milliseconds(3000),
+                                       microseconds(100'000),
+                                       microseconds(1400),
+                                       0.45,
+                                       3.94,
+                                       {}},
+                                      {"quick",
+                                       0,
+                                       125,
+                                       0,
+                                       {3.2, 0.8, 19},
+                                       false,
+                                       {9900, 0.45, 30'000},
+                                       {18'000, 0.6, 55'000},
+                                       {640, 0.5, 1600},
+                                       0.3,
+                                       0.9,
+                                       0.005,
+                                       1.5,
+                                       milliseconds(600),
+                                       microseconds(7200),
+                                       microseconds(100),
+                                       0.7,
+                                       0.396,
+                                       {milliseconds(5200), milliseconds(9200), 2.2}},
+                                  }}};
+
+const site_traffic &trafficOf(modelled_site site)
+{
+    return site == modelled_site::Large ? largeSite : grownSite;
+}
+
 double meanCoreSeconds(const job_kind &kind, double widthFactor)
 {
     return (1 + kind.secondStep) * kind.width.mean * widthFactor * kind.milliCores.mean / 1000
@@ -155,10 +230,10 @@
     , m_random(options.seed)
 { }
 
-std::vector<backlog_queue> backlog_traffic::queues()
+std::vector<backlog_queue> backlog_traffic::queues() const
 {
     std::vector<backlog_queue> found;
-    for (const auto &kind : kinds) {
+    for (const auto &kind : trafficOf(m_options.site).kinds) {
         const jobs::advisor_cost cost {kind.perCall, kind.perWorker, ticketValidity};
         found.push_back({{kind.queue, "host", std::string("/") + kind.queue + "/", "service",
                           kind.priority, attempts, kind.stretch, kind.slack, cost},
@@ -169,7 +244,7 @@
 
 const char *backlog_traffic::nameOfKind(std::size_t kind)
 {
-    return kinds[kind].queue;
+    return largeSite.kinds[kind].queue;
 }
 
 double backlog_traffic::uniform()
@@ -186,18 +261,20 @@
 
 double backlog_traffic::widthFactor(std::size_t kind) const
 {
-    return kinds[kind].widthScales
-               ? m_options.workersPerPartition * modelledPartitions / modelledWorkers
+    const auto &site = trafficOf(m_options.site);
+    return site.kinds[kind].widthScales
+               ? m_options.workersPerPartition * site.partitions / site.workers
                : 1.0;
 }
 
 int backlog_traffic::arrivals(std::size_t kind, duration elapsed)
 {
-    const auto &profile = kinds[kind];
+    const auto &site = trafficOf(m_options.site);
+    const auto &profile = site.kinds[kind];
     const auto now = std::chrono::duration<double>(elapsed).count();
     const auto wave = 1 + swing * std::sin(2 * std::numbers::pi * now / swingPeriod);
-    const auto scale = profile.widthScales ? m_options.partitions / modelledPartitions
-                                           : m_options.workers() / modelledWorkers;
+    const auto scale = profile.widthScales ? m_options.partitions / site.partitions
+                                           : m_options.workers() / site.workers;
     const auto &more = profile.moreTraffic;
     const auto factor = elapsed >= more.from && elapsed < more.until ? more.factor : 1.0;
     const auto tick = std::chrono::duration<double>(backlog_partition::tickLength).count();
@@ -209,10 +286,10 @@
 backlog_job backlog_traffic::createJob(std::size_t kind)
 {
     backlog_job job;
-    job.definition.queue = kinds[kind].queue;
+    job.definition.queue = trafficOf(m_options.site).kinds[kind].queue;
     job.definition.payload = "payload";
     addStep(kind, job);
-    if (uniform() < kinds[kind].secondStep) {
+    if (uniform() < trafficOf(m_options.site).kinds[kind].secondStep) {
         addStep(kind, job);
         job.definition.steps.back().after = {0};
     }
@@ -221,7 +298,7 @@
 
 void backlog_traffic::addStep(std::size_t kind, backlog_job &job)
 {
-    const auto &profile = kinds[kind];
+    const auto &profile = trafficOf(m_options.site).kinds[kind];
     const auto draw = [this](const distribution &from, double factor = 1) {
         return spreadAround(from.mean * factor, from.spread, from.max * factor);
     };
@@ -245,9 +322,10 @@
         m_options.membersFail ? 1 - std::pow(1 - profile.failureShare, members) : 0);
 }
 
-duration backlog_traffic::objectiveOf(std::size_t kind, const backlog_job &job, duration timeLost)
+duration backlog_traffic::objectiveOf(std::size_t kind, const backlog_job &job,
+                                      duration timeLost) const
 {
-    const auto &profile = kinds[kind];
+    const auto &profile = trafficOf(m_options.site).kinds[kind];
     auto chain = timeLost;
     for (const auto &work : job.work)
         chain += work + profile.perCall + profile.perWorker * adviceWorkersInChain;
@@ -257,9 +335,9 @@
 
 double backlog_traffic::worthOf(std::size_t kind, const backlog_job &job) const
 {
-    const auto relative = coreSeconds(job) / meanCoreSeconds(kinds[kind], widthFactor(kind));
-    return kinds[kind].worth
-           * std::min(maxWorthFactor, minWorthShare + (1 - minWorthShare) * relative);
+    const auto &profile = trafficOf(m_options.site).kinds[kind];
+    const auto relative = coreSeconds(job) / meanCoreSeconds(profile, widthFactor(kind));
+    return profile.worth * std::min(maxWorthFactor, minWorthShare + (1 - minWorthShare) * relative);
 }
 
 } // namespace plantaingap::tests
--- a/tests/jobs/backlog_traffic.h
+++ b/tests/jobs/backlog_traffic.h
@@ -8,8 +8,13 @@
 // A random mix of gangs, wide steps and quick steps, in proportion to the number of workers.
 namespace plantaingap::tests {
 
+// The deployment whose traffic is played: ctrs-sched-large, or ctrs-sched-grown, whose gangs are
+// half as wide and twice as many.
+enum class modelled_site : std::uint8_t { Large, Grown };
+
 struct backlog_options
 {
+    modelled_site site = modelled_site::Large;
     // Traffic as a multiple of the usual, which needs 82% of all cores, and more in bursts.
     double load = 1;
     bool membersFail = false;
@@ -29,7 +34,7 @@
 public:
     explicit backlog_traffic(const backlog_options &options);
 
-    static std::vector<backlog_queue> queues();
+    std::vector<backlog_queue> queues() const;
     static const char *nameOfKind(std::size_t kind);
 
     // Number of jobs that arrive in one tick.
@@ -38,7 +43,7 @@
     backlog_job createJob(std::size_t kind);
     std::uint64_t randomNumber() { return m_random(); }
     // Time to the end of the objective; timeLost is added to the chain of steps.
-    static duration objectiveOf(std::size_t kind, const backlog_job &job, duration timeLost);
+    duration objectiveOf(std::size_t kind, const backlog_job &job, duration timeLost) const;
     double worthOf(std::size_t kind, const backlog_job &job) const;
 
     static constexpr resources workerCapacity {64'000, 131'072, 0};
--- a/tests/jobs/gang_backlog_test.cpp
+++ b/tests/jobs/gang_backlog_test.cpp
@@ -7,7 +7,9 @@
 
 using namespace plantaingap;
 using plantaingap::tests::backlog_options;
+using plantaingap::tests::backlog_outcomes;
 using plantaingap::tests::backlog_traffic;
+using plantaingap::tests::backlogBands;
 using plantaingap::tests::backlogKinds;
 using plantaingap::tests::gang_backlog_world;
 
@@ -91,7 +93,8 @@
     // The longest of all runs.
     double longestGangWait = 0;
     double drainTime = 0;
-    std::array<plantaingap::tests::backlog_outcomes, backlogKinds> kinds;
+    std::array<backlog_outcomes, backlogKinds> kinds;
+    std::array<std::array<backlog_outcomes, backlogBands>, backlogKinds> bands;
     std::uint64_t starts = 0;
     std::uint64_t adviceCalls = 0;
     std::uint64_t tickets = 0;
@@ -114,16 +117,9 @@
     sum.longestGangWait = std::max(sum.longestGangWait, inSeconds(figures.longestGangWait));
     sum.drainTime = std::max(sum.drainTime, inSeconds(figures.drainTime));
     for (std::size_t kind = 0; kind < backlogKinds; ++kind) {
-        auto &to = sum.kinds[kind];
-        const auto &from = figures.kinds[kind];
-        to.sent += from.sent;
-        to.accepted += from.accepted;
-        to.refusedForGood += from.refusedForGood;
-        to.onTime += from.onTime;
-        to.late += from.late;
-        to.worthless += from.worthless;
-        to.worthOwed += from.worthOwed;
-        to.worthEarned += from.worthEarned;
+        sum.kinds[kind] += figures.kinds[kind];
+        for (std::size_t band = 0; band < backlogBands; ++band)
+            sum.bands[kind][band] += figures.bands[kind][band];
     }
     sum.starts += counts.starts;
     sum.adviceCalls += counts.adviceCalls;
@@ -138,7 +134,9 @@
     std::cout << "load fail leave seed | LOST, of these with room on allowed workers, twice on "
                  "those of all partitions, in a busy partition; not ended | longest gang wait s, "
                  "drained s | of each kind: sent "
-                 "accepted refused, on time late worthless, worth | worth | starts calls tickets "
+                 "accepted refused, on time late worthless, worth, share served of the largest "
+                 "tenth, the "
+                 "next fifth and the rest | worth | starts calls tickets "
                  "unused | pass us p50 p99\n";
 }
 
@@ -160,7 +158,9 @@
         std::cout << " | " << backlog_traffic::nameOfKind(kind) << ' ' << outcomes.sent << ' '
                   << outcomes.accepted << ' ' << outcomes.refusedForGood << ", " << outcomes.onTime
                   << ' ' << outcomes.late << ' ' << outcomes.worthless << ", "
-                  << outcomes.worthEarned / outcomes.worthOwed;
+                  << outcomes.worthEarned / outcomes.worthOwed << ", served by size";
+        for (const auto &band : figures.bands[kind])
+            std::cout << ' ' << band.servedShare();
     }
     std::cout << " | " << earned / owed << " | " << figures.starts << ' ' << figures.adviceCalls
               << ' ' << figures.tickets << ' ' << figures.unusedTickets << " | "
--- a/tests/jobs/gang_backlog_world.cpp
+++ b/tests/jobs/gang_backlog_world.cpp
@@ -31,16 +31,31 @@
 constexpr std::uint64_t ticksPerCheck = 4;
 constexpr std::uint64_t ticksPerSecond = 1000 / backlog_partition::tickLength.count();
 constexpr std::size_t maxListed = 3;
+// Ranks by work, as shares of the jobs of a kind, where the largest tenth and the fifth below end.
+constexpr double bandEnds[] = {0.1, 0.3};
 
 } // namespace
 
+backlog_outcomes &backlog_outcomes::operator+=(const backlog_outcomes &other)
+{
+    sent += other.sent;
+    accepted += other.accepted;
+    refusedForGood += other.refusedForGood;
+    onTime += other.onTime;
+    late += other.late;
+    worthless += other.worthless;
+    worthOwed += other.worthOwed;
+    worthEarned += other.worthEarned;
+    return *this;
+}
+
 gang_backlog_world::gang_backlog_world(const backlog_options &options)
     : m_options(options)
     , m_traffic(options)
 {
     for (std::uint32_t i = 0; i < options.partitions; ++i) {
         m_partitions.push_back(std::make_unique<backlog_partition>(
-            options.workersPerPartition, backlog_traffic::workerCapacity, backlog_traffic::queues(),
+            options.workersPerPartition, backlog_traffic::workerCapacity, m_traffic.queues(),
             options.partitions, options.seed * options.partitions + i));
     }
 }
@@ -76,7 +91,7 @@
         crashWorkers();
     } else if (!m_unsent.empty()) {
         for (const auto &client : m_unsent)
-            ++m_figures.kinds[client.kind].refusedForGood;
+            recordRefused(client);
         m_unsent.clear();
     }
     for (const auto &partition : m_partitions)
@@ -107,7 +122,7 @@
     created.job = m_traffic.createJob(kind);
     chooseId(created);
     const auto timeLost = created.partition->timeLostByFailures(created.job);
-    created.objective = backlog_traffic::objectiveOf(kind, created.job, timeLost);
+    created.objective = m_traffic.objectiveOf(kind, created.job, timeLost);
     created.worth = m_traffic.worthOf(kind, created.job);
     m_coreSecondsSent += coreSeconds(created.job) * (timeLost > duration(0) ? 2 : 1);
     ++m_figures.kinds[kind].sent;
@@ -140,9 +155,8 @@
 bool gang_backlog_world::send(client_job &client)
 {
     const auto result = client.partition->submit(client.job);
-    auto &outcomes = m_figures.kinds[client.kind];
     if (result.status != jobs::submit_status::Refused) {
-        ++outcomes.accepted;
+        ++m_figures.kinds[client.kind].accepted;
         m_open.push_back(client);
         return true;
     }
@@ -150,7 +164,7 @@
     client.nextSend = elapsed() + seconds(result.retryAfterSeconds);
     if (client.sends < maxSends && client.nextSend <= client.firstSent + clientBudget)
         return false;
-    ++outcomes.refusedForGood;
+    recordRefused(client);
     return true;
 }
 
@@ -178,18 +192,29 @@
 
 void gang_backlog_world::recordEnd(const client_job &client, jobs::job_state state)
 {
-    auto &outcomes = m_figures.kinds[client.kind];
     const auto taken = elapsed() - client.firstSent;
     m_figures.drainTime = std::max<duration>(m_figures.drainTime, elapsed() - trafficTime);
-    if (state != jobs::job_state::Completed || taken > client.objective * jobs::lateSpanFactor) {
-        ++outcomes.worthless;
-    } else if (taken > client.objective) {
-        ++outcomes.late;
-        outcomes.worthEarned += client.worth * lateWorthShare;
-    } else {
-        ++outcomes.onTime;
-        outcomes.worthEarned += client.worth;
-    }
+    if (state != jobs::job_state::Completed || taken > client.objective * jobs::lateSpanFactor)
+        recordOutcome(client, &backlog_outcomes::worthless, 0);
+    else if (taken > client.objective)
+        recordOutcome(client, &backlog_outcomes::late, client.worth * lateWorthShare);
+    else
+        recordOutcome(client, &backlog_outcomes::onTime, client.worth);
+}
+
+void gang_backlog_world::recordRefused(const client_job &client)
+{
+    recordOutcome(client, &backlog_outcomes::refusedForGood, 0);
+}
+
+void gang_backlog_world::recordOutcome(const client_job &client,
+                                       std::uint64_t backlog_outcomes::*outcome, double worthEarned)
+{
+    auto &outcomes = m_figures.kinds[client.kind];
+    ++(outcomes.*outcome);
+    outcomes.worthEarned += worthEarned;
+    m_outcomes[client.kind].push_back(
+        {coreSeconds(client.job), outcome, client.worth, worthEarned});
 }
 
 void gang_backlog_world::observeGangs()
@@ -294,6 +319,26 @@
     return found;
 }
 
+std::array<backlog_outcomes, backlogBands>
+gang_backlog_world::splitBySize(std::vector<sized_outcome> outcomes)
+{
+    std::ranges::sort(outcomes, std::ranges::greater(), &sized_outcome::coreSeconds);
+    std::array<backlog_outcomes, backlogBands> bands;
+    for (std::size_t i = 0; i < outcomes.size(); ++i) {
+        const auto rank = static_cast<double>(i) / static_cast<double>(outcomes.size());
+        const auto beyond =
+            std::ranges::count_if(bandEnds, [rank](double end) { return rank >= end; });
+        auto &band = bands[static_cast<std::size_t>(beyond)];
+        const auto &job = outcomes[i];
+        ++band.sent;
+        band.accepted += job.outcome == &backlog_outcomes::refusedForGood ? 0 : 1;
+        ++(band.*job.outcome);
+        band.worthOwed += job.worthOwed;
+        band.worthEarned += job.worthEarned;
+    }
+    return bands;
+}
+
 backlog_figures gang_backlog_world::figures() const
 {
     auto sum = m_figures;
@@ -311,6 +356,8 @@
                                     counts.planTimes.end());
     }
     std::ranges::sort(sum.counts.planTimes);
+    for (std::size_t kind = 0; kind < backlogKinds; ++kind)
+        sum.bands[kind] = splitBySize(m_outcomes[kind]);
     return sum;
 }
 
--- a/tests/jobs/gang_backlog_world.h
+++ b/tests/jobs/gang_backlog_world.h
@@ -22,11 +22,22 @@
     std::uint64_t worthless = 0;
     double worthOwed = 0;
     double worthEarned = 0;
+
+    // Share of the jobs whose results had some value.
+    double servedShare() const
+    {
+        return sent == 0 ? 0 : static_cast<double>(onTime + late) / static_cast<double>(sent);
+    }
+    backlog_outcomes &operator+=(const backlog_outcomes &other);
 };
 
+// The jobs of a kind by their work: the largest tenth, the fifth below it, and the rest.
+inline constexpr std::size_t backlogBands = 3;
+
 struct backlog_figures
 {
     std::array<backlog_outcomes, backlogKinds> kinds;
+    std::array<std::array<backlog_outcomes, backlogBands>, backlogKinds> bands;
     // Longest time for which a gang whose turn had come had no run.
     duration longestGangWait {0};
     // From the end of traffic to the end of the last job.
@@ -94,6 +105,9 @@
     void crashWorkers();
     void recordEnds();
     void recordEnd(const client_job &client, jobs::job_state state);
+    void recordRefused(const client_job &client);
+    void recordOutcome(const client_job &client, std::uint64_t backlog_outcomes::*outcome,
+                       double worthEarned);
     void observeGangs();
     void checkRule();
     // A step whose turn has come and for which there is capacity twice over, or null.
@@ -107,6 +121,17 @@
     std::vector<client_job> m_unsent;
     std::vector<client_job> m_open;
     backlog_figures m_figures;
+    struct sized_outcome
+    {
+        double coreSeconds = 0;
+        std::uint64_t backlog_outcomes::*outcome = nullptr;
+        double worthOwed = 0;
+        double worthEarned = 0;
+    };
+    static std::array<backlog_outcomes, backlogBands>
+    splitBySize(std::vector<sized_outcome> outcomes);
+    // Each job of a kind whose outcome is known.
+    std::array<std::vector<sized_outcome>, backlogKinds> m_outcomes;
     // Work of all jobs, twice where a run fails.
     double m_coreSecondsSent = 0;
     std::uint64_t m_ticks = 0;
