Do not refuse gangs for their width

A gang that needs over a tenth of the workers was refused as soon as others as wide had waited beyond its bound; that singles out the largest tenth and the fifth below it, whose gangs are as wide in 93% and 60% of the cases, while narrower jobs of the kind went on being accepted. It also moved work from LOST to SHORT without making room for it. The rule goes.

--- a/src/jobs/start_estimate.cpp
+++ b/src/jobs/start_estimate.cpp
@@ -25,10 +25,6 @@
 // Gangs get at least this share of the workers however many other tasks run.
 constexpr double minGangShare = 0.3;
 
-// A gang is wide if more than this share of the workers must be free for it. Others find their
-// workers however many wide ones wait.
-constexpr double wideGangShare = 0.1;
-
 // The objective includes, for each step, one advisor call that names this many workers.
 constexpr int workersInObjective = 30;
 // Capacity of the workers named in a call, as a multiple of the demand, and the platform limit.
@@ -135,28 +131,12 @@
     }
 };
 
-// How long gangs have waited that are about as wide as a new one. The new one is not expected to
-// start sooner than the second longest of them: a single one may wait for workers that only it is
-// allowed.
-struct gang_waits
-{
-    duration longest {0};
-    duration second {0};
-
-    void add(duration wait)
-    {
-        second = std::max(second, std::min(wait, longest));
-        longest = std::max(longest, wait);
-    }
-};
-
 struct work_ahead
 {
     // Of steps that can still be on time.
     waiting_work onTime;
     // Of late ones.
     waiting_work late;
-    gang_waits waits;
     // Part of the workers on which single tasks run.
     double runningTasks = 0;
 };
@@ -193,9 +173,6 @@
     if (definition.gang) {
         const auto width = widthOf(definition, pool);
         const auto freeWorkers = freeWorkersFor(width, outlook.allowedShare, pool);
-        const bool isWide = rank.freeWorkers > wideGangShare * pool.workers;
-        if (isWide && freeWorkers <= rank.freeWorkers && freeWorkers * 2 >= rank.freeWorkers)
-            ahead.waits.add(waitOf(step, now));
         // A late gang is overtaken by gangs for which less has to be free.
         if (late && freeWorkers > rank.freeWorkers)
             return;
@@ -387,9 +364,7 @@
     void addWaits(const waiting_work &before, const work_ahead &ahead,
                   const std::vector<milliseconds> &room, job_estimate &result) const
     {
-        const auto waitedBy = std::chrono::duration_cast<milliseconds>(ahead.waits.second);
-        const auto gangs =
-            std::max(rounded(gangBacklog(before, ahead.runningTasks, m_pool)), waitedBy);
+        const auto gangs = rounded(gangBacklog(before, ahead.runningTasks, m_pool));
         const auto tasks = rounded(taskBacklog(before, m_pool));
         std::vector<milliseconds> first;
         std::vector<milliseconds> later;
