--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -91,6 +91,7 @@
             step.step->examineAt = m_now + examinationInterval;
         }
     }
+    planGangs();
     for (const auto &step : m_nextGangs)
         requestAdviceAhead(step);
 }
--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -67,8 +67,6 @@
     void prioritizeOverdueGang(std::vector<ready_step> &ready);
     // Whether others lose little by capacity that idles for a gang.
     bool fleetHasRoom() const;
-    // Whether gangs may reserve capacity for a start that is late or far off.
-    bool hasClaim() const;
     std::vector<worker *> knownWorkers(const ready_step &ready) const;
     // Whether the allowed workers could hold all members once their runs have ended.
     bool couldHoldGang(const ready_step &ready) const;
@@ -78,7 +76,16 @@
     // Gangs.
     void scheduleGang(const ready_step &ready);
     bool placeGang(const ready_step &ready);
-    void planGang(const ready_step &ready);
+    // Plans the gangs whose plan is due, in the order in which they may claim capacity.
+    void planGangs();
+    void planGang(const ready_step &ready, bool mayClaim);
+    // Keeps the claim of a gang on its workers. Returns false if it no longer stands: a worker is
+    // gone, or its runs take longer than planned.
+    bool renewClaim(const ready_step &ready);
+    // When the worker has that capacity free; none if its runs do not leave it.
+    std::optional<time_point> freeAt(const worker &worker, const resources &wanted) const;
+    // Expected end of a run, not before now.
+    time_point runEnd(const task_run &run) const;
     std::vector<capacity_release> capacityReleases(const ready_step &ready) const;
     void addCapacityReleases(const ready_step &ready, worker &worker,
                              std::vector<capacity_release> &found) const;
@@ -154,7 +161,8 @@
     // Strongly suspected tasks that wait, and those placed in this pass on each worker.
     std::size_t m_waitingStrongSuspects = 0;
     std::map<const worker *, std::size_t> m_strongSuspectsPlaced;
-    std::size_t m_plansWithoutReservation = 0;
+    // Gangs whose plan is to be made in this pass.
+    std::vector<ready_step> m_gangsToPlan;
     resources m_reservedCapacity;
     // The gang that is longest overdue. It goes first, may use capacity that is reserved for others
     // and reserves what it needs however far off its start is.
--- a/src/jobs/dispatcher_gangs.cpp
+++ b/src/jobs/dispatcher_gangs.cpp
@@ -10,22 +10,18 @@
 
 namespace {
 
-// Max share of all cores that may be reserved for waiting gangs of a busy fleet; a larger share
-// leaves too many cores idle. Of a fleet that is not busy the idle share may be reserved.
+// Share of all cores that waiting gangs may claim however busy the fleet is; a larger share leaves
+// too many cores idle. Of a fleet that is not busy the idle share may be claimed.
 constexpr double maxReservedShare = 0.25;
-// Capacity is reserved only for gangs that start within this time, because the part that is free
-// first idles until then.
-constexpr std::chrono::milliseconds maxReservationLead {1200};
-// Share of used cores below which capacity is reserved for gangs that will be late or whose start
-// is far off, too.
-constexpr double maxLoadForLateReservations = 0.65;
+// Share of used cores below which the gang that is longest overdue may take what others claim.
+constexpr double maxLoadForOverdueGang = 0.65;
 // A gang that waits for longer goes before younger ones, whatever its declared duration.
 constexpr std::chrono::seconds maxGangWait {10};
 // A reservation expires after this time, a few review intervals, unless planning renews it.
 constexpr std::chrono::milliseconds reservationDuration {400};
 constexpr std::chrono::milliseconds reviewInterval {100};
-// Gangs without a reservation that are planned in one pass.
-constexpr std::size_t maxPlansWithoutReservation = 16;
+// Gangs that are planned in one pass.
+constexpr std::size_t maxPlans = 16;
 // Tickets are also requested for spare workers that could hold this share of the members, because
 // some runs end later than expected.
 constexpr double spareShare = 0.5;
@@ -38,14 +34,84 @@
 {
     if (placeGang(ready))
         return;
-    // A reservation lapses unless its gang is planned again.
     const auto &plan = ready.step->gang;
-    const bool mayPlan = plan.reserved || m_plansWithoutReservation < maxPlansWithoutReservation;
-    if (plan.nextReviewAt <= m_now && mayPlan) {
-        m_plansWithoutReservation += plan.reserved ? 0 : 1;
-        planGang(ready);
+    if (plan.nextReviewAt <= m_now && !(plan.reserved && renewClaim(ready)))
+        m_gangsToPlan.push_back(ready);
+    else
+        requestAdviceForGang(ready);
+}
+
+// The longest accepted goes first, and once the share that may be claimed is used up, none after it
+// claims anything, so that wide gangs wait for a bounded number of others.
+void dispatcher::planGangs()
+{
+    std::ranges::stable_sort(m_gangsToPlan, {}, [](const ready_step &ready) {
+        return std::make_pair(ready.queue->priority == 0 ? 0 : 1, ready.step->occurrence->due);
+    });
+    bool shareLeft = true;
+    std::size_t plans = 0;
+    for (const auto &ready : m_gangsToPlan) {
+        if (plans++ >= maxPlans)
+            break;
+        planGang(ready, shareLeft || ready.step == m_overdueGang);
+        if (ready.step->gang.result == gang_plan_result::NoShareLeft)
+            shareLeft = false;
+        requestAdviceForGang(ready);
+    }
+}
+
+std::optional<time_point> dispatcher::freeAt(const worker &worker, const resources &wanted) const
+{
+    auto free = worker.free();
+    if (wanted.fitsIn(free))
+        return m_now;
+    std::vector<std::pair<time_point, const task_run *>> ends;
+    for (const auto *run : worker.runs) {
+        if (!run->step->definition->longRunning)
+            ends.emplace_back(runEnd(*run), run);
+    }
+    std::ranges::sort(ends, {}, &std::pair<time_point, const task_run *>::first);
+    for (const auto &[end, run] : ends) {
+        free += effectiveDemand(*run->step->definition);
+        if (wanted.fitsIn(free))
+            return end;
     }
-    requestAdviceForGang(ready);
+    return std::nullopt;
+}
+
+// A claim is kept from review to review: one that lapsed whenever the gang was late or its start far
+// off would lose its workers to younger steps each time.
+bool dispatcher::renewClaim(const ready_step &ready)
+{
+    auto &plan = ready.step->gang;
+    auto startAt = m_now;
+    for (const auto &ref : plan.workers) {
+        const auto *worker = m_scheduler.m_fleet.find(ref);
+        if (!worker || worker->reservedFor != ready.step || !worker->usable(m_now)
+            || !eligible(ready, *worker))
+            return false;
+        const auto free = freeAt(*worker, worker->reservedCapacity);
+        if (!free || *free > plan.claimedStart + overrunAllowance)
+            return false;
+        startAt = std::max(startAt, *free);
+    }
+    plan.startAt = startAt;
+    plan.nextReviewAt = m_now + reviewInterval;
+    plan.plannedAt = m_now;
+    for (const auto &ref : plan.workers) {
+        auto *worker = m_scheduler.m_fleet.find(ref);
+        worker->reservedUntil = m_now + reservationDuration;
+        worker->reservedStart = startAt;
+    }
+    return true;
+}
+
+time_point dispatcher::runEnd(const task_run &run) const
+{
+    const bool started = run.phase == task_phase::Running || run.phase == task_phase::Stopping
+                         || run.phase == task_phase::Done;
+    const auto end = started ? expectedEnd(run) : m_now + run.step->expectedDuration;
+    return std::max(end, m_now + overrunAllowance);
 }
 
 // Workers on which the gang may run according to the advisor, with a valid ticket or without.
@@ -107,15 +173,7 @@
 
 bool dispatcher::fleetHasRoom() const
 {
-    return m_scheduler.m_fleetLoad < maxLoadForLateReservations;
-}
-
-// With a claim on workers of their own, gangs get their capacity and their tickets side by side
-// instead of one after the other. Without one, a gang that is on time would wait until it is late
-// wherever other tasks refill the capacity that it needs.
-bool dispatcher::hasClaim() const
-{
-    return fleetHasRoom();
+    return m_scheduler.m_fleetLoad < maxLoadForOverdueGang;
 }
 
 // Places all members or none, on as few workers as possible.
@@ -195,11 +253,8 @@
     const auto maxSlots = totalTaskSlots(ready, worker);
     std::vector<std::pair<time_point, const task_run *>> ends;
     for (const auto *run : worker.runs) {
-        const bool started = run->phase == task_phase::Running || run->phase == task_phase::Stopping
-                             || run->phase == task_phase::Done;
-        const auto end = started ? expectedEnd(*run) : m_now + run->step->expectedDuration;
         if (!run->step->definition->longRunning)
-            ends.emplace_back(std::max(end, m_now + overrunAllowance), run);
+            ends.emplace_back(runEnd(*run), run);
     }
     std::ranges::stable_sort(ends, {}, &std::pair<time_point, const task_run *>::first);
     auto free = worker.free();
@@ -231,9 +286,9 @@
     return found;
 }
 
-// Finds the earliest time at which the allowed workers have capacity for all members, and reserves
-// that capacity if the start is near.
-void dispatcher::planGang(const ready_step &ready)
+// Finds the earliest time at which the allowed workers have capacity for all members, and claims
+// that capacity.
+void dispatcher::planGang(const ready_step &ready, bool mayClaim)
 {
     auto &step = *ready.step;
     auto &plan = step.gang;
@@ -276,22 +331,18 @@
     plan.startAt = startAt;
     for (const auto &[worker, members] : assignment)
         plan.workers.push_back(worker->ref);
-    const bool onTime = startAt + step.remainingChain <= step.onTimeUntil;
-    const bool onlyReservation = ready.lateness <= 1 && m_reservedCapacity.milliCores == 0;
-    const bool claim = hasClaim();
-    if (!claim && startAt > m_now + maxReservationLead)
-        plan.result = gang_plan_result::TooFarOff;
-    else if (!claim && !onTime && !onlyReservation)
-        plan.result = gang_plan_result::Late;
-    else
+    plan.claimedStart = startAt;
+    if (mayClaim)
         reserve(ready, assignment);
+    else
+        plan.result = gang_plan_result::NoShareLeft;
 }
 
 // One reservation is always allowed, however small the fleet.
 bool dispatcher::canReserveMore(std::int64_t milliCores) const
 {
     const auto load = m_scheduler.m_fleetLoad;
-    const auto share = load < maxLoadForLateReservations ? 1.0 - load : maxReservedShare;
+    const auto share = std::max(1.0 - load, maxReservedShare);
     const auto bound = share * static_cast<double>(m_usableCapacity.milliCores);
     return m_reservedCapacity.milliCores == 0
            || static_cast<double>(m_reservedCapacity.milliCores + milliCores) <= bound;
--- a/src/jobs/job_explanation.cpp
+++ b/src/jobs/job_explanation.cpp
@@ -32,11 +32,9 @@
     return out;
 }
 
-constexpr std::array<std::pair<gang_plan_result, std::string_view>, 6> planResultNames {
+constexpr std::array<std::pair<gang_plan_result, std::string_view>, 4> planResultNames {
     {{gang_plan_result::NotPlanned, "none"},
      {gang_plan_result::TooFewSlots, "too_few_slots"},
-     {gang_plan_result::TooFarOff, "too_far_off"},
-     {gang_plan_result::Late, "late"},
      {gang_plan_result::NoShareLeft, "no_share_left"},
      {gang_plan_result::Reserved, "reserved"}}};
 
--- a/src/jobs/job_progress.h
+++ b/src/jobs/job_progress.h
@@ -104,11 +104,7 @@
     // The allowed workers without a reservation for another gang have too little capacity for all
     // members, now and after their runs have ended.
     TooFewSlots,
-    // The start is too far off to reserve capacity for it.
-    TooFarOff,
-    // The gang will be late and the fleet is busy.
-    Late,
-    // Other gangs have reserved all capacity that may be reserved.
+    // Other gangs, accepted before it, have claimed all capacity that may be claimed.
     NoShareLeft,
     Reserved,
 };
@@ -125,6 +121,8 @@
     // Workers that provide this capacity, and spare workers with capacity soon after.
     std::vector<worker_ref> workers;
     std::vector<worker_ref> spareWorkers;
+    // Start that was expected when the capacity was reserved.
+    time_point claimedStart {};
     // The capacity is reserved.
     bool reserved = false;
     // For logs: when it was planned, with which result, and how many members had no slot.
