Keep the claims of gangs, and admit in the order in which they claim

Above 65% use a gang had a claim only if it was on time and due within 1.2 s, so claims lapsed (jobs/postponed_gang_test, four of six rows failed), and admission went by an order that placement did not keep.

A waiting gang now claims the workers that it needs whatever the load and its lateness, the longest accepted first, until a share of the cores is claimed. While the first finds no share left, none after it claims anything. A claim is renewed at each review, and moves only when a worker is gone or a run overruns; its holder then keeps its right to the share. Admission counts all gangs that wait as ahead of a new one, but for a gang that has room now.

--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -76,6 +76,11 @@
     // Gangs.
     void scheduleGang(const ready_step &ready);
     bool placeGang(const ready_step &ready);
+    // Order in which gangs claim capacity: by priority and acceptance.
+    using claim_order = std::pair<int, time_point>;
+    static claim_order claimOrder(const ready_step &ready);
+    // Cores, in thousandths, that the claim of a gang takes.
+    static std::int64_t claimOf(const step_run &gang);
     // Plans the gangs whose plan is due, in the order in which they may claim capacity.
     void planGangs();
     void planGang(const ready_step &ready, bool mayClaim);
@@ -163,6 +168,8 @@
     std::map<const worker *, std::size_t> m_strongSuspectsPlaced;
     // Gangs whose plan is to be made in this pass.
     std::vector<ready_step> m_gangsToPlan;
+    // The first gang in that order that found no share of the capacity left to claim.
+    claim_order m_firstWithoutShare {2, time_point::max()};
     resources m_reservedCapacity;
     // The gang that is longest overdue. It goes first, may use capacity that is reserved for others
     // and reserves what it needs however far off its start is.
--- a/src/jobs/dispatcher_gangs.cpp
+++ b/src/jobs/dispatcher_gangs.cpp
@@ -35,27 +35,33 @@
     if (placeGang(ready))
         return;
     const auto &plan = ready.step->gang;
-    if (plan.nextReviewAt <= m_now && !(plan.reserved && renewClaim(ready)))
+    if (plan.nextReviewAt <= m_now && !(plan.reserved && renewClaim(ready))) {
         m_gangsToPlan.push_back(ready);
-    else
-        requestAdviceForGang(ready);
+        return;
+    }
+    if (plan.result == gang_plan_result::NoShareLeft)
+        m_firstWithoutShare = std::min(m_firstWithoutShare, claimOrder(ready));
+    requestAdviceForGang(ready);
 }
 
-// The longest accepted goes first, and once the share that may be claimed is used up, none after it
-// claims anything, so that wide gangs wait for a bounded number of others.
+dispatcher::claim_order dispatcher::claimOrder(const ready_step &ready)
+{
+    return {ready.queue->priority == 0 ? 0 : 1, ready.step->occurrence->due};
+}
+
+// The longest accepted goes first, and while it finds no share left, none after it claims anything,
+// so that wide gangs wait for a bounded number of others.
 void dispatcher::planGangs()
 {
-    std::ranges::stable_sort(m_gangsToPlan, {}, [](const ready_step &ready) {
-        return std::make_pair(ready.queue->priority == 0 ? 0 : 1, ready.step->occurrence->due);
-    });
-    bool shareLeft = true;
+    std::ranges::stable_sort(m_gangsToPlan, {}, claimOrder);
     std::size_t plans = 0;
     for (const auto &ready : m_gangsToPlan) {
-        if (plans++ >= maxPlans)
-            break;
-        planGang(ready, shareLeft || ready.step == m_overdueGang);
-        if (ready.step->gang.result == gang_plan_result::NoShareLeft)
-            shareLeft = false;
+        if (plans++ < maxPlans) {
+            const auto order = claimOrder(ready);
+            planGang(ready, order <= m_firstWithoutShare);
+            if (ready.step->gang.result == gang_plan_result::NoShareLeft)
+                m_firstWithoutShare = std::min(m_firstWithoutShare, order);
+        }
         requestAdviceForGang(ready);
     }
 }
@@ -79,8 +85,8 @@
     return std::nullopt;
 }
 
-// A claim is kept from review to review: one that lapsed whenever the gang was late or its start far
-// off would lose its workers to younger steps each time.
+// A claim is kept from review to review: one that lapsed whenever the gang was late or its start
+// far off would lose its workers to younger steps each time.
 bool dispatcher::renewClaim(const ready_step &ready)
 {
     auto &plan = ready.step->gang;
@@ -292,6 +298,8 @@
 {
     auto &step = *ready.step;
     auto &plan = step.gang;
+    // A gang whose claim no longer stands goes on with another one, whoever waits for the share.
+    const bool heldClaim = plan.reserved;
     dropReservation(step);
     const auto nextDiscoveryAt = plan.nextDiscoveryAt;
     plan = {};
@@ -332,13 +340,20 @@
     for (const auto &[worker, members] : assignment)
         plan.workers.push_back(worker->ref);
     plan.claimedStart = startAt;
-    if (mayClaim)
+    const bool exempt = heldClaim || ready.step == m_overdueGang;
+    if (exempt || (mayClaim && canReserveMore(claimOf(step))))
         reserve(ready, assignment);
     else
         plan.result = gang_plan_result::NoShareLeft;
 }
 
-// One reservation is always allowed, however small the fleet.
+std::int64_t dispatcher::claimOf(const step_run &gang)
+{
+    return effectiveDemand(*gang.definition).milliCores
+           * static_cast<std::int64_t>(gang.tasks.size());
+}
+
+// One claim is always allowed, however small the fleet.
 bool dispatcher::canReserveMore(std::int64_t milliCores) const
 {
     const auto load = m_scheduler.m_fleetLoad;
@@ -352,11 +367,6 @@
 {
     auto &plan = ready.step->gang;
     const auto demand = effectiveDemand(*ready.step->definition);
-    const auto wanted = demand.milliCores * static_cast<std::int64_t>(ready.step->tasks.size());
-    if (ready.step != m_overdueGang && !canReserveMore(wanted)) {
-        plan.result = gang_plan_result::NoShareLeft;
-        return;
-    }
     for (const auto &[worker, members] : assignment) {
         if (worker->reservedFor)
             m_reservedCapacity -= worker->reservedCapacity;
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -301,7 +301,7 @@
                 step.predictedStart = now + decision.estimate.starts[step.number];
         }
     }
-    m_waitingWork.add(job, now);
+    m_waitingWork.add(job, decision.estimate.widthWithRoom, now);
     markChanged(job);
     return {submit_status::AwaitingStore, 0, {}};
 }
--- a/src/jobs/start_estimate.cpp
+++ b/src/jobs/start_estimate.cpp
@@ -118,16 +118,25 @@
     return serves(worker, service) && worker.hasLabel(gang.label);
 }
 
-// Whether the allowed share of the workers has slots for all members now. Most gangs are narrow,
-// and few workers tell it.
+// Whether the allowed share of the workers has slots for all members now, beside the gangs that
+// were accepted a moment ago. Most gangs are narrow, and few workers tell it.
 bool hasRoomNow(const step_definition &gang, const std::string &service, double share,
                 const estimate_inputs &inputs)
 {
     double slots = 0;
+    double left = inputs.waiting.addedWidth(service);
     for (const auto &[id, worker] : inputs.workers.all()) {
         ++inputs.counts.workersExamined;
-        if (worker->responsive && mayHold(gang, *worker, service))
-            slots += slotsIn(gang, worker->free());
+        if (!worker->responsive || !mayHold(gang, *worker, service))
+            continue;
+        const auto found = slotsIn(gang, worker->free());
+        if (found == 0)
+            continue;
+        if (left > 0) {
+            --left;
+            continue;
+        }
+        slots += found;
         if (slots * share >= gang.tasks)
             return true;
     }
@@ -139,8 +148,6 @@
 milliseconds timeUntilRoom(const step_definition &gang, const std::string &service, double share,
                            const estimate_inputs &inputs)
 {
-    if (hasRoomNow(gang, service, share, inputs))
-        return milliseconds(0);
     std::vector<slot_release> releases;
     inputs.counts.workersExamined += inputs.workers.all().size();
     for (const auto &[id, worker] : inputs.workers.all()) {
@@ -188,13 +195,18 @@
             return result;
         std::vector<milliseconds> room(steps, milliseconds(0));
         for (std::size_t i = 0; i < steps; ++i) {
-            if (m_job.steps[i].gang)
-                room[i] = timeUntilRoom(m_job.steps[i], m_queue.service, m_outlook.allowedShare,
-                                        m_inputs);
+            const auto &step = m_job.steps[i];
+            const auto share = m_outlook.allowedShare;
+            m_hasRoom.push_back(step.gang && hasRoomNow(step, m_queue.service, share, m_inputs));
+            if (m_hasRoom.back())
+                result.widthWithRoom += widthOf(step, m_pool);
+            else if (step.gang)
+                room[i] = timeUntilRoom(step, m_queue.service, share, m_inputs);
         }
         const auto latestStart = m_inputs.now + (result.objective - longestChain);
-        const auto ahead = m_inputs.waiting.ahead(
-            {m_queue.priority == 0, latestStart, freeWorkers()}, m_queue.service, m_inputs.counts);
+        const bool hasGang = std::ranges::any_of(m_job.steps, &step_definition::gang);
+        const auto ahead = m_inputs.waiting.ahead({m_queue.priority == 0, latestStart, hasGang},
+                                                  m_queue.service, m_inputs.counts);
         // While the job can be on time, late tasks yield to it, but late gangs do not.
         auto before = ahead.onTime;
         before += ahead.late;
@@ -209,18 +221,6 @@
     }
 
 private:
-    // Workers that must be free for the widest gang.
-    double freeWorkers() const
-    {
-        double found = 0;
-        for (const auto &step : m_job.steps) {
-            if (step.gang)
-                found = std::max(
-                    found, freeWorkersFor(widthOf(step, m_pool), m_outlook.allowedShare, m_pool));
-        }
-        return found;
-    }
-
     void addWaits(const waiting_work &before, const work_ahead &ahead,
                   const std::vector<milliseconds> &room, job_estimate &result) const
     {
@@ -230,9 +230,10 @@
         std::vector<milliseconds> later;
         for (std::size_t i = 0; i < m_job.steps.size(); ++i) {
             const bool gang = m_job.steps[i].gang;
-            // Tickets for a gang are requested while it waits.
-            const auto wait =
-                gang ? std::max(gangs + room[i], m_adviceTimes[i]) : tasks + m_adviceTimes[i];
+            // A gang that has room now need not wait for those before it. Tickets are
+            // requested while it waits.
+            const auto claimed = m_hasRoom[i] ? milliseconds(0) : gangs + room[i];
+            const auto wait = gang ? std::max(claimed, m_adviceTimes[i]) : tasks + m_adviceTimes[i];
             // Long-running tasks are placed before all others.
             first.push_back(m_job.steps[i].longRunning ? m_adviceTimes[i] : wait);
             later.push_back(std::max(room[i], m_adviceTimes[i]));
@@ -272,6 +273,8 @@
     // By step.
     std::vector<milliseconds> m_runTimes;
     std::vector<milliseconds> m_adviceTimes;
+    // It is a gang that has room now.
+    std::vector<bool> m_hasRoom;
 };
 
 } // namespace
--- a/src/jobs/start_estimate.h
+++ b/src/jobs/start_estimate.h
@@ -58,6 +58,8 @@
     // Time until the gangs that are placed before the job have started, and the number of these.
     milliseconds gangBacklog {0};
     std::size_t gangsAhead = 0;
+    // Whole workers that its gangs that have room now occupy.
+    double widthWithRoom = 0;
     // Time until the single tasks that are placed before the job have started.
     milliseconds taskBacklog {0};
 };
@@ -65,9 +67,9 @@
 // Duration of the advisor call that the objective of a job includes for each step.
 milliseconds adviceInObjective(const queue_definition &queue);
 
-// Jobs of top priority are placed before all others. Late gangs are served in the order of their
-// age, so they are placed before the job, but for those that need more workers at the same moment,
-// beside which it fits. Late single tasks yield to a job that can be on time.
+// Jobs of top priority are placed before all others. Gangs are served in the order of acceptance,
+// so all that wait are placed before a gang of the job, unless it has room now.
+// Late single tasks yield to a job that can be on time.
 job_estimate estimateJob(const job_definition &job, const queue_definition &queue,
                          const estimate_inputs &inputs);
 
--- a/src/jobs/waiting_work.cpp
+++ b/src/jobs/waiting_work.cpp
@@ -72,7 +72,6 @@
             if (definition.gang && step.waiting > 0) {
                 const auto width = widthOf(definition, services);
                 const auto time = runTime * queue.runsPerGang;
-                found.freeWorkers = freeWorkersFor(width, queue.allowedShare, services);
                 found.work.gangTime = time / gangsSideBySide(width, queue.allowedShare, services);
                 found.work.gangWork = time * width;
                 found.work.gangs = 1;
@@ -90,11 +89,11 @@
     if (step.work.gangs == 0 && step.work.taskWork == 0)
         return;
     auto &priority = step.topPriority ? sums.top : sums.other;
+    if (step.gang)
+        priority.gangs += step.work;
     if (!step.late)
-        priority.onTimeByLatestStart.add(step.latestStart, step.work);
-    else if (step.gang)
-        priority.lateGangsByFreeWorkers.add(step.freeWorkers, step.work);
-    else
+        (step.gang ? priority.gangsOnTime : priority.tasksOnTime).add(step.latestStart, step.work);
+    else if (!step.gang)
         priority.lateTasks += step.work;
 }
 
@@ -120,16 +119,18 @@
     }
     for (auto &[service, sums] : m_services) {
         for (auto *priority : {&sums.top, &sums.other}) {
-            priority->onTimeByLatestStart.sumUp();
-            priority->lateGangsByFreeWorkers.sumUp();
+            priority->gangsOnTime.sumUp();
+            priority->tasksOnTime.sumUp();
         }
     }
 }
 
-void waiting_work_index::add(const job_run &job, time_point now)
+void waiting_work_index::add(const job_run &job, double widthWithRoom, time_point now)
 {
     if (!m_valid)
         return;
+    if (widthWithRoom > 0)
+        m_services[outlook(job.definition.queue).service].addedWidth += widthWithRoom;
     forEachStep(job, now, [&](const waiting_step &step, const std::string &service, double) {
         ++m_added;
         m_services[service].added.push_back(step);
@@ -150,14 +151,23 @@
     return found == m_queues.end() ? unknown : found->second;
 }
 
-// Jobs of top priority go before all others, and among jobs on time those that must start sooner. A
-// late gang is overtaken by gangs for which less has to be free.
+double waiting_work_index::addedWidth(const std::string &service) const
+{
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? 0 : found->second.addedWidth;
+}
+
+// Jobs of top priority go before all others. Gangs claim their workers in the order of acceptance,
+// so all that wait go before a new one. Among other steps on time those go first that must start
+// sooner; late ones yield to them.
 bool waiting_work_index::goesBefore(const waiting_step &step, const job_rank &rank)
 {
     if (rank.topPriority && !step.topPriority)
         return false;
+    if (step.gang && rank.gang)
+        return true;
     if (step.late)
-        return !step.gang || step.freeWorkers <= rank.freeWorkers;
+        return !step.gang;
     return (step.topPriority && !rank.topPriority) || step.latestStart <= rank.latestStart;
 }
 
@@ -169,22 +179,19 @@
     if (found == m_services.end())
         return ahead;
     const auto &sums = found->second;
-    const auto addLate = [&](const priority_sums &priority) {
-        ahead.late += priority.lateGangsByFreeWorkers.upTo(rank.freeWorkers);
+    const auto add = [&](const priority_sums &priority, time_point latestStart) {
+        ahead.onTime += rank.gang ? priority.gangs : priority.gangsOnTime.upTo(latestStart);
+        ahead.onTime += priority.tasksOnTime.upTo(latestStart);
         ahead.late += priority.lateTasks;
     };
     ahead.runningTasks = sums.runningTasks;
-    ahead.onTime = rank.topPriority ? sums.top.onTimeByLatestStart.upTo(rank.latestStart)
-                                    : sums.top.onTimeByLatestStart.all();
-    addLate(sums.top);
-    if (!rank.topPriority) {
-        ahead.onTime += sums.other.onTimeByLatestStart.upTo(rank.latestStart);
-        addLate(sums.other);
-    }
+    add(sums.top, rank.topPriority ? rank.latestStart : time_point::max());
+    if (!rank.topPriority)
+        add(sums.other, rank.latestStart);
     counts.stepsExamined += sums.added.size();
     for (const auto &step : sums.added) {
         if (goesBefore(step, rank))
-            (step.late ? ahead.late : ahead.onTime) += step.work;
+            (step.late && !step.gang ? ahead.late : ahead.onTime) += step.work;
     }
     return ahead;
 }
--- a/src/jobs/waiting_work.h
+++ b/src/jobs/waiting_work.h
@@ -48,9 +48,9 @@
 
 struct work_ahead
 {
-    // Of steps that can still be on time.
+    // Of gangs, and of single tasks that can still be on time.
     waiting_work onTime;
-    // Of late ones.
+    // Of late single tasks.
     waiting_work late;
     // Part of the workers on which single tasks run.
     double runningTasks = 0;
@@ -61,8 +61,8 @@
 {
     bool topPriority = false;
     time_point latestStart {};
-    // Workers that must be free for its widest gang; 0 without gangs.
-    double freeWorkers = 0;
+    // One of its steps is a gang.
+    bool gang = false;
 };
 
 // Sums of work by a key of its steps.
@@ -75,7 +75,6 @@
     void sumUp();
     // Work of all steps whose key is at most that.
     waiting_work upTo(Key key) const;
-    waiting_work all() const { return m_sums.empty() ? waiting_work {} : m_sums.back().second; }
 
 private:
     // By key, with the work up to and including it.
@@ -102,12 +101,15 @@
     void invalidate() { m_valid = false; }
     void rebuild(const job_map &jobs, const fleet &workers, queue_outlooks queues, time_point now,
                  admission_counts &counts);
-    // Adds a job that was accepted after the last rebuild.
-    void add(const job_run &job, time_point now);
+    // Adds a job that was accepted after the last rebuild. Its gangs that have room now occupy so
+    // many whole workers.
+    void add(const job_run &job, double widthWithRoom, time_point now);
 
     const worker_pool &pool(const std::string &service) const;
     // A default for an unknown queue.
     const queue_outlook &outlook(const std::string &queue) const;
+    // Whole workers that added gangs are about to occupy.
+    double addedWidth(const std::string &service) const;
     work_ahead ahead(const job_rank &rank, const std::string &service,
                      admission_counts &counts) const;
 
@@ -118,15 +120,16 @@
         bool gang = false;
         bool late = false;
         time_point latestStart {};
-        double freeWorkers = 0;
         waiting_work work;
     };
     // Steps of one priority, top or not.
     struct priority_sums
     {
-        work_by_key<time_point> onTimeByLatestStart;
-        work_by_key<double> lateGangsByFreeWorkers;
+        work_by_key<time_point> gangsOnTime;
+        work_by_key<time_point> tasksOnTime;
         waiting_work lateTasks;
+        // All gangs, late ones too.
+        waiting_work gangs;
     };
     struct service_sums
     {
@@ -135,6 +138,7 @@
         double runningTasks = 0;
         // Steps that were added after the sums were made.
         std::vector<waiting_step> added;
+        double addedWidth = 0;
     };
 
     template<typename Function>
