--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -172,7 +172,7 @@
     claim_order m_firstWithoutShare {2, time_point::max()};
     resources m_reservedCapacity;
     // The gang that is longest overdue. It goes first, may use capacity that is reserved for others
-    // and reserves what it needs however far off its start is.
+    // and may claim beyond the share.
     const step_run *m_overdueGang = nullptr;
 };
 
--- a/src/jobs/dispatcher_gangs.cpp
+++ b/src/jobs/dispatcher_gangs.cpp
@@ -146,10 +146,8 @@
     return false;
 }
 
-// Without it a wide gang may wait for ever: steps that can still be on time go first, and while
-// nothing is reserved for a start that is far off, other tasks refill the capacity, so that the
-// start stays far off. Only the oldest goes first and may take what others have reserved, so that
-// no two hold parts of each other's capacity.
+// A gang whose few allowed workers others claim in turn would wait for ever. Only the oldest may
+// take what others have claimed, so that no two hold parts of each other's capacity.
 void dispatcher::prioritizeOverdueGang(std::vector<ready_step> &ready)
 {
     if (!fleetHasRoom())
