Test gangs behind waiting ones beside younger work

Younger jobs for 1.8 times the workers now come all the time, and all three gangs still have to run within their useful time.

--- a/tests/jobs/admission_test.cpp
+++ b/tests/jobs/admission_test.cpp
@@ -313,7 +313,10 @@
             replaced.push_back(id);
         for (const auto &id : replaced)
             world.crashForAWhile(id);
+        // Younger jobs for more than all workers come all the time.
+        int younger = 0;
         for (milliseconds passed {0}; passed < usefulSpan; passed += world.advanceStep) {
+            world.submit(identifier(++younger), "large", {scheduler_world::step(30, 16'000, 3000)});
             world.advance(world.advanceStep);
             world.endDueRuns();
         }
