review: case 1, ends beyond the first 500 are taken for lost runs

A task that has ended done is started again when a worker lists more than 500 ends while the store is slow. Adds the stand-ins that the scripts of all cases use.

--- /dev/null
+++ b/review/stand_in/main.cpp
@@ -0,0 +1,378 @@
+#include "world.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/json/serialize.hpp>
+#include <csignal>
+#include <iostream>
+#include <unistd.h>
+
+// The scenarios of the cases. Each returns the exit code of its script: 0 the rule held, 1 it was
+// broken, 2 the case could not run.
+namespace review {
+namespace {
+
+constexpr int held = 0;
+constexpr int broken = 1;
+constexpr int couldNotRun = 2;
+
+std::string job(const json::array &steps, const json::object &more = {})
+{
+    json::object body {{"spec", "review"}, {"steps", steps}};
+    for (const auto &[key, value] : more)
+        body[key] = value;
+    return json::serialize(body);
+}
+
+std::string stateOf(const answer &got)
+{
+    for (const auto *state : {"queued", "running", "completed", "failed", "cancelled"}) {
+        if (got.body.find(state) != std::string::npos)
+            return state;
+    }
+    return got.status == 0 ? "no answer" : std::to_string(got.status);
+}
+
+awaitable<bool> prepare(world &all, int workers, const std::string &folder)
+{
+    all.addWorkers(workers, {});
+    all.table.put("op", "config", configuration(7, {{"plan", "/plan/"}, {"stock", "/stock/"}}));
+    all.startInstances(folder);
+    const bool ready = co_await all.awaitReady(25'000);
+    co_await all.sleep(1500);
+    co_return ready;
+}
+
+// Waits until a run of the task is at work; null if none is in time.
+awaitable<worker *> awaitRun(world &all, std::string task, std::int64_t milliseconds)
+{
+    const auto until = nowMs() + milliseconds;
+    while (nowMs() < until) {
+        for (auto &one : all.workers) {
+            if (one->up() && one->runs(task))
+                co_return one.get();
+        }
+        co_await all.sleep(20);
+    }
+    co_return nullptr;
+}
+
+// A task is at work for seconds when its worker crashes, three times.
+awaitable<int> crashes(world &all, std::string folder)
+{
+    const std::string id = "00000000000000a1";
+    all.works[id] = {6000, false, {}};
+    if (!co_await prepare(all, 10, folder))
+        co_return couldNotRun;
+    const auto body =
+        job({json::object {{"count", 1}, {"cpu", 4000}, {"mem_mb", 512}, {"estimate_ms", 6000}}});
+    const auto accepted = co_await all.submit(id, body);
+    if (accepted.status != 200)
+        co_return couldNotRun;
+    for (int i = 0; all.trouble && i < 3; ++i) {
+        auto *at = co_await awaitRun(all, id, 25'000);
+        if (!at)
+            break;
+        co_await all.sleep(2000);
+        at->crash();
+        co_await all.sleep(1500);
+        at->start({});
+    }
+    const auto until = nowMs() + 40'000;
+    std::string seen;
+    while (nowMs() < until && seen != "completed" && seen != "failed") {
+        const auto got = co_await all.state(id);
+        seen = stateOf(got);
+        co_await all.sleep(500);
+    }
+    const auto failures =
+        std::ranges::count_if(all.runs, [&](const run_record &run) { return run.how == "failed"; });
+    all.log.line("job " + id + " is shown as " + seen + "; ends `failed` of its task: "
+                 + std::to_string(failures) + ", attempts allowed: 3");
+    // The same job once more, with no crash: its tasks harm no worker.
+    const std::string again = "00000000000000a2";
+    all.works[again] = all.works[id];
+    const auto second = co_await all.submit(again, body);
+    co_await all.sleep(9000);
+    const auto later = co_await all.state(again);
+    all.log.line("the same job as " + again + ": " + std::to_string(second.status) + ", "
+                 + stateOf(later));
+    if (seen == "failed" && failures < 3)
+        co_return broken;
+    co_return seen == "completed" ? held : couldNotRun;
+}
+
+// A task that lasts, while its worker and the leader are cut off from the rest together.
+awaitable<int> partition(world &all, std::string folder)
+{
+    const std::string id = "00000000000000b1";
+    all.works[id] = {-1, false, {}};
+    all.setInstances(4);
+    if (!co_await prepare(all, 8, folder))
+        co_return couldNotRun;
+    const auto body = job({json::object {
+        {"count", 1}, {"cpu", 4000}, {"mem_mb", 512}, {"estimate_ms", 1000}, {"daemon", true}}});
+    const auto accepted = co_await all.submit(id, body);
+    auto *at = accepted.status == 200 ? co_await awaitRun(all, id, 15'000) : nullptr;
+    const auto leader = all.leader();
+    if (!at || leader < 0)
+        co_return couldNotRun;
+    co_await all.sleep(3000);
+    const auto cut = [&](bool on) {
+        all.storeLink(leader).cut = on;
+        at->reachesStore = !on;
+        for (auto &one : all.workers) {
+            for (int i = 0; i < all.instances(); ++i) {
+                if ((one.get() == at) != (i == leader))
+                    one->linkTo(i).cut = on;
+            }
+        }
+        all.log.line(std::string(on ? "cut off" : "joined again") + ": edge-"
+                     + std::to_string(leader + 1) + " and " + at->id());
+    };
+    if (all.trouble)
+        cut(true);
+    co_await all.sleep(12'000);
+    if (all.trouble)
+        cut(false);
+    co_await all.sleep(4000);
+    const auto now = nowMs();
+    int overlaps = 0;
+    for (std::size_t i = 0; i < all.runs.size(); ++i) {
+        for (std::size_t j = i + 1; j < all.runs.size(); ++j) {
+            const auto &one = all.runs[i];
+            const auto &other = all.runs[j];
+            if (one.task != other.task)
+                continue;
+            const auto from = std::max(one.startedAt, other.startedAt);
+            const auto to = std::min(one.endedAt < 0 ? now : one.endedAt,
+                                     other.endedAt < 0 ? now : other.endedAt);
+            if (to <= from)
+                continue;
+            ++overlaps;
+            all.log.line("task " + one.task + " ran twice for " + std::to_string(to - from)
+                         + " ms: attempt " + std::to_string(one.attempt) + " on " + one.worker
+                         + " and attempt " + std::to_string(other.attempt) + " on " + other.worker);
+        }
+    }
+    co_return overlaps > 0 ? broken : held;
+}
+
+// A job whose progress does not fit into a row of the store, beside a job with due times.
+awaitable<int> wide(world &all, std::string folder)
+{
+    const std::string wideId = "00000000000000c1";
+    const std::string otherId = "00000000000000c2";
+    const std::string lastId = "00000000000000c3";
+    all.works[otherId] = {500, false, {}};
+    all.works[lastId] = {500, false, {}};
+    all.works[wideId] = {60'000, true, {}};
+    all.works[wideId + ".0.0.299"] = {8000, true, {}};
+    if (!co_await prepare(all, 12, folder))
+        co_return couldNotRun;
+    const auto count = all.trouble ? 3000 : 300;
+    const auto body = job({json::object {{"count", count},
+                                         {"cpu", 100},
+                                         {"mem_mb", 16},
+                                         {"estimate_ms", 60000},
+                                         {"checkpoint", true}}});
+    const auto accepted = co_await all.submit(wideId, body);
+    if (accepted.status != 200)
+        co_return couldNotRun;
+    co_await all.sleep(1000);
+    // A small job with due times, a second apart, from twelve seconds on.
+    constexpr int times = 12;
+    constexpr std::int64_t intervalMs = 1000;
+    constexpr std::int64_t firstMs = 12'000;
+    const json::object step {{"count", 1}, {"cpu", 500}, {"mem_mb", 64}, {"estimate_ms", 500}};
+    const auto small = job({step});
+    const auto firstAt = nowMs() + firstMs;
+    const auto timed = job(
+        {step}, {{"times", times}, {"start_ms", wallMs() + firstMs}, {"interval_ms", intervalMs}});
+    const auto other = co_await all.submit(otherId, timed);
+    if (other.status != 200)
+        co_return couldNotRun;
+    co_await all.sleep(firstMs);
+    // Other clients' jobs meanwhile.
+    const auto last = co_await all.submit(lastId, small, 4);
+    const auto lastDue = firstAt + (times - 1) * intervalMs;
+    while (nowMs() < lastDue + 14'000)
+        co_await all.sleep(100);
+    co_await all.state(wideId);
+    co_await all.state(otherId);
+    int late = 0;
+    for (int k = 0; k < times; ++k) {
+        const auto task = otherId + "." + std::to_string(k) + ".0.0";
+        const auto due = firstAt + k * intervalMs;
+        const auto run = std::ranges::find(all.runs, task, &run_record::task);
+        const auto wait = (run == all.runs.end() ? nowMs() : run->startedAt) - due;
+        if (wait > 3000)
+            ++late;
+        all.log.line("occurrence " + std::to_string(k)
+                     + (run == all.runs.end() ? " has not started " : " started ")
+                     + std::to_string(wait) + " ms after it was due");
+    }
+    all.log.line("another client's job: " + std::to_string(last.status)
+                 + "; occurrences with nothing running for over 3 s: " + std::to_string(late)
+                 + "; writes that the store refused: " + std::to_string(all.table.refusedWrites()));
+    co_return late > 0 ? broken : held;
+}
+
+// More than 500 runs end on one worker while the store is slow.
+awaitable<int> ends(world &all, std::string folder)
+{
+    const std::string id = "00000000000000f1";
+    all.works[id] = {6000, false, {}};
+    if (!co_await prepare(all, 6, folder))
+        co_return couldNotRun;
+    const auto body =
+        job({json::object {{"count", 800}, {"cpu", 50}, {"mem_mb", 8}, {"estimate_ms", 6000}}});
+    const auto accepted = co_await all.submit(id, body);
+    if (accepted.status != 200)
+        co_return couldNotRun;
+    co_await all.sleep(4500);
+    if (all.trouble) {
+        all.table.setSlowness(60);
+        all.log.line("the store takes 60 times as long");
+    }
+    co_await all.sleep(4500);
+    all.table.setSlowness(1);
+    all.log.line("the store answers as usual");
+    co_await all.sleep(14'000);
+    const auto seen = co_await all.state(id);
+    int again = 0;
+    for (const auto &first : all.runs) {
+        if (first.how != "done" || first.notedAt < 0)
+            continue;
+        again += static_cast<int>(std::ranges::count_if(all.runs, [&](const run_record &other) {
+            return other.task == first.task && other.startedAt > first.endedAt;
+        }));
+    }
+    all.log.line("job " + id + " is shown as " + stateOf(seen)
+                 + "; starts after a run that had ended `done`, which was taken note of: "
+                 + std::to_string(again));
+    co_return again > 0 ? broken : held;
+}
+
+// A worker whose reports don't reach the store starts again as another kind.
+awaitable<int> kind(world &all, std::string folder)
+{
+    const std::string id = "00000000000000d1";
+    const std::string second = "00000000000000d2";
+    all.works[id] = {500, false, "fast"};
+    all.works[second] = {500, false, "fast"};
+    all.addWorkers(1, {64'000, 131'072, "fast"});
+    if (!co_await prepare(all, 6, folder))
+        co_return couldNotRun;
+    auto &changed = *all.workers.front();
+    const auto body = job({json::object {
+        {"count", 4}, {"cpu", 4000}, {"mem_mb", 512}, {"estimate_ms", 500}, {"requires", "fast"}}});
+    const auto accepted = co_await all.submit(id, body);
+    if (accepted.status != 200)
+        co_return couldNotRun;
+    co_await all.sleep(3000);
+    if (all.trouble) {
+        changed.reachesStore = false;
+        all.log.line("reports of " + changed.id() + " don't reach the store");
+        co_await all.sleep(500);
+        changed.crash();
+        co_await all.sleep(1000);
+        changed.start({16'000, 32'768, "slow"});
+        co_await all.sleep(300);
+    }
+    co_await all.submit(second, body);
+    co_await all.sleep(2500);
+    changed.reachesStore = true;
+    co_await all.sleep(1000);
+    const auto wrong = std::ranges::count_if(all.runs, &run_record::labelMissing);
+    all.log.line("starts on a worker without the label: " + std::to_string(wrong));
+    co_return wrong > 0 ? broken : held;
+}
+
+// A queue is removed while a job of it is under way, and the leader changes.
+awaitable<int> queue(world &all, std::string folder)
+{
+    const std::string id = "00000000000000e1";
+    all.works[id + ".0.0"] = {4000, false, {}};
+    all.works[id + ".0.1"] = {500, false, {}};
+    if (!co_await prepare(all, 6, folder))
+        co_return couldNotRun;
+    const json::object first {{"count", 2}, {"cpu", 4000}, {"mem_mb", 512}, {"estimate_ms", 4000}};
+    const json::object then {{"count", 2},
+                             {"cpu", 4000},
+                             {"mem_mb", 512},
+                             {"estimate_ms", 500},
+                             {"after", json::array {0}}};
+    const auto body = job({first, then});
+    all.prefix = "/stock/";
+    const auto accepted = co_await all.submit(id, body);
+    if (accepted.status != 200 || !co_await awaitRun(all, id, 10'000))
+        co_return couldNotRun;
+    co_await all.sleep(500);
+    all.table.put("op", "config", configuration(9, {{"plan", "/plan/"}}));
+    all.log.line("operator writes configuration 9 without the queue of the job");
+    co_await all.sleep(500);
+    if (all.trouble)
+        all.signalInstance(all.leader(), SIGTERM);
+    co_await all.sleep(20'000);
+    const auto done = std::ranges::count_if(all.runs, [&](const run_record &run) {
+        return run.how == "done" && run.task.starts_with(id + ".0.1");
+    });
+    all.log.line("tasks of the second step that were done: " + std::to_string(done));
+    co_return done == 2 ? held : broken;
+}
+
+awaitable<int> scenario(world &all, std::string name, std::string folder)
+{
+    if (name == "crashes")
+        co_return co_await crashes(all, folder);
+    if (name == "partition")
+        co_return co_await partition(all, folder);
+    if (name == "wide")
+        co_return co_await wide(all, folder);
+    if (name == "ends")
+        co_return co_await ends(all, folder);
+    if (name == "kind")
+        co_return co_await kind(all, folder);
+    if (name == "queue")
+        co_return co_await queue(all, folder);
+    co_return couldNotRun;
+}
+
+awaitable<void> play(world &all, std::string name, std::string folder, int &code)
+{
+    code = co_await scenario(all, name, folder);
+    all.context.stop();
+}
+
+awaitable<void> limit(world &all)
+{
+    co_await all.sleep(112'000);
+    all.log.line("the time for a case is over");
+    all.context.stop();
+}
+
+} // namespace
+} // namespace review
+
+int main(int argc, char **argv)
+{
+    if (argc != 4) {
+        std::cerr << "usage: stand_in SCENARIO RECORD FOLDER\n";
+        return 2;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    int code = 2;
+    review::world all(argv[2]);
+    boost::asio::co_spawn(all.context, all.ticker(), boost::asio::detached);
+    boost::asio::signal_set signals(all.context, SIGTERM, SIGINT);
+    signals.async_wait([&all](const auto &, int) { all.context.stop(); });
+    boost::asio::co_spawn(all.context, review::limit(all), boost::asio::detached);
+    boost::asio::co_spawn(all.context, review::play(all, argv[1], argv[3], code),
+                          boost::asio::detached);
+    all.context.run();
+    all.log.line("exit code " + std::to_string(code));
+    return code;
+}
