--- a/review/stand_in/main.cpp
+++ b/review/stand_in/main.cpp
@@ -220,29 +220,37 @@
     co_return late > 0 ? broken : held;
 }
 
-// More than 500 runs end on one worker while the store is slow.
+// More than 500 runs end on one worker while the store is away.
 awaitable<int> ends(world &all, std::string folder)
 {
-    const std::string id = "00000000000000f1";
-    all.works[id] = {6000, false, {}};
+    const std::string prefix = "00000000000000";
+    constexpr int jobs = 20;
+    all.works[prefix] = {7500, false, {}};
     if (!co_await prepare(all, 6, folder))
         co_return couldNotRun;
-    const auto body =
-        job({json::object {{"count", 800}, {"cpu", 50}, {"mem_mb", 8}, {"estimate_ms", 6000}}});
-    const auto accepted = co_await all.submit(id, body);
-    if (accepted.status != 200)
-        co_return couldNotRun;
-    co_await all.sleep(4500);
+    const json::object step {{"count", 40}, {"cpu", 50}, {"mem_mb", 8}, {"estimate_ms", 7500}};
+    const auto body = job({step});
+    const auto begun = nowMs();
+    for (int i = 0; i < jobs; ++i) {
+        const auto id = prefix + std::to_string(10 + i);
+        const auto accepted = co_await all.submit(id, body);
+        if (accepted.status != 200)
+            co_return couldNotRun;
+        co_await all.sleep(begun + (i + 1) * 150 - nowMs());
+    }
+    co_await all.sleep(begun + 7000 - nowMs());
     if (all.trouble) {
-        all.table.setSlowness(60);
-        all.log.line("the store takes 60 times as long");
+        all.setStoreAway(true);
+        all.log.line("the store does not answer");
     }
     co_await all.sleep(4500);
-    all.table.setSlowness(1);
-    all.log.line("the store answers as usual");
-    co_await all.sleep(14'000);
-    const auto seen = co_await all.state(id);
+    if (all.trouble) {
+        all.setStoreAway(false);
+        all.log.line("the store answers again");
+    }
+    co_await all.sleep(16'000);
     int again = 0;
+    int completed = 0;
     for (const auto &first : all.runs) {
         if (first.how != "done" || first.notedAt < 0)
             continue;
@@ -250,7 +258,12 @@
             return other.task == first.task && other.startedAt > first.endedAt;
         }));
     }
-    all.log.line("job " + id + " is shown as " + stateOf(seen)
+    for (int i = 0; i < jobs; ++i) {
+        const auto id = prefix + std::to_string(10 + i);
+        const auto seen = co_await all.state(id);
+        completed += stateOf(seen) == "completed" ? 1 : 0;
+    }
+    all.log.line("jobs shown as completed: " + std::to_string(completed)
                  + "; starts after a run that had ended `done`, which was taken note of: "
                  + std::to_string(again));
     co_return again > 0 ? broken : held;
--- a/review/stand_in/world.cpp
+++ b/review/stand_in/world.cpp
@@ -45,6 +45,16 @@
 constexpr std::int64_t reportMs = 1500;
 constexpr std::int64_t saveMs = 500;
 constexpr std::size_t endsListed = 500;
+constexpr std::size_t channels = 64;
+
+// A loopback address for each process, so that several may run at a time.
+asio::ip::address_v4 ownAddress()
+{
+    const auto number = static_cast<unsigned>(::getpid());
+    return asio::ip::address_v4(
+        asio::ip::address_v4::bytes_type {127, static_cast<unsigned char>(1 + number % 250),
+                                          static_cast<unsigned char>(1 + number / 250 % 250), 7});
+}
 
 const auto processStart = std::chrono::steady_clock::now();
 
@@ -180,18 +190,26 @@
             co_return;
         boost::system::error_code ignored;
         socket.set_option(tcp::no_delay(true), ignored);
-        if (link->down)
+        if (link->down || (link->full && link->full()))
             continue;
         asio::co_spawn(acceptor->get_executor(), serve(std::move(socket), link, handle),
                        asio::detached);
     }
 }
 
+// Ports below those that the system gives to outgoing connections.
 std::uint16_t freePort()
 {
+    static std::uint16_t next = 12'000;
     asio::io_context context;
-    tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-    return acceptor.local_endpoint().port();
+    while (true) {
+        tcp::acceptor acceptor(context);
+        boost::system::error_code error;
+        acceptor.open(tcp::v4(), error);
+        acceptor.bind(tcp::endpoint(ownAddress(), ++next), error);
+        if (!error)
+            return next;
+    }
 }
 
 } // namespace
@@ -203,6 +221,12 @@
         .count();
 }
 
+std::size_t path::open() const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(streams, [](const auto &one) { return !one.expired(); }));
+}
+
 void path::closeAll()
 {
     for (auto &one : std::exchange(streams, {})) {
@@ -225,8 +249,7 @@
 
 std::uint16_t listen(asio::io_context &context, std::shared_ptr<path> link, handler handle)
 {
-    auto acceptor = std::make_shared<tcp::acceptor>(
-        context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    auto acceptor = std::make_shared<tcp::acceptor>(context, tcp::endpoint(ownAddress(), 0));
     const auto port = acceptor->local_endpoint().port();
     asio::co_spawn(context, accept(acceptor, std::move(link), std::move(handle)), asio::detached);
     return port;
@@ -341,7 +364,7 @@
         return found == query.end() ? std::string() : found->second;
     };
     if (path == "/rows-tx") {
-        co_await pause(transactionMs * m_slowness);
+        co_await pause(transactionMs);
         if (incoming.body().size() > transactionBytes) {
             ++m_refusedWrites;
             m_log.line("store refuses a transaction of " + std::to_string(incoming.body().size())
@@ -353,7 +376,7 @@
         co_return error ? reply(400, json::object {}) : transact(body);
     }
     if (path == "/rows-get") {
-        co_await pause(readMs * m_slowness);
+        co_await pause(readMs);
         json::array rows;
         const auto table = value("table");
         const auto part = value("part");
@@ -422,6 +445,12 @@
 {
     for (int i = 0; i < instances; ++i) {
         m_links.push_back(std::make_shared<path>());
+        m_links.back()->full = [this] {
+            std::size_t open = 0;
+            for (const auto &link : m_links)
+                open += link->open();
+            return open >= channels;
+        };
         m_ports.push_back(listen(context, m_links.back(),
                                  [this](request incoming) { return handle(std::move(incoming)); }));
     }
@@ -430,7 +459,8 @@
 
 std::string worker::addressFor(int instance) const
 {
-    return "127.0.0.1:" + std::to_string(m_ports.at(static_cast<std::size_t>(instance)));
+    return ownAddress().to_string() + ":"
+           + std::to_string(m_ports.at(static_cast<std::size_t>(instance)));
 }
 
 bool worker::runs(const std::string &taskPrefix) const
@@ -741,7 +771,9 @@
             });
         one.settings = folder + "/settings-" + std::to_string(number) + ".json";
         one.logFile = folder + "/instance-" + std::to_string(number) + ".log";
-        const auto address = [](std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); };
+        const auto address = [](std::uint16_t port) {
+            return ownAddress().to_string() + ":" + std::to_string(port);
+        };
         std::ofstream(one.settings)
             << json::serialize(json::object {{"instance", "edge-" + std::to_string(number + 1)},
                                              {"region", "region-a"},
@@ -782,10 +814,12 @@
     log.line("instance edge-" + std::to_string(number + 1) + " gets signal "
              + std::to_string(signal));
     ::kill(one.pid, signal);
-    if (signal == SIGKILL) {
-        ::waitpid(one.pid, nullptr, 0);
-        one.pid = -1;
-    }
+}
+
+void world::setStoreAway(bool away)
+{
+    for (auto &one : m_instances)
+        one.link->cut = away;
 }
 
 int world::leader() const
@@ -808,6 +842,17 @@
     while (true) {
         for (auto &one : workers)
             one->tick();
+        // A process that has ended is started again after a short delay.
+        for (auto &one : m_instances) {
+            if (one.pid > 0 && ::waitpid(one.pid, nullptr, WNOHANG) == one.pid) {
+                one.pid = -1;
+                one.startAt = nowMs() + 500;
+            } else if (one.pid < 0 && one.startAt > 0 && nowMs() >= one.startAt) {
+                one.startAt = 0;
+                log.line("an instance is started again");
+                spawn(one);
+            }
+        }
         co_await pause(10);
     }
 }
@@ -819,8 +864,8 @@
 {
     beast::tcp_stream stream(context);
     stream.expires_after(std::chrono::milliseconds(timeoutMs));
-    const auto [connectError] = co_await stream.async_connect(
-        tcp::endpoint(asio::ip::address_v4::loopback(), port), asTuple);
+    const auto [connectError] =
+        co_await stream.async_connect(tcp::endpoint(ownAddress(), port), asTuple);
     if (connectError)
         co_return answer {};
     request outgoing;
--- a/review/stand_in/world.h
+++ b/review/stand_in/world.h
@@ -57,6 +57,10 @@
     // The process behind it is down: connections are reset.
     bool down = false;
     std::vector<std::weak_ptr<boost::beast::tcp_stream>> streams;
+    // Whether a further connection would be one too many, and is reset.
+    std::function<bool()> full;
+
+    std::size_t open() const;
 
     // The process behind it has ended.
     void closeAll();
@@ -80,8 +84,6 @@
     void put(const std::string &table, const std::string &key, const std::string &value);
     std::string get(const std::string &table, const std::string &part,
                     const std::string &key) const;
-    // Its answers take so many times as long.
-    void setSlowness(std::int64_t factor) { m_slowness = factor; }
     std::uint64_t refusedWrites() const { return m_refusedWrites; }
 
 private:
@@ -109,7 +111,6 @@
     record &m_log;
     std::map<key_type, row> m_rows;
     std::vector<change> m_history;
-    std::int64_t m_slowness = 1;
     std::uint64_t m_version = 1;
     std::uint64_t m_refusedWrites = 0;
 };
@@ -248,6 +249,8 @@
     {
         return *m_instances.at(static_cast<std::size_t>(instance)).link;
     }
+    // The store answers no instance.
+    void setStoreAway(bool away);
     int instances() const { return static_cast<int>(m_instances.size()); }
     // The instance that the leader's row names; -1 for none.
     int leader() const;
@@ -270,6 +273,7 @@
     struct instance
     {
         pid_t pid = -1;
+        std::int64_t startAt = 0;
         std::uint16_t front = 0;
         std::uint16_t ready = 0;
         std::uint16_t peer = 0;
