Bound a former leader's leases by the next leader's wait

Callers saw a task run twice at a time (TWICE) after a leader and a worker had been cut off together: the next leader started it elsewhere 8 s after its takeover while the former leader still renewed its lease.

Cause: a leader renewed leases of 5 s until 8 s after its last committed write, so the last one ended up to 13 s after that write; the next leader counts 8 s. Starts sent after a late answer to their write, and a leader that learned late of its own claim, could exceed even that.

Now every lease, of renewals and of starts, ends on the slowest clock at most 7,686 ms after the last committed write (or the claim) was sent; src/jobs/lease_bounds.h derives it from the unchanged wait of 8 s and the drift of the clocks. The first report of a worker in a term counts as one that may come with an earlier leader's lease.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -73,7 +73,7 @@
 } // namespace
 
 leader::leader(asio::io_context &context, cell_ports ports, leader_options options, leader_row row,
-               std::uint64_t revision)
+               std::uint64_t revision, time_point claimSentAt)
     : m_context(context)
     , m_ports(std::move(ports))
     , m_options(std::move(options))
@@ -81,11 +81,18 @@
     , m_row(std::move(row))
     , m_revision(revision)
     , m_scheduler(m_options.scheduler)
-    , m_lastCommitSentAt(bootNow())
+    , m_lastCommitSentAt(claimSentAt)
     , m_changeTimer(context)
 {
     m_wallClock.addReading(m_options.instance, support::wallNow(), bootNow());
     m_scheduler.startTerm(m_row.term, bootNow());
+    onCommitted(claimSentAt);
+}
+
+void leader::onCommitted(time_point sentAt)
+{
+    m_lastCommitSentAt = sentAt;
+    m_scheduler.commitSent(sentAt);
 }
 
 row_key leader::rowKey(std::string_view table, std::string_view key) const
@@ -106,7 +113,7 @@
 
 bool leader::hasRecentCommit(time_point now) const
 {
-    return now - m_lastCommitSentAt < m_options.commitValidity;
+    return now < m_scheduler.leasesEndBy();
 }
 
 bool leader::storeUnavailable(time_point now) const
@@ -453,7 +460,7 @@
         if (m_storeFailing)
             log_event(log_level::Info, "store.available").field("term", m_row.term);
         m_storeFailing = false;
-        m_lastCommitSentAt = write->repliedAttemptSentAt;
+        onCommitted(write->repliedAttemptSentAt);
         m_lastWriteTime = bootNow() - write->repliedAttemptSentAt;
         m_pendingWriteSince.reset();
         onBatchStored(batch);
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -40,9 +40,6 @@
     std::function<bool()> shouldYield;
     leadership_options leadership;
     jobs::scheduler_options scheduler;
-    // A leader without a committed write for this long renews no leases, because another instance
-    // may lead by then.
-    std::chrono::milliseconds commitValidity {8000};
 };
 
 // One term of leadership of a partition. Loads the cell's state from the store and the workers,
@@ -50,9 +47,10 @@
 class leader : public std::enable_shared_from_this<leader>
 {
 public:
-    // `row` and `revision` are those of the write by which this instance took over.
+    // `row` and `revision` are those of the write by which this instance took over, which it sent
+    // at `claimSentAt`.
     leader(boost::asio::io_context &context, cell_ports ports, leader_options options,
-           leader_row row, std::uint64_t revision);
+           leader_row row, std::uint64_t revision, time_point claimSentAt);
 
     // Loads the state and serves until another instance leads or resign() has completed.
     awaitable<void> run();
@@ -157,7 +155,10 @@
     void wakeWaiters(const std::string &id);
     bool storeUnavailable(time_point now) const;
     std::uint32_t outageRetrySeconds(time_point now) const;
+    // Leases can be granted, and work for which they are needed begun: another instance may have
+    // taken over, but counts the leases of this one until then.
     bool hasRecentCommit(time_point now) const;
+    void onCommitted(time_point sentAt);
     awaitable<void> sleepFor(std::chrono::milliseconds period);
 
     boost::asio::io_context &m_context;
@@ -174,7 +175,7 @@
     bool m_yielded = false;
     // A worker has received orders of a later term.
     bool m_superseded = false;
-    // When the last committed write was sent.
+    // When the last committed write was sent, at first the one by which this instance took over.
     time_point m_lastCommitSentAt;
     // The last write attempt failed or got no reply.
     bool m_storeFailing = false;
--- a/src/cell/partition_member.cpp
+++ b/src/cell/partition_member.cpp
@@ -151,27 +151,30 @@
     transaction changes;
     changes.preconditions.push_back({m_leaderKey, m_monitor.revision()});
     changes.puts.emplace_back(m_leaderKey, encodeLeaderRow(row));
+    const auto sentAt = bootNow();
     auto done = co_await m_ports.store.commit(changes, clock::now() + takeoverTimeout);
     if (const auto *result = std::get_if<transaction_result>(&done)) {
         if (!result->applied)
             co_return false;
-        co_await runTerm(row, result->revision);
+        co_await runTerm(row, result->revision, sentAt);
         co_return true;
     }
     // The write may have been applied despite the missing reply: read the row to find out.
     if (!co_await readLeaderRow() || m_monitor.row() != row)
         co_return false;
-    co_await runTerm(row, m_monitor.revision());
+    co_await runTerm(row, m_monitor.revision(), sentAt);
     co_return true;
 }
 
-awaitable<void> partition_member::runTerm(leader_row row, std::uint64_t revision)
+awaitable<void> partition_member::runTerm(leader_row row, std::uint64_t revision,
+                                          time_point claimSentAt)
 {
     const auto index = m_options.leader.partition.index;
     log_event(log_level::Info, "leadership.acquired")
         .field("partition", index)
         .field("term", row.term);
-    m_leader = std::make_shared<leader>(m_context, m_ports, m_options.leader, row, revision);
+    m_leader =
+        std::make_shared<leader>(m_context, m_ports, m_options.leader, row, revision, claimSentAt);
     if (m_stopping)
         m_leader->resign();
     m_yieldAfter = std::max(m_yieldAfter, bootNow() + minTermBeforeYield);
--- a/src/cell/partition_member.h
+++ b/src/cell/partition_member.h
@@ -53,7 +53,7 @@
 
 private:
     // Leads for one term, until another instance leads or this one has resigned.
-    awaitable<void> runTerm(leader_row row, std::uint64_t revision);
+    awaitable<void> runTerm(leader_row row, std::uint64_t revision, time_point claimSentAt);
     // Alternates between following a leader and trying to take over.
     awaitable<void> electionLoop();
     awaitable<void> followLeader();
--- a/src/jobs/fleet.cpp
+++ b/src/jobs/fleet.cpp
@@ -18,13 +18,17 @@
     return clockMs + elapsed;
 }
 
+std::int64_t worker::certainlyPastAt(time_point now) const
+{
+    const auto elapsed = std::chrono::duration_cast<milliseconds>(now - clockAt).count();
+    return clockMs + elapsed * (1000 - maxClockDriftPerMille) / 1000;
+}
+
 bool worker::leasesEnded(time_point now) const
 {
     if (reports == 0)
         return now >= previousLeaderLeaseEnd;
-    const auto elapsed = std::chrono::duration_cast<milliseconds>(now - clockAt).count();
-    const auto clockLowerBound = clockMs + elapsed * (1000 - maxClockDriftPerMille) / 1000;
-    return clockLowerBound > leaseEndMs;
+    return certainlyPastAt(now) > leaseEndMs;
 }
 
 bool worker::usable(time_point now) const
--- a/src/jobs/fleet.h
+++ b/src/jobs/fleet.h
@@ -3,6 +3,7 @@
 
 #include "decision/worker_health.h"
 #include "jobs/job_progress.h"
+#include "jobs/lease_bounds.h"
 #include "jobs/worker.h"
 #include "jobs/worker_speed.h"
 
@@ -14,10 +15,6 @@
 
 namespace plantaingap::jobs {
 
-// Maximum rate by which a worker clock may be slower than the local clock, in thousandths (from the
-// platform documentation).
-inline constexpr std::int64_t maxClockDriftPerMille = 20;
-
 // A run on a worker that no task of a live job is assigned to: its job has ended, or a report named
 // it unexpectedly.
 struct orphan_run
@@ -85,7 +82,8 @@
     std::int64_t clockMs = 0;
     time_point clockAt {};
     bool clockKnown = false;
-    // Latest lease end sent with any order, on the clock of the worker.
+    // Latest lease end that any leader may have sent, on the clock of the worker. Of previous
+    // leaders only known once the worker has reported in this term, and so rejects their orders.
     std::int64_t leaseEndMs = 0;
     // Until the first report in this term: the time at which all leases granted by previous leaders
     // have expired.
@@ -109,6 +107,9 @@
     // Estimate of the worker's clock at `now`: the last reading advanced at the rate of the local
     // clock. It ignores the latency of the report and the clock drift.
     std::int64_t estimatedClock(time_point now) const;
+    // The latest time of the worker's clock that has certainly passed at `now`, however slow the
+    // clock is.
+    std::int64_t certainlyPastAt(time_point now) const;
     // All leases of the worker have certainly expired, so none of its runs can still exist.
     bool leasesEnded(time_point now) const;
     bool usable(time_point now) const;
--- a/src/jobs/job_runs.cpp
+++ b/src/jobs/job_runs.cpp
@@ -428,6 +428,11 @@
         recordCrash(*worker, report.incarnationMs, now);
     if (restarted || worker->reports == 0)
         onWorkerRestarted(*worker, report.incarnationMs);
+    if (worker->reports == 0) {
+        worker->leaseEndMs =
+            report.clockMs
+            + longestPreviousLease(m_options.lease, m_options.previousLeaderLease).count();
+    }
     // It was only silent.
     worker->unresolvedLosses.clear();
     worker->responsive = true;
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -52,6 +52,12 @@
     m_term = term;
     m_previousLeaderLeaseEnd = now + m_options.previousLeaderLease;
     m_waitsObservedAt = now;
+    commitSent(now);
+}
+
+void job_scheduler::commitSent(time_point sentAt)
+{
+    m_leasesEndBy = sentAt + grantSpan(m_options.previousLeaderLease);
 }
 
 void job_scheduler::configure(cell_configuration configuration)
@@ -555,6 +561,12 @@
     return m_fleet.updateList(entries, m_previousLeaderLeaseEnd);
 }
 
+std::int64_t job_scheduler::leaseEnd(const worker &worker, time_point now) const
+{
+    return std::min(worker.estimatedClock(now) + m_options.lease.count(),
+                    worker.certainlyPastAt(m_leasesEndBy));
+}
+
 lease_renewal job_scheduler::renewLease(worker &worker, time_point now)
 {
     lease_renewal order;
@@ -564,7 +576,7 @@
     // The lease of an unresponsive worker is left to expire, because any order might have reached
     // it.
     if (worker.clockKnown && worker.responsive) {
-        order.leaseEndMs = worker.estimatedClock(now) + m_options.lease.count();
+        order.leaseEndMs = leaseEnd(worker, now);
         worker.leaseEndMs = std::max(worker.leaseEndMs, *order.leaseEndMs);
     }
     return order;
@@ -606,7 +618,7 @@
     order.task = nameOf(task).text();
     order.attempt = task.attempt;
     order.payload = job.definition.payload;
-    order.leaseEndMs = task.assignedWorker->estimatedClock(now) + m_options.lease.count();
+    order.leaseEndMs = leaseEnd(*task.assignedWorker, now);
     order.term = m_term;
     order.ticket = task.ticket;
     order.checkpoint = task.checkpoint;
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -30,10 +30,9 @@
     // Lease duration of a worker. A longer lease delays the restart of a lost worker's tasks; a
     // shorter one leaves less time for a change of leader before running work is lost.
     milliseconds lease {5000};
-    // Time after a takeover until all leases granted by previous leaders have expired: the time for
-    // which a previous leader may still consider itself the leader, plus the lease and the clock
-    // error.
-    milliseconds previousLeaderLease {8000};
+    // Time after a takeover until all leases granted by previous leaders have expired; it bounds
+    // the leases that this leader grants. See lease_bounds.h.
+    milliseconds previousLeaderLease {defaultPreviousLeaderLease};
     // Longest time that a worker takes to stop a run, on the worker's clock.
     milliseconds maxStopTime {900};
     // Interval between retries of a stop order without a response.
@@ -277,6 +276,11 @@
 
     // Starts a term. Must be called before jobs are restored and before any worker reports.
     void startTerm(std::uint64_t term, time_point now);
+    // The leader's claim or one of its writes, sent then, was committed: leases may be granted that
+    // end within grantSpan() from then on. startTerm() counts as the first one.
+    void commitSent(time_point sentAt);
+    // No lease that is granted until the next commitSent() ends later.
+    time_point leasesEndBy() const { return m_leasesEndBy; }
     void configure(cell_configuration configuration);
     const cell_configuration &configuration() const { return m_configuration; }
     void restore(const recorded_job &job, const std::optional<recorded_progress> &progress,
@@ -474,6 +478,8 @@
     double admittedGangShare(const queue_definition &queue) const;
     void recordEvent(std::string_view event, const task_run &task, std::string_view reason);
     static task_name nameOf(const task_run &task);
+    // End of a lease that is granted now, on the worker's clock. It may have passed already.
+    std::int64_t leaseEnd(const worker &worker, time_point now) const;
     start_order makeStartOrder(const task_run &task, time_point now) const;
     const queue_definition &queueOf(const job_run &job) const;
     std::string explainStep(const step_run &step, time_point now) const;
@@ -496,6 +502,7 @@
     scheduler_options m_options;
     std::uint64_t m_term = 0;
     time_point m_previousLeaderLeaseEnd {};
+    time_point m_leasesEndBy {};
     cell_configuration m_configuration;
     fleet m_fleet;
     // Share of the fleet's cores in use as of the last placement pass. Summing it up for each
--- a/tests/cell/leader_log_test.cpp
+++ b/tests/cell/leader_log_test.cpp
@@ -83,7 +83,8 @@
         const auto revision = store.apply(first).revision;
         leader_options options;
         options.instance = "one";
-        leading = std::make_shared<leader>(context, ports, options, row, revision);
+        leading =
+            std::make_shared<leader>(context, ports, options, row, revision, support::bootNow());
         asio::co_spawn(
             context,
             [this]() -> awaitable<void> {
--- a/tests/cell/leader_test.cpp
+++ b/tests/cell/leader_test.cpp
@@ -65,7 +65,8 @@
         leader_options options;
         options.instance = "one";
         options.scheduler.previousLeaderLease = milliseconds(50);
-        leading = std::make_shared<leader>(context, ports, options, makeRow("one", 1), revision);
+        leading = std::make_shared<leader>(context, ports, options, makeRow("one", 1), revision,
+                                           support::bootNow());
         asio::co_spawn(context, leading->run(), asio::detached);
         while (!leading->ready())
             context.run_one();
--- a/tests/jobs/capacity_runs.cpp
+++ b/tests/jobs/capacity_runs.cpp
@@ -58,6 +58,8 @@
     {"leaders resign", with(work, &capacity_faults::resign, 5), milliseconds(0)},
     {"leaders are killed", with(work, &capacity_faults::kill, 3), milliseconds(0)},
     {"workers crash, freeze and shrink", unsteady(work), milliseconds(0)},
+    {"leaders are cut off with a worker",
+     with(with(work, &capacity_faults::split, 1), &capacity_faults::cut, 1), milliseconds(0)},
     {"all of it", unsteady(changing(lossy(work))), milliseconds(100)},
 };
 
--- a/tests/jobs/capacity_world.cpp
+++ b/tests/jobs/capacity_world.cpp
@@ -26,6 +26,7 @@
 constexpr milliseconds longestFreeze {7000};
 constexpr milliseconds longestShrink {2000};
 constexpr milliseconds longestGap {3000};
+constexpr milliseconds longestSplit {15'000};
 constexpr milliseconds gangWait {1000};
 constexpr std::size_t maxLiveJobs = 14;
 constexpr std::size_t maxLastingJobs = 2;
@@ -179,7 +180,7 @@
 
 void capacity_world::resign(milliseconds gap)
 {
-    if (m_leader->ended || m_leader->resigning)
+    if (m_leader->ended || m_leader->resigning || !m_leader->reachesStore)
         return;
     m_leader->resigning = true;
     log("term " + std::to_string(m_term) + " resigns");
@@ -202,7 +203,7 @@
 
 void capacity_world::kill(milliseconds gap)
 {
-    if (m_leader->ended)
+    if (m_leader->ended || !m_leader->reachesStore)
         return;
     log("term " + std::to_string(m_term) + " killed");
     endTerm(gap);
@@ -250,7 +251,8 @@
 
 void capacity_world::storeChanges(const leader_ref &leader)
 {
-    if (leader->storing || (!leader->scheduler->hasChanges() && now() < m_nextRowWrite))
+    if (!leader->reachesStore || leader->storing
+        || (!leader->scheduler->hasChanges() && now() < m_nextRowWrite))
         return;
     m_nextRowWrite = now() + rowWriteInterval;
     leader->storing = true;
@@ -265,10 +267,11 @@
         for (const auto &change : *batch)
             record(change);
     });
-    at(appliedAfter + latency(), [this, leader, batch] {
-        if (leader->ended)
+    at(appliedAfter + latency(), [this, leader, batch, sentAt = now()] {
+        if (leader->ended || !leader->reachesStore)
             return;
         leader->storing = false;
+        leader->scheduler->commitSent(sentAt);
         for (const auto &order : leader->scheduler->onBatchStored(*batch, now()))
             send(leader, order);
     });
@@ -303,11 +306,31 @@
     m_cutUntil[worker] = now() + span;
 }
 
+void capacity_world::splitOff(const std::string &worker, milliseconds gap, milliseconds span)
+{
+    if (m_leader->ended || m_leader->resigning || !m_leader->reachesStore)
+        return;
+    log("split of term " + std::to_string(m_term) + " with " + worker);
+    m_leader->reachesStore = false;
+    m_splits.push_back({worker, m_term, now() + span});
+    at(gap, [this] { beginTerm(); });
+    // It learns then that it has been replaced.
+    at(std::max(gap, span), [leader = m_leader] { leader->ended = true; });
+}
+
+bool capacity_world::isSplit(std::uint64_t term, const std::string &worker) const
+{
+    return std::ranges::any_of(m_splits, [&](const split &one) {
+        return one.until > now() && (one.term == term) != (one.worker == worker);
+    });
+}
+
 // Delivers a call by one of the fates; `execute` runs at the worker, `reply` and `timeOut` at the
 // leader.
 struct capacity_world::call
 {
     std::string worker;
+    std::uint64_t term = 0;
     std::function<void(model_worker &)> execute;
     std::function<void()> reply;
     // Whether the connection broke.
@@ -327,6 +350,8 @@
     const auto cutUntil = m_cutUntil.find(sent->worker);
     if (cutUntil != m_cutUntil.end() && cutUntil->second > now())
         return;
+    if (isSplit(sent->term, sent->worker))
+        return;
     const bool replaced = m_replaced.contains(sent->worker);
     if (!worker || replaced) {
         if (late || !replies)
@@ -406,6 +431,7 @@
     };
     log("start sent " + describe(order.task, order.attempt) + " " + order.worker.id);
     sent->worker = order.worker.id;
+    sent->term = leader->term;
     sent->timeOut = orderTimeout;
     if (startDelay)
         sent->executedAfter = startDelay(order);
@@ -433,6 +459,7 @@
             leader->scheduler->onStopReply(order, settled, now());
     };
     sent->worker = order.worker.id;
+    sent->term = leader->term;
     sent->timeOut = orderTimeout;
     sent->execute = [this, order, accepted](model_worker &worker) {
         const auto time =
@@ -466,6 +493,7 @@
         renewAfter(delay);
     };
     sent->worker = id;
+    sent->term = leader->term;
     sent->timeOut = renewalTimeout;
     sent->execute = [this, order, report](model_worker &target) {
         *report = target.renewLease(order, now(), m_options.stopping);
@@ -708,6 +736,8 @@
         crash(any(), randomTime(longestDownTime), m_random() % 2 == 0);
     if (chance(faults.cut))
         cut(any().entry.id, randomTime(longestFreeze));
+    if (chance(faults.split))
+        splitOff(any().entry.id, randomTime(longestGap), randomTime(longestSplit));
     if (chance(faults.freeze)) {
         auto &frozen = any();
         if (frozen.up && !frozen.frozen) {
--- a/tests/jobs/capacity_world.h
+++ b/tests/jobs/capacity_world.h
@@ -34,6 +34,8 @@
     int cut = 0;
     int shrink = 0;
     int slowStore = 0;
+    // The leader is cut off from the store and from all workers but one, which only it reaches.
+    int split = 0;
     // Of a run: fails.
     int failure = 0;
     // Of a job: is a gang, lasts.
@@ -83,6 +85,9 @@
     void shrink(model_worker &worker, resources capacity);
     // From now on, no call reaches the worker and no reply comes back until `until`.
     void cut(const std::string &worker, milliseconds span);
+    // Until `span` has passed, the leader reaches that worker and nothing else, and nothing else
+    // reaches the worker. Another one leads `gap` later.
+    void splitOff(const std::string &worker, milliseconds gap, milliseconds span);
 
     model_worker &worker(const std::string &id) { return *m_workers.at(id); }
     jobs::job_scheduler &scheduler() { return *m_leader->scheduler; }
@@ -110,10 +115,19 @@
         bool ended = false;
         bool resigning = false;
         bool storing = false;
+        bool reachesStore = true;
         std::set<std::string> renewing;
     };
     using leader_ref = std::shared_ptr<term_state>;
 
+    // A worker and the term of the leader that is cut off with it.
+    struct split
+    {
+        std::string worker;
+        std::uint64_t term = 0;
+        time_point until {};
+    };
+
     // A gang at work.
     struct gang_state
     {
@@ -156,6 +170,7 @@
                     const resources &before, time_point sentAt);
     // None while the worker is down.
     model_worker *reached(const std::string &id);
+    bool isSplit(std::uint64_t term, const std::string &worker) const;
     void advanceGangs();
     void randomEvents();
     void submitRandom();
@@ -174,6 +189,7 @@
     // Workers that have left the list for another id at their address.
     std::set<std::string> m_replaced;
     std::map<std::string, time_point> m_cutUntil;
+    std::vector<split> m_splits;
     // By worker: capacities with the time until which each held.
     std::map<std::string, std::vector<std::pair<time_point, resources>>> m_pastCapacities;
     std::map<std::string, job_model> m_jobs;
--- a/tests/jobs/scheduler_world.h
+++ b/tests/jobs/scheduler_world.h
@@ -113,6 +113,9 @@
         auto *worker = scheduler.workers().find(id);
         if (!worker)
             return;
+        // A leader writes its row several times a second.
+        if (store)
+            scheduler.commitSent(now());
         const auto order = scheduler.renewLease(*worker, now());
         auto &fake = fleet[id];
         if (!fake.reachable) {
