Take no run for missing from a report that may omit ends

Callers saw tasks run a second time after their first run had ended done (TWICE): over 500 runs ended on one worker while the store was away.

Cause: a worker returns 500 ends at a time. Runs whose ends did not fit were in neither list, and a run that two reports miss is taken for lost and started again once the store answers.

A report with 500 ends is now marked, and proves of no run that it is missing, be it at work, being stopped, adopted from a former leader or left by an ended job. The other ends follow once the first are stored.

--- a/src/jobs/job_losses.cpp
+++ b/src/jobs/job_losses.cpp
@@ -238,7 +238,8 @@
 }
 
 // A report need not list a run that is being stopped, so a run that is missing from it stays
-// counted until its end is listed or a stop of it has ended, however long that took.
+// counted until its end is listed or a stop of it has ended, however long that took. A report that
+// may omit ends shows of no run that it is missing.
 void job_scheduler::releaseMissingRuns(worker &worker, const worker_report &report,
                                        time_point askedAt, bool restarted, time_point now)
 {
@@ -265,6 +266,9 @@
             crashed.push_back(task);
             continue;
         }
+        // Its end may be one of those.
+        if (report.endsOmitted)
+            continue;
         if (!task->missingSince) {
             task->missingSince = now;
             missing.push_back(task);
--- a/src/jobs/run_accounting.cpp
+++ b/src/jobs/run_accounting.cpp
@@ -138,7 +138,7 @@
     for (auto &orphan : std::exchange(worker.orphans, {})) {
         const bool active = isIn(report.active, orphan);
         const bool settled = isIn(report.ended, orphan) || isAssigned(worker, orphan);
-        const bool stopped = !active && !settled && orphan.missingSince
+        const bool stopped = !active && !settled && !report.endsOmitted && orphan.missingSince
                              && stopHasEnded(*orphan.missingSince, askedAt);
         if (stopped)
             recordOrphanRelease(worker, orphan);
--- a/src/jobs/worker.h
+++ b/src/jobs/worker.h
@@ -107,6 +107,9 @@
     std::int64_t incarnationMs = 0;
     std::vector<active_run> active;
     std::vector<ended_run> ended;
+    // The worker may have listed only the first ends: a run that is in neither list may have ended
+    // in any way, and the next report lists its end once those listed here are stored.
+    bool endsOmitted = false;
     // The worker rejected the term of this leader as stale.
     bool staleTerm = false;
     // Another incarnation of the worker responded at this address.
--- a/tests/adapter/codec_test.cpp
+++ b/tests/adapter/codec_test.cpp
@@ -115,6 +115,28 @@
     }
 }
 
+TEST_CASE("A report with as many ends as fit may omit further ones")
+{
+    struct report_row
+    {
+        int ends;
+        bool endsOmitted;
+    };
+    for (const auto &row :
+         {report_row {0, false}, report_row {499, false}, report_row {500, true}}) {
+        CAPTURE(row.ends);
+        std::string ended;
+        for (int i = 1; i <= row.ends; ++i) {
+            ended += (ended.empty() ? "[" : ",[") + std::to_string(i)
+                     + R"(,"00000000000000a1.0.0.0",1,"done",""])";
+        }
+        const auto report = decodeReport(R"({"time_ms":1,"active":[],"ended":[)" + ended + "]}");
+        REQUIRE(report);
+        CHECK(report->ended.size() == static_cast<std::size_t>(row.ends));
+        CHECK(report->endsOmitted == row.endsOmitted);
+    }
+}
+
 TEST_CASE("Order replies are decoded from status and reason")
 {
     using cell::order_status;
--- a/tests/jobs/capacity_world.cpp
+++ b/tests/jobs/capacity_world.cpp
@@ -251,7 +251,7 @@
 
 void capacity_world::storeChanges(const leader_ref &leader)
 {
-    if (!leader->reachesStore || leader->storing
+    if (!leader->reachesStore || leader->storing || now() < m_storeAwayUntil
         || (!leader->scheduler->hasChanges() && now() < m_nextRowWrite))
         return;
     m_nextRowWrite = now() + rowWriteInterval;
@@ -306,6 +306,12 @@
     m_cutUntil[worker] = now() + span;
 }
 
+void capacity_world::stopStore(milliseconds span)
+{
+    log("store away");
+    m_storeAwayUntil = now() + span;
+}
+
 void capacity_world::splitOff(const std::string &worker, milliseconds gap, milliseconds span)
 {
     if (m_leader->ended || m_leader->resigning || !m_leader->reachesStore)
--- a/tests/jobs/capacity_world.h
+++ b/tests/jobs/capacity_world.h
@@ -85,6 +85,8 @@
     void shrink(model_worker &worker, resources capacity);
     // From now on, no call reaches the worker and no reply comes back until `until`.
     void cut(const std::string &worker, milliseconds span);
+    // Until `span` has passed, the store takes no write.
+    void stopStore(milliseconds span);
     // Until `span` has passed, the leader reaches that worker and nothing else, and nothing else
     // reaches the worker. Another one leads `gap` later.
     void splitOff(const std::string &worker, milliseconds gap, milliseconds span);
@@ -190,6 +192,7 @@
     std::set<std::string> m_replaced;
     std::map<std::string, time_point> m_cutUntil;
     std::vector<split> m_splits;
+    time_point m_storeAwayUntil {};
     // By worker: capacities with the time until which each held.
     std::map<std::string, std::vector<std::pair<time_point, resources>>> m_pastCapacities;
     std::map<std::string, job_model> m_jobs;
--- a/tests/jobs/model_worker.cpp
+++ b/tests/jobs/model_worker.cpp
@@ -147,7 +147,8 @@
             report.active.push_back({task, run.attempt, {}, 0, 0});
     }
     report.ended = m_ended;
-    if (report.ended.size() > maxEndsListed)
+    report.endsOmitted = report.ended.size() >= maxEndsListed;
+    if (report.endsOmitted)
         report.ended.resize(maxEndsListed);
     return report;
 }
