--- a/src/cell/leader_requests.cpp
+++ b/src/cell/leader_requests.cpp
@@ -31,8 +31,8 @@
 constexpr unsigned statusUnknown = 504;
 
 constexpr std::size_t identifierLength = 16;
-// Below the platform's limit for a row of 65,536 bytes. The store never accepts a larger one, and
-// the writes after it would wait for ever.
+// Of the definition alone, below the platform's limit for a row of 65,536 bytes. The store never
+// accepts a larger one, and the writes after it would wait for ever.
 constexpr std::size_t maxRecordBytes = 60'000;
 constexpr milliseconds endedReadTimeout {1000};
 // How long a request waits for a configuration that another leader has applied already.
@@ -132,7 +132,7 @@
     }
     definition->id = id;
     definition->queue = queue->name;
-    if (jobs::encodeJob(*definition, {}).size() > maxRecordBytes) {
+    if (jobs::encodeJob(*definition, {}, nullptr).size() > maxRecordBytes) {
         ++m_counters["submissions_too_large"];
         log_event line(log_level::Info, "job.rejected");
         line.field("job", id)
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -108,6 +108,18 @@
     bool operator==(const queue_definition &) const = default;
 };
 
+// A queue as a configuration declares it, stored with each of its jobs: they may outlive it, and a
+// new leader knows no former configuration. Without host and path prefix, as it gets no further
+// requests.
+struct queue_record
+{
+    // The configuration that declares it.
+    std::uint64_t version = 0;
+    queue_definition queue;
+
+    bool operator==(const queue_record &) const = default;
+};
+
 // The part of the active configuration that concerns jobs.
 struct cell_configuration
 {
--- a/src/jobs/job_record.cpp
+++ b/src/jobs/job_record.cpp
@@ -86,6 +86,41 @@
     return step;
 }
 
+// Version, service, priority, attempts, stretch, slack and, if there is an advisor, its cost.
+json::array encodeQueue(const queue_record &record)
+{
+    const auto &queue = record.queue;
+    json::array row {record.version, queue.service, queue.priority,
+                     queue.attempts, queue.stretch, queue.slack.count()};
+    if (queue.advisor) {
+        row.emplace_back(json::array {queue.advisor->perCall.count(),
+                                      queue.advisor->perWorker.count(),
+                                      queue.advisor->validity.count()});
+    }
+    return row;
+}
+
+queue_record decodeQueue(const json::array &row, const std::string &name)
+{
+    queue_record record;
+    record.version = row.at(0).to_number<std::uint64_t>();
+    auto &queue = record.queue;
+    queue.name = name;
+    queue.service = row.at(1).as_string().c_str();
+    queue.priority = row.at(2).to_number<std::uint32_t>();
+    queue.attempts = row.at(3).to_number<std::uint32_t>();
+    queue.stretch = row.at(4).to_number<double>();
+    queue.slack = milliseconds(row.at(5).to_number<std::int64_t>());
+    if (row.size() > 6) {
+        const auto &cost = row.at(6).as_array();
+        queue.advisor =
+            advisor_cost {std::chrono::microseconds(cost.at(0).to_number<std::int64_t>()),
+                          std::chrono::microseconds(cost.at(1).to_number<std::int64_t>()),
+                          milliseconds(cost.at(2).to_number<std::int64_t>())};
+    }
+    return record;
+}
+
 // The workers that a row names, each once; tasks refer to them by index.
 class worker_index
 {
@@ -261,12 +296,13 @@
 
 } // namespace
 
-std::string encodeJob(const job_definition &definition, wall_time acceptedAt)
+std::string encodeJob(const job_definition &definition, wall_time acceptedAt,
+                      const queue_record *queue)
 {
     json::array steps;
     for (const auto &step : definition.steps)
         steps.push_back(encodeStep(step));
-    return json::serialize(json::object {
+    json::object row {
         {"id", definition.id},
         {"queue", definition.queue},
         {"payload", definition.payload},
@@ -275,7 +311,10 @@
         {"first_due_ms", definition.firstDue.time_since_epoch().count()},
         {"interval_ms", definition.interval.count()},
         {"accepted_ms", acceptedAt.time_since_epoch().count()},
-    });
+    };
+    if (queue)
+        row.emplace("queue_rules", encodeQueue(*queue));
+    return json::serialize(row);
 }
 
 result<recorded_job> decodeJob(std::string_view text)
@@ -295,6 +334,8 @@
         job.definition.firstDue = wall_time(milliseconds(number("first_due_ms")));
         job.definition.interval = milliseconds(number("interval_ms"));
         job.acceptedAt = wall_time(milliseconds(number("accepted_ms")));
+        if (const auto *rules = row.if_contains("queue_rules"))
+            job.queue = decodeQueue(rules->as_array(), job.definition.queue);
         return job;
     });
 }
--- a/src/jobs/job_record.h
+++ b/src/jobs/job_record.h
@@ -49,6 +49,8 @@
 {
     job_definition definition;
     wall_time acceptedAt {};
+    // None in rows of earlier versions.
+    std::optional<queue_record> queue {};
 
     bool operator==(const recorded_job &) const = default;
 };
@@ -65,7 +67,9 @@
     bool operator==(const remaining_run &) const = default;
 };
 
-std::string encodeJob(const job_definition &definition, wall_time acceptedAt);
+// `queue` may be null.
+std::string encodeJob(const job_definition &definition, wall_time acceptedAt,
+                      const queue_record *queue);
 result<recorded_job> decodeJob(std::string_view text);
 
 std::string encodeProgress(const job_run &job);
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace plantaingap::jobs {
 
@@ -64,20 +65,53 @@
 {
     for (const auto &queue : m_configuration.queues) {
         if (!configuration.byName(queue.name))
-            m_removedQueues[queue.name] = queue;
+            recordRemovedQueue(queue, m_configuration.version);
     }
     m_configuration = std::move(configuration);
     m_waitingWork.invalidate();
 }
 
+std::shared_ptr<const queue_record> job_scheduler::shareRecord(queue_record record)
+{
+    record.queue.host.clear();
+    record.queue.prefix.clear();
+    auto &shared = m_queueRecords[record.queue.name];
+    // The version alone is no reason to write rows again.
+    if (!shared || shared->queue != record.queue)
+        shared = std::make_shared<const queue_record>(std::move(record));
+    return shared;
+}
+
+void job_scheduler::recordRemovedQueue(const queue_definition &queue, std::uint64_t version)
+{
+    const bool used = std::ranges::any_of(m_jobs, [&queue](const auto &entry) {
+        return entry.second->definition.queue == queue.name;
+    });
+    if (!used)
+        return;
+    const auto record = shareRecord({version, queue});
+    m_removedQueues[queue.name] = *record;
+    for (auto &[id, job] : m_jobs) {
+        if (job->definition.queue != queue.name || job->state > job_state::Running
+            || (job->queue && job->queue->queue == record->queue))
+            continue;
+        job->queue = record;
+        job->queueOutdated = job->definitionSent;
+        markChanged(*job);
+    }
+}
+
 const queue_definition &job_scheduler::queueOf(const job_run &job) const
 {
     if (const auto *queue = m_configuration.byName(job.definition.queue))
         return *queue;
-    // A job may outlive its queue. An unknown queue gets default rules, and no worker serves it.
-    auto &removed = m_removedQueues[job.definition.queue];
-    if (removed.name.empty())
+    // A job may outlive its queue. An unknown queue gets default rules, no worker serves it, and it
+    // fails no job.
+    auto &removed = m_removedQueues[job.definition.queue].queue;
+    if (removed.name.empty()) {
         removed.name = job.definition.queue;
+        removed.attempts = std::numeric_limits<std::uint32_t>::max();
+    }
     return removed;
 }
 
@@ -172,6 +206,13 @@
     job.definition = recorded.definition;
     job.acceptedAt = recorded.acceptedAt;
     job.stored = true;
+    job.definitionSent = true;
+    if (recorded.queue) {
+        job.queue = shareRecord(*recorded.queue);
+        auto &removed = m_removedQueues[job.definition.queue];
+        if (removed.version <= recorded.queue->version)
+            removed = *recorded.queue;
+    }
     m_jobs[job.definition.id] = std::move(restored);
     if (progress)
         restoreProgress(job, *progress, now, wallNow);
@@ -262,8 +303,8 @@
                              queue.advisor ? allowedShare(queue.name) : 1.0,
                              m_gangHistory.runsPerGang(queue.name)};
     };
-    for (const auto &[name, queue] : m_removedQueues)
-        add(queue);
+    for (const auto &[name, record] : m_removedQueues)
+        add(record.queue);
     for (const auto &queue : m_configuration.queues)
         add(queue);
     return found;
@@ -299,6 +340,7 @@
     auto &job = *newJob;
     job.definition = std::move(definition);
     job.acceptedAt = wallNow;
+    job.queue = shareRecord({m_configuration.version, *queue});
     m_jobs[job.definition.id] = std::move(newJob);
     if (job.definition.occurrences == 0) {
         auto &occurrence = createOccurrence(job, 0, now);
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -482,6 +482,9 @@
     std::int64_t leaseEnd(const worker &worker, time_point now) const;
     start_order makeStartOrder(const task_run &task, time_point now) const;
     const queue_definition &queueOf(const job_run &job) const;
+    std::shared_ptr<const queue_record> shareRecord(queue_record record);
+    // The queue has been removed: stores its last definition with its jobs that have another one.
+    void recordRemovedQueue(const queue_definition &queue, std::uint64_t version);
     std::string explainStep(const step_run &step, time_point now) const;
     // Explains the first of them, after sorting as many as are explained.
     std::vector<job_explanation> explainFirst(std::vector<explaining_step> steps,
@@ -554,8 +557,11 @@
     declared_duration_errors m_durationErrors;
     decision::kind_failures m_failureRates;
     std::map<std::string, std::uint32_t> m_queueKinds;
-    // Queues that were removed from the configuration; their remaining jobs still use them.
-    mutable std::map<std::string, queue_definition> m_removedQueues;
+    // Queues of jobs that the configuration does not declare, as the last one did that this leader
+    // or the row of a job knows; their jobs still use them.
+    mutable std::map<std::string, queue_record> m_removedQueues;
+    // By name; jobs whose rows have the same record share it.
+    std::map<std::string, std::shared_ptr<const queue_record>> m_queueRecords;
 };
 
 } // namespace plantaingap::jobs
--- a/tests/jobs/job_record_test.cpp
+++ b/tests/jobs/job_record_test.cpp
@@ -190,3 +190,28 @@
         CHECK((many - one) / 100 <= 12);
     }
 }
+
+TEST_CASE("The queue of a job as read by the next leader")
+{
+    job_definition definition;
+    definition.id = "00000000000000a1";
+    definition.queue = "queue";
+    queue_record record;
+    record.version = 7;
+    record.queue.name = "queue";
+    record.queue.service = "service";
+    record.queue.priority = 2;
+    record.queue.attempts = 3;
+    record.queue.stretch = 1.5;
+    record.queue.slack = milliseconds(600);
+    auto advised = record;
+    advised.queue.advisor = advisor_cost {std::chrono::microseconds(7'000),
+                                          std::chrono::microseconds(40), milliseconds(1500)};
+    for (const auto &one : {record, advised}) {
+        const auto job = decodeJob(encodeJob(definition, {}, &one));
+        REQUIRE(job.has_value());
+        REQUIRE(job->queue.has_value());
+        CHECK((*job->queue == one));
+    }
+    CHECK_FALSE(decodeJob(encodeJob(definition, {}, nullptr))->queue.has_value());
+}
