Test ordinary tasks that end while their worker is cut off

Users reported TWICE from their own machines: ordinary short tasks ran on two workers at once, three cases on each of two deployments.

The test of that fault gets a row for a task that ends meanwhile, and checks in each row that the lease is over when the second run starts.

--- a/tests/jobs/former_leader_lease_test.cpp
+++ b/tests/jobs/former_leader_lease_test.cpp
@@ -13,6 +13,8 @@
 
 constexpr milliseconds settleTime {300};
 constexpr milliseconds longRunTime {60'000};
+// Ends while the worker is cut off.
+constexpr milliseconds shortRunTime {6000};
 // From the loss of a leader until the next one leads.
 constexpr milliseconds electionTime {700};
 // From the end of the last lease until the run is noticed, stored and started elsewhere.
@@ -22,6 +24,7 @@
 {
     const char *name;
     bool lasting;
+    milliseconds runTime;
     // How long the leader and a worker are cut off together.
     milliseconds span;
     std::int64_t clockRatePerMille;
@@ -30,13 +33,17 @@
 };
 
 constexpr split_row rows[] = {
-    {"a task that lasts", true, milliseconds(12'000), 1000, false},
-    {"an ordinary task", false, milliseconds(12'000), 1000, false},
-    {"a task that lasts, on a worker with a slow clock", true, milliseconds(12'000), 980, false},
-    {"an ordinary task, for long", false, milliseconds(30'000), 1000, false},
-    {"an ordinary task, for long, on a worker with a slow clock", false, milliseconds(30'000), 980,
+    {"a task that lasts", true, longRunTime, milliseconds(12'000), 1000, false},
+    {"an ordinary task", false, longRunTime, milliseconds(12'000), 1000, false},
+    {"an ordinary task that ends meanwhile", false, shortRunTime, milliseconds(12'000), 1000,
      false},
-    {"an ordinary task, by two leaders in turn", false, milliseconds(30'000), 1000, true},
+    {"a task that lasts, on a worker with a slow clock", true, longRunTime, milliseconds(12'000),
+     980, false},
+    {"an ordinary task, for long", false, longRunTime, milliseconds(30'000), 1000, false},
+    {"an ordinary task, for long, on a worker with a slow clock", false, longRunTime,
+     milliseconds(30'000), 980, false},
+    {"an ordinary task, by two leaders in turn", false, longRunTime, milliseconds(30'000), 1000,
+     true},
 };
 
 std::string workerOf(capacity_world &world, int workers)
@@ -65,15 +72,23 @@
         jobs::step_definition step;
         step.tasks = 1;
         step.demand = {4'000, 1'000, 0};
-        step.estimate = milliseconds(1000);
+        // The model's workers report no progress.
+        step.estimate = row.runTime * 4;
         step.longRunning = row.lasting;
-        world.submit(id, {step}, longRunTime);
+        world.submit(id, {step}, row.runTime);
         world.advance(settleTime);
         REQUIRE(world.running(id) == 1);
         for (std::uint64_t splits = 1; splits <= (row.twice ? 2 : 1); ++splits) {
             const auto starts = world.starts();
-            world.splitOff(workerOf(world, options.workers), electionTime, row.span);
-            world.advance(electionTime + jobs::defaultPreviousLeaderLease + restartTime);
+            const auto cutOff = workerOf(world, options.workers);
+            world.splitOff(cutOff, electionTime, row.span);
+            const auto latest =
+                world.now() + electionTime + jobs::defaultPreviousLeaderLease + restartTime;
+            while (world.starts() == starts && world.now() < latest)
+                world.step();
+            // An end that the next leader takes note of later counts only if the lease has not
+            // lapsed since.
+            CHECK(world.worker(cutOff).leaseEnded(world.now()));
             CHECK(world.violation() == "");
             CHECK(world.takeovers() == splits);
             CHECK(world.starts() == starts + 1);
@@ -81,6 +96,6 @@
         }
         world.advance(row.span);
         CHECK(world.violation() == "");
-        CHECK(world.running(id) == 1);
+        CHECK(world.running(id) == (row.runTime == longRunTime ? 1 : 0));
     }
 }
