Say in the log when a leader stops renewing leases

The users' record could not tell a leader that was cut off from one that stood still: nothing says when a leader without committed writes gives up renewing leases. leader.renewals_paused does, once until the next commit.

Also names: the record of a job's queue is queueRecord everywhere, and the bound on leases says in which time it holds if the leader's clock is fast.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -86,12 +86,13 @@
 {
     m_wallClock.addReading(m_options.instance, support::wallNow(), bootNow());
     m_scheduler.startTerm(m_row.term, bootNow());
-    onCommitted(claimSentAt);
+    m_scheduler.commitSent(claimSentAt);
 }
 
 void leader::onCommitted(time_point sentAt)
 {
     m_lastCommitSentAt = sentAt;
+    m_renewalsPaused = false;
     m_scheduler.commitSent(sentAt);
 }
 
@@ -693,6 +694,11 @@
             break;
         const auto now = bootNow();
         if (!hasRecentCommit(now)) {
+            if (!std::exchange(m_renewalsPaused, true)) {
+                log_event(log_level::Warning, "leader.renewals_paused")
+                    .field("partition", m_options.partition.index)
+                    .field("term", m_row.term);
+            }
             co_await sleepFor(leaseRenewalRetryInterval);
             continue;
         }
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -155,8 +155,7 @@
     void wakeWaiters(const std::string &id);
     bool storeUnavailable(time_point now) const;
     std::uint32_t outageRetrySeconds(time_point now) const;
-    // Leases can be granted, and work for which they are needed begun: another instance may have
-    // taken over, but counts the leases of this one until then.
+    // Another instance that has taken over meanwhile still waits for leases that end by then.
     bool hasRecentCommit(time_point now) const;
     void onCommitted(time_point sentAt);
     awaitable<void> sleepFor(std::chrono::milliseconds period);
@@ -175,6 +174,8 @@
     bool m_yielded = false;
     // A worker has received orders of a later term.
     bool m_superseded = false;
+    // No leases are renewed, for want of a recent commit.
+    bool m_renewalsPaused = false;
     // When the last committed write was sent, at first the one by which this instance took over.
     time_point m_lastCommitSentAt;
     // The last write attempt failed or got no reply.
--- a/src/jobs/job_changes.cpp
+++ b/src/jobs/job_changes.cpp
@@ -28,7 +28,7 @@
     if (job.state > job_state::Running)
         return entriesPerEnd;
     if (job.stored)
-        return entriesPerProgress + (job.queueOutdated ? entriesPerDefinition : 0);
+        return entriesPerProgress + (job.queueRecordOutdated ? entriesPerDefinition : 0);
     return entriesPerDefinition + (job.occupying > 0 ? entriesPerProgress : 0);
 }
 
@@ -69,9 +69,9 @@
         if (job.remainingRunsStored)
             change.progress = encodeRemainingRuns(job);
     } else {
-        if (!job.stored || job.queueOutdated)
-            change.definition = encodeJob(job.definition, job.acceptedAt, job.queue.get());
-        job.queueOutdated = false;
+        if (!job.stored || job.queueRecordOutdated)
+            change.definition = encodeJob(job.definition, job.acceptedAt, job.queueRecord.get());
+        job.queueRecordOutdated = false;
         if (job.stored || job.occupying > 0)
             change.progress = encodeProgress(job);
     }
--- a/src/jobs/job_progress.h
+++ b/src/jobs/job_progress.h
@@ -195,7 +195,7 @@
     job_definition definition;
     wall_time acceptedAt {};
     // As in the job's row; null if an earlier version wrote the row.
-    std::shared_ptr<const queue_record> queue;
+    std::shared_ptr<const queue_record> queueRecord;
     std::map<std::uint32_t, occurrence_run> occurrences;
     std::uint32_t occurrencesDone = 0;
     std::uint32_t occurrencesCreated = 0;
@@ -207,8 +207,8 @@
     bool definitionSent = false;
     // The definition is stored.
     bool stored = false;
-    // The stored definition has an earlier record of the queue.
-    bool queueOutdated = false;
+    // The stored row has another record of the queue.
+    bool queueRecordOutdated = false;
     // The final state is stored, so the caller may be notified of it.
     bool closed = false;
     bool dirty = false;
--- a/src/jobs/job_record.cpp
+++ b/src/jobs/job_record.cpp
@@ -335,7 +335,7 @@
         job.definition.interval = milliseconds(number("interval_ms"));
         job.acceptedAt = wall_time(milliseconds(number("accepted_ms")));
         if (const auto *rules = row.if_contains("queue_rules"))
-            job.queue = decodeQueue(rules->as_array(), job.definition.queue);
+            job.queueRecord = decodeQueue(rules->as_array(), job.definition.queue);
         return job;
     });
 }
--- a/src/jobs/job_record.h
+++ b/src/jobs/job_record.h
@@ -50,7 +50,7 @@
     job_definition definition;
     wall_time acceptedAt {};
     // None in rows of earlier versions.
-    std::optional<queue_record> queue {};
+    std::optional<queue_record> queueRecord {};
 
     bool operator==(const recorded_job &) const = default;
 };
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -71,7 +71,7 @@
     m_waitingWork.invalidate();
 }
 
-std::shared_ptr<const queue_record> job_scheduler::shareRecord(queue_record record)
+std::shared_ptr<const queue_record> job_scheduler::shareQueueRecord(queue_record record)
 {
     record.queue.host.clear();
     record.queue.prefix.clear();
@@ -89,14 +89,14 @@
     });
     if (!used)
         return;
-    const auto record = shareRecord({version, queue});
+    const auto record = shareQueueRecord({version, queue});
     m_removedQueues[queue.name] = *record;
     for (auto &[id, job] : m_jobs) {
         if (job->definition.queue != queue.name || job->state > job_state::Running
-            || (job->queue && job->queue->queue == record->queue))
+            || (job->queueRecord && job->queueRecord->queue == record->queue))
             continue;
-        job->queue = record;
-        job->queueOutdated = job->definitionSent;
+        job->queueRecord = record;
+        job->queueRecordOutdated = job->definitionSent;
         markChanged(*job);
     }
 }
@@ -207,11 +207,11 @@
     job.acceptedAt = recorded.acceptedAt;
     job.stored = true;
     job.definitionSent = true;
-    if (recorded.queue) {
-        job.queue = shareRecord(*recorded.queue);
+    if (recorded.queueRecord) {
+        job.queueRecord = shareQueueRecord(*recorded.queueRecord);
         auto &removed = m_removedQueues[job.definition.queue];
-        if (removed.version <= recorded.queue->version)
-            removed = *recorded.queue;
+        if (removed.version <= recorded.queueRecord->version)
+            removed = *recorded.queueRecord;
     }
     m_jobs[job.definition.id] = std::move(restored);
     if (progress)
@@ -340,7 +340,7 @@
     auto &job = *newJob;
     job.definition = std::move(definition);
     job.acceptedAt = wallNow;
-    job.queue = shareRecord({m_configuration.version, *queue});
+    job.queueRecord = shareQueueRecord({m_configuration.version, *queue});
     m_jobs[job.definition.id] = std::move(newJob);
     if (job.definition.occurrences == 0) {
         auto &occurrence = createOccurrence(job, 0, now);
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -482,7 +482,7 @@
     std::int64_t leaseEnd(const worker &worker, time_point now) const;
     start_order makeStartOrder(const task_run &task, time_point now) const;
     const queue_definition &queueOf(const job_run &job) const;
-    std::shared_ptr<const queue_record> shareRecord(queue_record record);
+    std::shared_ptr<const queue_record> shareQueueRecord(queue_record record);
     // The queue has been removed: stores its last definition with its jobs that have another one.
     void recordRemovedQueue(const queue_definition &queue, std::uint64_t version);
     std::string explainStep(const step_run &step, time_point now) const;
--- a/src/jobs/lease_bounds.h
+++ b/src/jobs/lease_bounds.h
@@ -12,7 +12,8 @@
 // committed. Therefore
 //
 //   - a leader grants no lease that can end later than grantSpan() after it sent its last committed
-//     write, by its own clock (worker::certainlyPastAt() allows for a slow clock of the worker);
+//     write, by its own clock or, if that is fast, in true time (worker::certainlyPastAt() allows
+//     for a slow clock of the worker);
 //   - the next leader, once it knows of its claim, waits for previousLeaderLease by its own clock
 //     before it takes the runs of a worker for gone that it has not reached.
 //
--- a/tests/jobs/job_record_test.cpp
+++ b/tests/jobs/job_record_test.cpp
@@ -210,8 +210,8 @@
     for (const auto &one : {record, advised}) {
         const auto job = decodeJob(encodeJob(definition, {}, &one));
         REQUIRE(job.has_value());
-        REQUIRE(job->queue.has_value());
-        CHECK((*job->queue == one));
+        REQUIRE(job->queueRecord.has_value());
+        CHECK((*job->queueRecord == one));
     }
-    CHECK_FALSE(decodeJob(encodeJob(definition, {}, nullptr))->queue.has_value());
+    CHECK_FALSE(decodeJob(encodeJob(definition, {}, nullptr))->queueRecord.has_value());
 }
--- a/tests/jobs/removed_queue_test.cpp
+++ b/tests/jobs/removed_queue_test.cpp
@@ -132,5 +132,5 @@
     world.scheduler.configure(configuration(11, std::nullopt));
     world.settle();
     CHECK(world.definitions.at(id) != before);
-    CHECK(jobs::decodeJob(world.definitions.at(id))->queue->queue.attempts == 2);
+    CHECK(jobs::decodeJob(world.definitions.at(id))->queueRecord->queue.attempts == 2);
 }
