Log restarts of workers, ends of leases and replies of another clock

The log could not tell whether a run was lost because its lease was counted by the clock of a former incarnation: no line named the counted lease end, the clock by which it was counted, or a start that another incarnation answered. Three events name them: worker.restarted, worker.leases_ended and start.other_clock. Each is logged at most once for a restart, a lost worker or a start.

--- a/src/jobs/fleet.cpp
+++ b/src/jobs/fleet.cpp
@@ -4,6 +4,13 @@
 
 namespace plantaingap::jobs {
 
+namespace {
+
+// Longest time from a reading of a worker's clock until the report with it arrives.
+constexpr milliseconds maxReadingDelay {1000};
+
+} // namespace
+
 // Rack labels such as "r1-2" contain a dash; worker classes are single words.
 std::string rackOf(const std::vector<std::string> &labels)
 {
@@ -24,6 +31,11 @@
     return clockMs + elapsed * (1000 - maxClockDriftPerMille) / 1000;
 }
 
+bool worker::continuesClock(std::int64_t readingMs, time_point now) const
+{
+    return readingMs >= clockMs && readingMs <= estimatedClock(now) + maxReadingDelay.count();
+}
+
 bool worker::leasesEnded(time_point now) const
 {
     if (reports == 0)
--- a/src/jobs/fleet.h
+++ b/src/jobs/fleet.h
@@ -110,6 +110,8 @@
     // The latest time of the worker's clock that has certainly passed at `now`, however slow the
     // clock is.
     std::int64_t certainlyPastAt(time_point now) const;
+    // Whether the reading continues the clock of the incarnation that sent the last report.
+    bool continuesClock(std::int64_t readingMs, time_point now) const;
     // All leases of the worker have certainly expired, so none of its runs can still exist.
     bool leasesEnded(time_point now) const;
     bool usable(time_point now) const;
--- a/src/jobs/job_losses.cpp
+++ b/src/jobs/job_losses.cpp
@@ -331,12 +331,60 @@
     }
 }
 
+void job_scheduler::recordRestart(const worker &worker, const worker_report &report, time_point now)
+{
+    scheduler_event event {
+        "worker.restarted", {}, 0, worker.entry.id, "another incarnation has reported", {}};
+    event.fields.emplace_back("incarnation", std::to_string(report.incarnationMs));
+    event.fields.emplace_back("clock_ms", std::to_string(report.clockMs));
+    event.fields.emplace_back("former_incarnation", std::to_string(worker.incarnationMs));
+    event.fields.emplace_back("former_clock_ms", std::to_string(worker.estimatedClock(now)));
+    event.fields.emplace_back("former_lease_end_ms", std::to_string(worker.leaseEndMs));
+    m_events.push_back(std::move(event));
+}
+
+void job_scheduler::recordOtherClock(const start_order &order, const worker &worker,
+                                     std::int64_t workerClockMs, time_point now)
+{
+    scheduler_event event {"start.other_clock",
+                           order.task,
+                           order.attempt,
+                           worker.entry.id,
+                           "the reply does not continue the clock of the last report",
+                           {}};
+    event.fields.emplace_back("incarnation", std::to_string(worker.incarnationMs));
+    event.fields.emplace_back("lease_end_ms", std::to_string(order.leaseEndMs));
+    event.fields.emplace_back("reply_clock_ms", std::to_string(workerClockMs));
+    event.fields.emplace_back("clock_ms", std::to_string(worker.estimatedClock(now)));
+    m_events.push_back(std::move(event));
+}
+
+void job_scheduler::recordLeasesEnded(const worker &worker, time_point now)
+{
+    scheduler_event event {"worker.leases_ended",
+                           {},
+                           0,
+                           worker.entry.id,
+                           worker.reports == 0 ? "the wait for leases of previous leaders is over"
+                                               : "its clock has certainly passed its lease end",
+                           {}};
+    event.fields.emplace_back("runs", std::to_string(worker.runs.size()));
+    if (worker.reports > 0) {
+        event.fields.emplace_back("incarnation", std::to_string(worker.incarnationMs));
+        event.fields.emplace_back("lease_end_ms", std::to_string(worker.leaseEndMs));
+        event.fields.emplace_back("clock_ms", std::to_string(worker.certainlyPastAt(now)));
+        event.fields.emplace_back("report_age_ms", formatMilliseconds(now - worker.clockAt));
+    }
+    m_events.push_back(std::move(event));
+}
+
 // The leases of a worker have expired. A new incarnation may prove later that it crashed; until
 // then runs that were started right before are suspected.
 void job_scheduler::loseLeasedRuns(worker &worker, time_point now)
 {
     // A worker that left the list under a previous leader will not prove that it crashed.
     const bool neverProved = worker.reports == 0 && !worker.listed;
+    recordLeasesEnded(worker, now);
     const auto runs = worker.runs;
     const auto freshRuns =
         std::ranges::count_if(runs, [&](const task_run *run) { return isFresh(worker, *run); });
--- a/src/jobs/job_runs.cpp
+++ b/src/jobs/job_runs.cpp
@@ -424,6 +424,8 @@
         return;
     }
     const bool restarted = worker->reports > 0 && report.incarnationMs != worker->incarnationMs;
+    if (restarted)
+        recordRestart(*worker, report, now);
     if (restarted || worker->reports == 0)
         recordCrash(*worker, report.incarnationMs, now);
     if (restarted || worker->reports == 0)
@@ -463,9 +465,13 @@
     const auto name = task_name::parse(order.task);
     auto *task = name ? find(*name) : nullptr;
     if (auto *worker = m_fleet.find(order.worker.id);
-        worker && workerClockMs && worker->reports > 0 && *workerClockMs >= worker->clockMs) {
-        worker->clockMs = *workerClockMs;
-        worker->clockAt = now;
+        worker && workerClockMs && worker->reports > 0) {
+        if (!worker->continuesClock(*workerClockMs, now))
+            recordOtherClock(order, *worker, *workerClockMs, now);
+        if (*workerClockMs >= worker->clockMs) {
+            worker->clockMs = *workerClockMs;
+            worker->clockAt = now;
+        }
     }
     if (!task || task->attempt != order.attempt || task->phase != task_phase::Ordered)
         return;
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -447,6 +447,10 @@
     void recordUnlistedRelease(const task_run &task, std::string_view reason);
     void recordStartAccounting(const task_run &task);
     void onWorkerRestarted(worker &worker, std::int64_t incarnationMs);
+    void recordRestart(const worker &worker, const worker_report &report, time_point now);
+    void recordOtherClock(const start_order &order, const worker &worker,
+                          std::int64_t workerClockMs, time_point now);
+    void recordLeasesEnded(const worker &worker, time_point now);
     void loseRun(task_run &task, run_loss_cause cause, time_point now);
     void loseRunsOfReplacedWorker(worker &worker, time_point now);
     crash_evidence crashEvidence(const worker &worker, const task_run &task,
