Send starts and leases only to the incarnation that they name

Callers saw tasks run twice when workers start again under their ids and are cut off soon after: two runs at the same time, or a run started again after one that had ended as done.

Cause: the end of a lease is a time of the worker's clock, which starts anew with each incarnation. After a restart, starts and renewals that the leader had computed by the former clock reached the new incarnation over connections that were opened since, before any report of it. It cut the lease to the longest that it takes, 10 s, while the leader counted 5 s, by the former clock or, after the first report, from zero.

Change: such an order names its incarnation, and the gateway sends it only over a connection whose other end has told in a report that it is that one. On a new connection it asks for a report first, without a lease and without acknowledging ends. A connection does not outlive the process at its end. lease_bounds.h has the argument. A worker that answers as another incarnation gets no more starts until the leader has its report.

--- a/src/cell/ports.h
+++ b/src/cell/ports.h
@@ -147,7 +147,8 @@
     std::optional<std::int64_t> workerClockMs;
 };
 
-// Sends orders to workers over a small pool of persistent connections per worker.
+// Sends orders to workers over a small pool of persistent connections per worker. A start order is
+// executed by the incarnation that it names or by none.
 class worker_gateway
 {
 public:
@@ -156,7 +157,8 @@
     virtual awaitable<order_reply> start(jobs::start_order order, time_point deadline) = 0;
     virtual awaitable<order_reply> stop(jobs::stop_order order, time_point deadline) = 0;
     virtual awaitable<order_reply> throttle(jobs::throttle_order order, time_point deadline) = 0;
-    // Renews the worker's lease and returns its active and ended runs.
+    // Renews the worker's lease and returns its active and ended runs. If the incarnation that the
+    // renewal names may have been replaced, only requests the report.
     virtual awaitable<outcome<jobs::worker_report>> renewLease(jobs::lease_renewal order,
                                                                time_point deadline) = 0;
     // Closes the connections to a worker that was removed.
--- a/src/jobs/fleet.h
+++ b/src/jobs/fleet.h
@@ -82,8 +82,8 @@
     std::int64_t clockMs = 0;
     time_point clockAt {};
     bool clockKnown = false;
-    // Latest lease end that any leader may have sent, on the clock of the worker. Of previous
-    // leaders only known once the worker has reported in this term, and so rejects their orders.
+    // Latest lease end that any leader may have sent, on the clock of this incarnation. See
+    // lease_bounds.h.
     std::int64_t leaseEndMs = 0;
     // Until the first report in this term: the time at which all leases granted by previous leaders
     // have expired.
--- a/src/jobs/job_runs.cpp
+++ b/src/jobs/job_runs.cpp
@@ -464,8 +464,10 @@
 {
     const auto name = task_name::parse(order.task);
     auto *task = name ? find(*name) : nullptr;
-    if (auto *worker = m_fleet.find(order.worker.id);
-        worker && workerClockMs && worker->reports > 0) {
+    auto *worker = m_fleet.find(order.worker.id);
+    const bool sameIncarnation =
+        worker && worker->reports > 0 && worker->incarnationMs == order.incarnationMs;
+    if (sameIncarnation && workerClockMs) {
         if (!worker->continuesClock(*workerClockMs, now))
             recordOtherClock(order, *worker, *workerClockMs, now);
         if (*workerClockMs >= worker->clockMs) {
@@ -473,6 +475,9 @@
             worker->clockAt = now;
         }
     }
+    // Nothing else is placed there until the other incarnation has reported.
+    if (sameIncarnation && result == start_result::OtherIncarnation)
+        worker->responsive = false;
     if (!task || task->attempt != order.attempt || task->phase != task_phase::Ordered)
         return;
     auto &step = *task->step;
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -614,6 +614,7 @@
     lease_renewal order;
     order.worker = {worker.entry.id, worker.entry.address};
     order.term = m_term;
+    order.incarnationMs = worker.incarnationMs;
     order.lastStoredEnd = worker.lastStoredEnd;
     // The lease of an unresponsive worker is left to expire, because any order might have reached
     // it.
@@ -660,6 +661,7 @@
     order.task = nameOf(task).text();
     order.attempt = task.attempt;
     order.payload = job.definition.payload;
+    order.incarnationMs = task.assignedWorker->incarnationMs;
     order.leaseEndMs = leaseEnd(*task.assignedWorker, now);
     order.term = m_term;
     order.ticket = task.ticket;
--- a/src/jobs/lease_bounds.h
+++ b/src/jobs/lease_bounds.h
@@ -4,7 +4,25 @@
 #include <chrono>
 #include <cstdint>
 
-// How long the leases that a leader has granted may outlive its term.
+// Which leases an incarnation of a worker may hold, and how long those that a leader has granted
+// may outlive its term.
+//
+// A lease ends at a time of the worker's clock, which starts anew with each incarnation, at any
+// value. By the clock of another incarnation the same lease would last for any time up to the
+// longest that a worker takes, and the leader that granted it would count its end wrongly. The id
+// of a worker and the term of an order do not tell incarnations apart. Therefore
+//
+//   - an order with a lease end, or with the number of a stored end, names the incarnation by whose
+//     clock and numbers it was computed, and is sent only over a connection whose other end has
+//     told in a report that it is this incarnation. A connection does not outlive the process at
+//     its end, and a process executes no order that another one has received;
+//   - a leader counts all leases that it grants to the incarnation that reported last, and counts
+//     them as over by the clock of that incarnation;
+//   - at the first report of an incarnation the leader has granted it none. A previous leader that
+//     does not know that it has been replaced may have: at most longestPreviousLease().
+//
+// So the lease that a leader counts is at least as long as the one that the worker holds, whether
+// the worker restarts before, between or after reports, and whether orders are executed late.
 //
 // A leader does not learn at once that it has been replaced: it may be cut off, paused, or its
 // writes get no reply. The claim of the next leader keeps every later write of the former one from
@@ -37,9 +55,10 @@
     return previousLeaderLease * (1000 - maxClockDriftPerMille) / (1000 + maxClockDriftPerMille);
 }
 
-// The longest lease that a worker may hold when it first reports to a leader: `lease`, which a
-// previous leader counted from its estimate of the worker's clock. The estimate runs ahead of a
-// slow clock from the last reading on, which is no older than the leases that it may grant.
+// The longest lease that an incarnation of a worker may hold when it first reports to a leader:
+// `lease`, which a previous leader counted from its estimate of the worker's clock. The estimate
+// runs ahead of a slow clock from the last reading on, which is no older than the leases that it
+// may grant.
 constexpr std::chrono::milliseconds
 longestPreviousLease(std::chrono::milliseconds lease, std::chrono::milliseconds previousLeaderLease)
 {
--- a/src/jobs/worker.h
+++ b/src/jobs/worker.h
@@ -43,8 +43,10 @@
     std::string task;
     std::uint32_t attempt = 0;
     std::string payload;
-    // End of the lease on the worker's clock, in milliseconds; also the deadline for executing the
-    // order.
+    // The only incarnation that may execute the order.
+    std::int64_t incarnationMs = 0;
+    // End of the lease on that incarnation's clock, in milliseconds; also the deadline for
+    // executing the order.
     std::int64_t leaseEndMs = 0;
     std::uint64_t term = 0;
     std::string ticket;
@@ -74,7 +76,10 @@
 {
     worker_address worker;
     std::uint64_t term = 0;
-    // New lease end on the worker's clock, in milliseconds; none leaves the lease unchanged.
+    // The incarnation for which the lease end and the last stored end are meant; another one is
+    // asked for its report only.
+    std::int64_t incarnationMs = 0;
+    // New lease end on its clock, in milliseconds; none leaves the lease unchanged.
     std::optional<std::int64_t> leaseEndMs;
     // Completions up to this number are stored and may be dropped by the worker.
     std::uint64_t lastStoredEnd = 0;
--- a/src/support/http_client.cpp
+++ b/src/support/http_client.cpp
@@ -23,7 +23,7 @@
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 
 // A connection with or without TLS; one of the two streams is there.
-struct connection
+struct connection final : http_connection
 {
     connection(asio::io_context &context, asio::ssl::context *tls)
     {
@@ -71,56 +71,108 @@
 
 } // namespace
 
+// The coroutines hold the state, so that the client may be destroyed meanwhile.
 struct http_client::state
 {
     asio::io_context &context;
     tcp::endpoint server;
     std::size_t maxIdle;
     std::shared_ptr<asio::ssl::context> tls;
-    std::vector<std::unique_ptr<connection>> idle;
-};
+    std::vector<std::shared_ptr<http_connection>> idle;
 
-http_client::http_client(asio::io_context &context, tcp::endpoint server, std::size_t maxIdle,
-                         std::shared_ptr<asio::ssl::context> tls)
-    : m_state(
-        std::make_shared<state>(state {context, std::move(server), maxIdle, std::move(tls), {}}))
-{ }
+    void keep(const std::shared_ptr<http_connection> &link)
+    {
+        if (link && idle.size() < maxIdle)
+            idle.push_back(link);
+    }
 
-http_client::~http_client() = default;
+    static asio::awaitable<connect_outcome> connect(std::shared_ptr<state> self,
+                                                    time_point deadline);
+    static asio::awaitable<http_outcome> fetch(std::shared_ptr<state> self,
+                                               std::shared_ptr<http_connection> &link,
+                                               http_request request, time_point deadline);
+    static asio::awaitable<http_outcome> fetchOnce(std::shared_ptr<state> self,
+                                                   http_request request, time_point deadline);
+};
 
-asio::awaitable<http_outcome> http_client::fetch(http_request request, time_point deadline)
+asio::awaitable<connect_outcome> http_client::state::connect(std::shared_ptr<state> self,
+                                                             time_point deadline)
 {
-    const auto self = m_state;
-    std::unique_ptr<connection> link;
     if (!self->idle.empty()) {
-        link = std::move(self->idle.back());
+        const auto link = self->idle.back();
         self->idle.pop_back();
-        link->lowest().expires_at(deadline);
-    } else {
-        link = std::make_unique<connection>(self->context, self->tls.get());
-        link->lowest().expires_at(deadline);
-        const auto error = co_await open(*link, self->server);
-        if (error)
-            co_return http_failure {error, false};
+        co_return link;
     }
+    const auto opened = std::make_shared<connection>(self->context, self->tls.get());
+    opened->lowest().expires_at(deadline);
+    const auto error = co_await open(*opened, self->server);
+    if (error)
+        co_return http_failure {error, false};
+    co_return opened;
+}
+
+asio::awaitable<http_outcome> http_client::state::fetch(std::shared_ptr<state> self,
+                                                        std::shared_ptr<http_connection> &link,
+                                                        http_request request, time_point deadline)
+{
+    auto &used = static_cast<connection &>(*link);
+    used.lowest().expires_at(deadline);
     request.set(http::field::host, formatEndpoint(self->server));
     // Not a conditional expression: GCC 12 destroys its awaited temporaries twice.
     http_outcome outcome = http_failure {};
-    if (link->secure)
-        outcome = co_await exchange(*link->secure, link->buffer, request);
+    if (used.secure)
+        outcome = co_await exchange(*used.secure, used.buffer, request);
     else
-        outcome = co_await exchange(*link->plain, link->buffer, request);
-    const bool reusable = outcome.has_value() && outcome->keep_alive() && link->buffer.size() == 0;
-    if (reusable && self->idle.size() < self->maxIdle) {
-        link->lowest().expires_never();
-        self->idle.push_back(std::move(link));
+        outcome = co_await exchange(*used.plain, used.buffer, request);
+    const bool reusable = outcome.has_value() && outcome->keep_alive() && used.buffer.size() == 0;
+    if (reusable) {
+        used.lowest().expires_never();
+    } else {
+        link.reset();
     }
     co_return outcome;
 }
 
-bool http_client::hasIdle() const
+asio::awaitable<http_outcome> http_client::state::fetchOnce(std::shared_ptr<state> self,
+                                                            http_request request,
+                                                            time_point deadline)
+{
+    auto connected = co_await connect(self, deadline);
+    if (!connected)
+        co_return connected.error();
+    auto link = *connected;
+    auto outcome = co_await fetch(self, link, std::move(request), deadline);
+    self->keep(link);
+    co_return outcome;
+}
+
+http_client::http_client(asio::io_context &context, tcp::endpoint server, std::size_t maxIdle,
+                         std::shared_ptr<asio::ssl::context> tls)
+    : m_state(
+        std::make_shared<state>(state {context, std::move(server), maxIdle, std::move(tls), {}}))
+{ }
+
+http_client::~http_client() = default;
+
+asio::awaitable<http_outcome> http_client::fetch(http_request request, time_point deadline)
+{
+    return state::fetchOnce(m_state, std::move(request), deadline);
+}
+
+asio::awaitable<connect_outcome> http_client::connect(time_point deadline)
+{
+    return state::connect(m_state, deadline);
+}
+
+asio::awaitable<http_outcome> http_client::fetch(std::shared_ptr<http_connection> &link,
+                                                 http_request request, time_point deadline)
+{
+    return state::fetch(m_state, link, std::move(request), deadline);
+}
+
+void http_client::keep(const std::shared_ptr<http_connection> &link)
 {
-    return !m_state->idle.empty();
+    m_state->keep(link);
 }
 
 void http_client::closeIdle()
--- a/src/support/http_client.h
+++ b/src/support/http_client.h
@@ -7,7 +7,9 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ssl/context.hpp>
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <plantaingap/result.h>
 #include <plantaingap/time.h>
 #include <vector>
@@ -24,6 +26,19 @@
 
 using http_outcome = boost::system::result<http_response, http_failure>;
 
+// An open connection to a server. It ends with the process at its other end, so what that process
+// has told of itself holds for all later requests over the connection.
+class http_connection
+{
+public:
+    virtual ~http_connection() = default;
+
+    // Identifies the process at the other end, in the caller's terms; none until it is known.
+    std::optional<std::int64_t> peer;
+};
+
+using connect_outcome = boost::system::result<std::shared_ptr<http_connection>, http_failure>;
+
 // An HTTP/1.1 client of one server, with connections that are kept and used again. It runs on the
 // thread of its io_context. A connection whose state is unknown (deadline passed, error, truncated
 // or trailing bytes) is closed, never used again. Nothing is ever sent a second time here.
@@ -41,8 +56,13 @@
     // One request and its whole answer, or why there is none by the deadline.
     boost::asio::awaitable<http_outcome> fetch(http_request request, time_point deadline);
 
-    // A kept connection is there, so that the next request goes to the process that answered last.
-    bool hasIdle() const;
+    // A kept connection or a new one, for the caller alone, or why there is none by the deadline.
+    boost::asio::awaitable<connect_outcome> connect(time_point deadline);
+    // As above, over a connection of this client; null afterwards if it cannot be used again.
+    boost::asio::awaitable<http_outcome> fetch(std::shared_ptr<http_connection> &link,
+                                               http_request request, time_point deadline);
+    // Keeps a connection for later requests, if it is not null and there is room.
+    void keep(const std::shared_ptr<http_connection> &link);
     // Closes the kept connections, as after a timeout: others of the same age may be silent too.
     void closeIdle();
 
