Count leases of an earlier leader on every incarnation of a worker

A leader took an incarnation that it had not heard of before for one without a lease, unless it was its first report from that worker. A former leader that does not know that it has been replaced may have renewed the lease of that incarnation, too, so runs there could go on after the leader had counted their lease as over. Found by reading; not seen in a run. The first report of each incarnation is now counted with the lease that a former leader may have granted.

--- a/src/jobs/job_runs.cpp
+++ b/src/jobs/job_runs.cpp
@@ -289,7 +289,6 @@
     worker.lastReceivedEnd = 0;
     worker.lastStoredEnd = 0;
     worker.unstoredEnds.clear();
-    worker.leaseEndMs = 0;
     if (worker.reports > 0)
         removeOrphans(worker);
 }
@@ -430,7 +429,7 @@
         recordCrash(*worker, report.incarnationMs, now);
     if (restarted || worker->reports == 0)
         onWorkerRestarted(*worker, report.incarnationMs);
-    if (worker->reports == 0) {
+    if (restarted || worker->reports == 0) {
         worker->leaseEndMs =
             report.clockMs
             + longestPreviousLease(m_options.lease, m_options.previousLeaderLease).count();
