--- a/src/support/http_client.cpp
+++ b/src/support/http_client.cpp
@@ -126,6 +126,7 @@
         outcome = co_await exchange(*used.plain, used.buffer, request);
     const bool reusable = outcome.has_value() && outcome->keep_alive() && used.buffer.size() == 0;
     if (reusable) {
+        used.answeredAt = clock::now();
         used.lowest().expires_never();
     } else {
         link.reset();
@@ -180,6 +181,13 @@
     m_state->idle.clear();
 }
 
+void http_client::closeIdle(time_point withoutAnswerSince)
+{
+    std::erase_if(m_state->idle, [withoutAnswerSince](const auto &link) {
+        return link->answeredAt < withoutAnswerSince;
+    });
+}
+
 result<tcp::endpoint> parseEndpoint(std::string_view text)
 {
     const auto colon = text.rfind(':');
--- a/src/support/http_client.h
+++ b/src/support/http_client.h
@@ -35,6 +35,8 @@
 
     // Identifies the process at the other end, in the caller's terms; none until it is known.
     std::optional<std::int64_t> peer;
+    // When the last answer came.
+    time_point answeredAt {};
 };
 
 using connect_outcome = boost::system::result<std::shared_ptr<http_connection>, http_failure>;
@@ -65,6 +67,8 @@
     void keep(const std::shared_ptr<http_connection> &link);
     // Closes the kept connections, as after a timeout: others of the same age may be silent too.
     void closeIdle();
+    // As above, but for connections over which an answer has come since.
+    void closeIdle(time_point withoutAnswerSince);
 
     // An answer's body larger than this is an error.
     static constexpr std::size_t bodyLimit = std::size_t {64} << 20;
