Count no crash for a worker that was only silent for a new leader

Cause: a new leader loses the runs of a worker that it has never reached when the wait for the leases of previous leaders is over. At the worker's first report it counted these losses as crashes, although the row of the job names the same incarnation as the report. Three such cuts, or two and a crash, gave a task up.

Change: a lost run keeps the incarnation that it was started on, and the first report counts only runs of other incarnations as crashed, as it did already for runs that were not lost yet.

--- a/src/jobs/fleet.h
+++ b/src/jobs/fleet.h
@@ -53,6 +53,8 @@
         task_name task;
         std::uint32_t attempt = 0;
         crash_evidence evidence = crash_evidence::Beside;
+        // The incarnation that it was started on; 0 when unknown.
+        std::int64_t incarnationMs = 0;
     };
     std::vector<lost_run> unresolvedLosses;
     time_point unresolvedUntil {};
--- a/src/jobs/job_losses.cpp
+++ b/src/jobs/job_losses.cpp
@@ -131,17 +131,24 @@
 void job_scheduler::recordCrash(worker &worker, std::int64_t newIncarnationMs, time_point now)
 {
     const auto lostAt = worker.unresponsiveSince.value_or(now);
+    // Until the worker has reported in this term, only the rows tell where a run was started. A run
+    // of the incarnation that reports now was not lost by a crash.
+    const auto outlived = [&worker, newIncarnationMs](std::int64_t startedOn) {
+        return worker.reports == 0 && newIncarnationMs != 0
+               && (startedOn == 0 || startedOn == newIncarnationMs);
+    };
     std::vector<worker::lost_run> lost = std::exchange(worker.unresolvedLosses, {});
+    std::erase_if(lost, [&](const auto &run) { return outlived(run.incarnationMs); });
     const auto freshRuns = std::ranges::count_if(
         worker.runs, [&](const task_run *run) { return isFresh(worker, *run); });
     for (const auto *run : worker.runs) {
         // A run ordered later was ordered from the new incarnation.
         if (!mayBeAtWork(*run) || run->orderedAt > lostAt)
             continue;
-        if (worker.reports == 0 && newIncarnationMs != 0
-            && (run->recordedIncarnationMs == 0 || run->recordedIncarnationMs == newIncarnationMs))
+        if (outlived(run->recordedIncarnationMs))
             continue;
-        lost.push_back({nameOf(*run), run->attempt, crashEvidence(worker, *run, freshRuns)});
+        lost.push_back({nameOf(*run), run->attempt, crashEvidence(worker, *run, freshRuns),
+                        run->recordedIncarnationMs});
     }
     if (lost.empty())
         return;
@@ -393,13 +400,14 @@
             continue;
         if (mayBeAtWork(*task)) {
             const worker::lost_run lost {nameOf(*task), task->attempt,
-                                         crashEvidence(worker, *task, freshRuns)};
+                                         crashEvidence(worker, *task, freshRuns),
+                                         task->recordedIncarnationMs};
             if (neverProved)
                 countCrash(lost, worker, now);
             else
                 worker.unresolvedLosses.push_back(lost);
             if (!neverProved && isFresh(worker, *task))
-                countCrash({lost.task, lost.attempt, crash_evidence::Unconfirmed}, worker, now);
+                countCrash({lost.task, lost.attempt, crash_evidence::Unconfirmed, 0}, worker, now);
         }
         if (task->assignedWorker == &worker)
             loseRun(*task, run_loss_cause::LeaseExpired, now);
