--- a/src/jobs/fleet.cpp
+++ b/src/jobs/fleet.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-// Longest time from a reading of a worker's clock until the report with it arrives.
+// Longest time from a reading of a worker's clock until the reply with it arrives.
 constexpr milliseconds maxReadingDelay {1000};
 
 } // namespace
@@ -33,7 +33,8 @@
 
 bool worker::continuesClock(std::int64_t readingMs, time_point now) const
 {
-    return readingMs >= clockMs && readingMs <= estimatedClock(now) + maxReadingDelay.count();
+    return readingMs >= certainlyPastAt(now) - maxReadingDelay.count()
+           && readingMs <= estimatedClock(now) + maxReadingDelay.count();
 }
 
 bool worker::leasesEnded(time_point now) const
