Model workers whose clock starts anew at any value

The scheduler-level models did not see the leases by the clock of a former incarnation: the clock of a model worker restarted at one small value, its longest lease was 8 s, and a start or a renewal reached whichever incarnation was there.

Each incarnation now has its own seeded clock, ahead or behind, and takes leases of up to 10 s. The world delivers calls as the gateway does: only the incarnation that a start names executes it, and another one takes neither the lease end nor the stored ends of a renewal. The option `bound` turns this off. A worker may crash without closing its connections. The world also checks that no task is started again after a run has ended as done under a lease that has not lapsed, can hold back the calls of one term to a worker, and can suspend a leader that does not know it has been replaced.

--- a/tests/jobs/capacity_world.cpp
+++ b/tests/jobs/capacity_world.cpp
@@ -27,6 +27,12 @@
 constexpr milliseconds longestShrink {2000};
 constexpr milliseconds longestGap {3000};
 constexpr milliseconds longestSplit {15'000};
+constexpr milliseconds longestRestart {1000};
+constexpr milliseconds longestWaitForCut {2500};
+// The clocks of workers first start at or above this value. Half of the restarts change them by at
+// most `smallClockStep`, the others to any value up to twice this one.
+constexpr std::int64_t firstClockMs = 8'000'000;
+constexpr std::int64_t smallClockStep = 20'000;
 constexpr milliseconds gangWait {1000};
 constexpr std::size_t maxLiveJobs = 14;
 constexpr std::size_t maxLastingJobs = 2;
@@ -64,11 +70,13 @@
 capacity_world::capacity_world(capacity_options options)
     : m_options(options)
     , m_random(options.seed)
+    , m_clockRandom(options.seed)
 {
     for (int i = 0; i < m_options.workers; ++i) {
         const auto id = "w" + std::to_string(i);
-        auto created = std::make_unique<model_worker>(id, "10.0.0.1:" + std::to_string(7000 + i),
-                                                      fullCapacity, now());
+        auto created =
+            std::make_unique<model_worker>(id, "10.0.0.1:" + std::to_string(7000 + i), fullCapacity,
+                                           firstClockMs + randomClock(firstClockMs), now());
         if (m_options.randomTimes)
             created->clockRatePerMille = 980 + static_cast<std::int64_t>(m_random() % 21);
         m_workers.emplace(id, std::move(created));
@@ -97,6 +105,23 @@
     return m_options.randomTimes ? randomTime(m_options.messageTime) : m_options.messageTime;
 }
 
+std::int64_t capacity_world::randomClock(std::int64_t end)
+{
+    return static_cast<std::int64_t>(m_clockRandom() % static_cast<std::uint64_t>(end));
+}
+
+// The clock of the next incarnation of a worker.
+std::int64_t capacity_world::nextClock(const model_worker &worker, std::optional<milliseconds> step)
+{
+    const auto former = worker.clock(now());
+    if (step)
+        return former + step->count();
+    if (m_clockRandom() % 2 == 0)
+        return 1 + randomClock(2 * firstClockMs);
+    const auto difference = randomClock(2 * smallClockStep + 1) - smallClockStep;
+    return std::max<std::int64_t>(1, former + difference);
+}
+
 void capacity_world::log(std::string line)
 {
     const auto time = std::chrono::duration_cast<milliseconds>(m_elapsed).count();
@@ -324,6 +349,14 @@
     at(std::max(gap, span), [leader = m_leader] { leader->ended = true; });
 }
 
+void capacity_world::replaceUnnoticed(milliseconds gap, milliseconds span)
+{
+    log("term " + std::to_string(m_term) + " is cut off from the store");
+    m_leader->reachesStore = false;
+    at(gap, [this] { beginTerm(); });
+    at(span, [leader = m_leader] { leader->ended = true; });
+}
+
 bool capacity_world::isSplit(std::uint64_t term, const std::string &worker) const
 {
     return std::ranges::any_of(m_splits, [&](const split &one) {
@@ -346,7 +379,10 @@
     std::optional<milliseconds> executedAfter;
     milliseconds timeOut {0};
     time_point sentAt {};
+    // The incarnation that was there when the call was sent.
     std::int64_t incarnationMs = 0;
+    // The only one that may execute it, none for any.
+    std::optional<std::int64_t> boundTo;
     bool answered = false;
 };
 
@@ -358,9 +394,13 @@
         return;
     if (isSplit(sent->term, sent->worker))
         return;
+    if (m_held.contains({sent->worker, sent->term})) {
+        at(stepTime, [this, sent, replies, late] { deliver(sent, replies, late); });
+        return;
+    }
     const bool replaced = m_replaced.contains(sent->worker);
     if (!worker || replaced) {
-        if (late || !replies)
+        if (late || !replies || (!replaced && !m_workers.at(sent->worker)->breaksConnections))
             return;
         at(connectionBreakTime, [sent, replaced] {
             if (std::exchange(sent->answered, true))
@@ -379,11 +419,18 @@
         at(frozenRetryInterval, [this, sent, replies, late] { deliver(sent, replies, late); });
         return;
     }
-    sent->execute(*worker);
+    const bool other =
+        m_options.bound && sent->boundTo && *sent->boundTo != worker->entry.incarnationMs;
+    if (!other)
+        sent->execute(*worker);
     if (!replies)
         return;
-    at(latency(), [sent] {
-        if (!std::exchange(sent->answered, true))
+    at(latency(), [sent, other] {
+        if (std::exchange(sent->answered, true))
+            return;
+        if (other)
+            sent->replaced();
+        else
             sent->reply();
     });
 }
@@ -439,6 +486,7 @@
     sent->worker = order.worker.id;
     sent->term = leader->term;
     sent->timeOut = orderTimeout;
+    sent->boundTo = order.incarnationMs;
     if (startDelay)
         sent->executedAfter = startDelay(order);
     const bool refused = chance(m_options.faults.refused);
@@ -486,6 +534,11 @@
         leader->renewing.erase(id);
         return;
     }
+    const auto awakeAt = m_awakeAt.find(leader->term);
+    if (awakeAt != m_awakeAt.end() && awakeAt->second > now()) {
+        at(stepTime, [this, leader, id] { renew(leader, id); });
+        return;
+    }
     const auto order = leader->scheduler->renewLease(*worker, now());
     const auto sent = std::make_shared<call>();
     const auto report = std::make_shared<jobs::worker_report>();
@@ -502,7 +555,12 @@
     sent->term = leader->term;
     sent->timeOut = renewalTimeout;
     sent->execute = [this, order, report](model_worker &target) {
-        *report = target.renewLease(order, now(), m_options.stopping);
+        auto executed = order;
+        if (m_options.bound && order.incarnationMs != target.entry.incarnationMs) {
+            executed.leaseEndMs.reset();
+            executed.lastStoredEnd = 0;
+        }
+        *report = target.renewLease(executed, now(), m_options.stopping);
     };
     sent->reply = [this, received, report] {
         received(*report, m_options.randomTimes ? randomTime(m_options.renewalInterval)
@@ -570,25 +628,29 @@
         if (other.get() != &worker && other->up && !other->leaseEnded(now())
             && other->active.contains(order.task))
             fail("twice: " + what + ", active on " + id);
+        if (other->doneUnderLease(order.task, now()))
+            fail("again: " + what + ", done on " + id);
     }
 }
 
-void capacity_world::crash(model_worker &worker, milliseconds downTime, bool sameId)
+void capacity_world::crash(model_worker &worker, milliseconds downTime, restart_options next)
 {
     if (!worker.up || m_replaced.contains(worker.entry.id))
         return;
     log("crash of " + worker.entry.id);
     worker.up = false;
+    worker.breaksConnections = next.breaksConnections;
     worker.frozen = false;
     worker.active.clear();
-    at(downTime, [this, &worker, sameId] {
-        log("restart of " + worker.entry.id + (sameId ? " with its id" : " with another id"));
-        if (sameId) {
-            worker.restart(now());
+    at(downTime, [this, &worker, next] {
+        log("restart of " + worker.entry.id + (next.sameId ? " with its id" : " with another id"));
+        if (next.sameId) {
+            worker.restart(nextClock(worker, next.clockStep), now());
         } else {
             const auto id = worker.entry.id + "+";
             m_workers.emplace(id, std::make_unique<model_worker>(id, worker.entry.address,
-                                                                 worker.entry.capacity, now()));
+                                                                 worker.entry.capacity,
+                                                                 nextClock(worker, {}), now()));
             m_replaced.insert(worker.entry.id);
         }
         listWorkers();
@@ -739,7 +801,14 @@
         return *it->second;
     };
     if (chance(faults.crash))
-        crash(any(), randomTime(longestDownTime), m_random() % 2 == 0);
+        crash(any(), randomTime(longestDownTime), {.sameId = m_random() % 2 == 0});
+    if (chance(faults.restartAndCut)) {
+        auto &restarted = any();
+        const auto downTime = randomTime(longestRestart);
+        crash(restarted, downTime, {.breaksConnections = m_random() % 4 == 0});
+        at(downTime + randomTime(longestWaitForCut),
+           [this, &restarted] { cut(restarted.entry.id, randomTime(longestSplit)); });
+    }
     if (chance(faults.cut))
         cut(any().entry.id, randomTime(longestFreeze));
     if (chance(faults.split))
--- a/tests/jobs/capacity_world.h
+++ b/tests/jobs/capacity_world.h
@@ -10,8 +10,9 @@
 #include <set>
 
 // Model workers and the real scheduler over a network and a store that lose, delay and reorder, on
-// a clock that advances in steps. Checks that no start brings a worker over its capacity and that
-// no task runs twice at a time.
+// a clock that advances in steps. Checks that no start brings a worker over its capacity, that no
+// task runs twice at a time, and that none is started again after it has ended as done under a
+// lease that still holds.
 namespace plantaingap::tests {
 
 // Chances per mille of one message or, for the events of the world, of one step.
@@ -30,6 +31,9 @@
     int resign = 0;
     int kill = 0;
     int crash = 0;
+    // A worker starts again under its id, with or without closing its connections, and is cut off
+    // soon after.
+    int restartAndCut = 0;
     int freeze = 0;
     int cut = 0;
     int shrink = 0;
@@ -47,7 +51,7 @@
 {
     int workers = 1;
     std::uint64_t seed = 1;
-    capacity_faults faults;
+    capacity_faults faults {};
     // A stop takes at most this long; each takes a random part of it if `randomTimes` is set.
     milliseconds stopTime {400};
     stopping_report stopping = stopping_report::Active;
@@ -58,6 +62,18 @@
     bool randomTimes = false;
     // Members of a gang end within this time of each other.
     milliseconds gangEndSkew {0};
+    // Starts, and renewals with a lease, are executed only by the incarnation that they name, as
+    // the gateway to the workers ensures.
+    bool bound = true;
+};
+
+// How a worker that crashes starts again.
+struct restart_options
+{
+    bool sameId = true;
+    bool breaksConnections = true;
+    // How far its clock is ahead of its former one; random if not set.
+    std::optional<milliseconds> clockStep {};
 };
 
 class capacity_world
@@ -81,7 +97,7 @@
     void resign(milliseconds gap);
     // The leader is gone; its batch in flight may have been stored.
     void kill(milliseconds gap);
-    void crash(model_worker &worker, milliseconds downTime, bool sameId);
+    void crash(model_worker &worker, milliseconds downTime, restart_options next = {});
     void shrink(model_worker &worker, resources capacity);
     // From now on, no call reaches the worker and no reply comes back until `until`.
     void cut(const std::string &worker, milliseconds span);
@@ -90,6 +106,14 @@
     // Until `span` has passed, the leader reaches that worker and nothing else, and nothing else
     // reaches the worker. Another one leads `gap` later.
     void splitOff(const std::string &worker, milliseconds gap, milliseconds span);
+    // The leader is cut off from the store, and learns after `span` that another one leads since
+    // `gap`.
+    void replaceUnnoticed(milliseconds gap, milliseconds span);
+    // Calls of that term to the worker arrive when they are let through.
+    void hold(const std::string &worker, std::uint64_t term) { m_held.emplace(worker, term); }
+    void letThrough(const std::string &worker, std::uint64_t term) { m_held.erase({worker, term}); }
+    // The leader of that term is suspended before its next renewals.
+    void suspendRenewals(std::uint64_t term, milliseconds span) { m_awakeAt[term] = now() + span; }
 
     model_worker &worker(const std::string &id) { return *m_workers.at(id); }
     jobs::job_scheduler &scheduler() { return *m_leader->scheduler; }
@@ -149,6 +173,9 @@
     bool chance(int perMille);
     milliseconds randomTime(milliseconds longest);
     milliseconds latency();
+    // Below `end`.
+    std::int64_t randomClock(std::int64_t end);
+    std::int64_t nextClock(const model_worker &worker, std::optional<milliseconds> step);
     void log(std::string line);
     void fail(std::string text);
 
@@ -180,6 +207,7 @@
 
     capacity_options m_options;
     std::mt19937_64 m_random;
+    std::mt19937_64 m_clockRandom;
     duration m_elapsed {0};
     std::uint64_t m_term = 0;
     std::uint64_t m_sequence = 0;
@@ -191,6 +219,8 @@
     // Workers that have left the list for another id at their address.
     std::set<std::string> m_replaced;
     std::map<std::string, time_point> m_cutUntil;
+    std::set<std::pair<std::string, std::uint64_t>> m_held;
+    std::map<std::uint64_t, time_point> m_awakeAt;
     std::vector<split> m_splits;
     time_point m_storeAwayUntil {};
     // By worker: capacities with the time until which each held.
--- a/tests/jobs/model_worker.cpp
+++ b/tests/jobs/model_worker.cpp
@@ -6,36 +6,39 @@
 
 namespace {
 
-constexpr std::int64_t firstClockMs = 10'000;
 constexpr std::size_t maxEndsListed = 500;
 
 } // namespace
 
-model_worker::model_worker(std::string id, std::string address, resources capacity, time_point now)
+model_worker::model_worker(std::string id, std::string address, resources capacity,
+                           std::int64_t clockMs, time_point now)
 {
     entry = {std::move(id), std::move(address), "dc", "service", false, capacity, {"a", "r1-1"}, 0};
-    restart(now);
+    restart(clockMs, now);
 }
 
-void model_worker::restart(time_point now)
+void model_worker::restart(std::int64_t clockMs, time_point now)
 {
     entry.incarnationMs =
         std::chrono::duration_cast<milliseconds>(now.time_since_epoch()).count() + 1;
     active.clear();
     m_term = 0;
     m_startedAt = now;
+    m_firstClockMs = clockMs;
     m_leaseEndMs = 0;
     m_ended.clear();
     m_lastNumber = 0;
     m_rejected.clear();
+    m_done.clear();
     up = true;
+    breaksConnections = true;
     frozen = false;
 }
 
 std::int64_t model_worker::clock(time_point now) const
 {
     const auto elapsed = std::chrono::duration_cast<milliseconds>(now - m_startedAt).count();
-    return firstClockMs + elapsed * clockRatePerMille / 1000;
+    return m_firstClockMs + elapsed * clockRatePerMille / 1000;
 }
 
 void model_worker::advance(time_point now)
@@ -61,6 +64,8 @@
     active.erase(task);
     reject(task, attempt);
     m_ended.push_back({++m_lastNumber, task, attempt, outcome, {}});
+    if (outcome == jobs::run_outcome::Done)
+        m_done.insert(task);
 }
 
 void model_worker::reject(const std::string &task, std::uint32_t attempt)
@@ -75,6 +80,11 @@
     return found != m_rejected.end() && attempt <= found->second;
 }
 
+bool model_worker::doneUnderLease(const std::string &task, time_point now) const
+{
+    return up && !leaseEnded(now) && m_done.contains(task);
+}
+
 bool model_worker::leaseEnded(time_point now) const
 {
     return clock(now) > m_leaseEndMs;
@@ -90,6 +100,8 @@
 
 void model_worker::extendLease(std::int64_t leaseEndMs, time_point now)
 {
+    if (leaseEnded(now))
+        m_done.clear();
     m_leaseEndMs = std::max(m_leaseEndMs, std::min(leaseEndMs, clock(now) + maxLease.count()));
 }
 
--- a/tests/jobs/model_worker.h
+++ b/tests/jobs/model_worker.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -37,12 +38,13 @@
 class model_worker
 {
 public:
-    static constexpr milliseconds maxLease {8000};
+    static constexpr milliseconds maxLease {10'000};
 
-    model_worker(std::string id, std::string address, resources capacity, time_point now);
+    model_worker(std::string id, std::string address, resources capacity, std::int64_t clockMs,
+                 time_point now);
 
-    // Starts anew, with nothing of before.
-    void restart(time_point now);
+    // Starts anew, with nothing of before and with a clock that has no relation to the former one.
+    void restart(std::int64_t clockMs, time_point now);
     // Applies what is due: ends, stops and the end of the lease.
     void advance(time_point now);
 
@@ -57,10 +59,14 @@
     std::int64_t clock(time_point now) const;
     bool leaseEnded(time_point now) const;
     bool rejects(const std::string &task, std::uint32_t attempt) const;
+    // A run of the task has ended as done here, and the lease has held from then until now.
+    bool doneUnderLease(const std::string &task, time_point now) const;
 
     jobs::worker_entry entry;
     std::map<std::string, model_run> active;
     bool up = true;
+    // While it is down, its connections break at once; otherwise calls get no reply.
+    bool breaksConnections = true;
     // While set, nothing is executed; the clock goes on.
     bool frozen = false;
     std::int64_t clockRatePerMille = 1000;
@@ -71,10 +77,12 @@
 
     std::uint64_t m_term = 0;
     time_point m_startedAt {};
+    std::int64_t m_firstClockMs = 0;
     std::int64_t m_leaseEndMs = 0;
     std::vector<jobs::ended_run> m_ended;
     std::uint64_t m_lastNumber = 0;
     std::map<std::string, std::uint32_t> m_rejected;
+    std::set<std::string> m_done;
 };
 
 } // namespace plantaingap::tests
--- a/tests/jobs/unlisted_stop_test.cpp
+++ b/tests/jobs/unlisted_stop_test.cpp
@@ -177,7 +177,7 @@
      [](capacity_world &world) {
          world.cancel(first);
          world.advance(stopOrderTime);
-         world.crash(world.worker("w0"), milliseconds(50), true);
+         world.crash(world.worker("w0"), milliseconds(50));
      },
      milliseconds(700)},
     {"runs that a worker loses without a word",
