--- a/tests/jobs/former_leader_lease_test.cpp
+++ b/tests/jobs/former_leader_lease_test.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 const std::string id = "00000000000000a1";
+const std::string fillerId = "00000000000000a2";
 
 constexpr milliseconds settleTime {300};
 constexpr milliseconds longRunTime {60'000};
@@ -56,6 +57,21 @@
     return {};
 }
 
+struct first_report_row
+{
+    const char *name;
+    // The former leader is suspended between a report and the renewal that it computes by it.
+    milliseconds readingAge;
+    std::int64_t clockRatePerMille;
+};
+
+constexpr first_report_row firstReports[] = {
+    {"by a recent reading", milliseconds(1000), 1000},
+    {"by an old reading", milliseconds(2300), 1000},
+    {"by a recent reading of a slow clock", milliseconds(1000), 980},
+    {"by an old reading of a slow clock", milliseconds(2300), 980},
+};
+
 } // namespace
 
 // Guards against a second run of a task beside one whose lease a former leader still renews.
@@ -99,3 +115,58 @@
         CHECK(world.running(id) == (row.runTime == longRunTime ? 1 : 0));
     }
 }
+
+// Guards against a second run of a task beside one whose lease a former leader has renewed on an
+// incarnation that the present leader had not heard of.
+TEST_CASE("A lease that a former leader grants to the next incarnation of a worker is counted")
+{
+    for (const auto &row : firstReports) {
+        CAPTURE(std::string(row.name));
+        capacity_options options;
+        options.workers = 2;
+        options.messageTime = milliseconds(0);
+        options.storeTime = milliseconds(0);
+        capacity_world world {options};
+        constexpr std::uint64_t former = 1;
+        constexpr std::uint64_t present = 2;
+        for (const auto *name : {"w0", "w1"})
+            world.worker(name).clockRatePerMille = row.clockRatePerMille;
+        world.advance(settleTime);
+        jobs::step_definition whole;
+        whole.tasks = 1;
+        whole.demand = {16'000, 1'000, 0};
+        whole.estimate = longRunTime * 4;
+        world.submit(fillerId, {whole}, longRunTime);
+        world.advance(settleTime);
+        REQUIRE(world.running(fillerId) == 1);
+        const std::string restarted = workerOf(world, options.workers) == "w0" ? "w1" : "w0";
+        auto &worker = world.worker(restarted);
+        // The next leader hears of the first incarnation.
+        world.hold(restarted, former);
+        world.replaceUnnoticed(milliseconds(50), longRunTime);
+        world.advance(milliseconds(100));
+        REQUIRE(world.takeovers() == 1);
+        // The former one hears of the next incarnation first, and renews its lease.
+        world.hold(restarted, present);
+        world.crash(worker, milliseconds(5));
+        world.advance(milliseconds(50));
+        world.letThrough(restarted, former);
+        world.suspendRenewals(former, row.readingAge);
+        const auto latest = world.now() + row.readingAge * 2;
+        while (worker.leaseEnded(world.now()) && world.now() < latest)
+            world.step();
+        REQUIRE_FALSE(worker.leaseEnded(world.now()));
+        // The present leader hears of it then, starts a run there, and the worker is cut off.
+        world.letThrough(restarted, present);
+        world.submit(id, {whole}, longRunTime);
+        while (world.running(id) == 0 && world.now() < latest)
+            world.step();
+        REQUIRE(world.running(id) == 1);
+        world.cut(restarted, longRunTime);
+        world.cancel(fillerId);
+        world.advance(jobs::defaultPreviousLeaderLease);
+        CHECK(world.violation() == "");
+        CHECK(world.running(id) == 1);
+        CHECK(world.takeovers() == 1);
+    }
+}
