Close idle connections to a former incarnation of a worker

Callers saw tasks start late after restarts: an idle connection to the former incarnation stayed in the pool.

The new row of adapter.orders_gateway_test failed before and passes.

--- a/src/support/http_client.cpp
+++ b/src/support/http_client.cpp
@@ -188,6 +188,12 @@
     });
 }
 
+void http_client::closeIdleToOthers(std::int64_t peer)
+{
+    std::erase_if(m_state->idle,
+                  [peer](const auto &link) { return link->peer.value_or(peer) != peer; });
+}
+
 result<tcp::endpoint> parseEndpoint(std::string_view text)
 {
     const auto colon = text.rfind(':');
--- a/src/support/http_client.h
+++ b/src/support/http_client.h
@@ -69,6 +69,8 @@
     void closeIdle();
     // As above, but for connections over which an answer has come since.
     void closeIdle(time_point withoutAnswerSince);
+    // Closes the kept connections that are known to lead to another process than `peer`.
+    void closeIdleToOthers(std::int64_t peer);
 
     // An answer's body larger than this is an error.
     static constexpr std::size_t bodyLimit = std::size_t {64} << 20;
--- a/tests/adapter/orders_gateway_test.cpp
+++ b/tests/adapter/orders_gateway_test.cpp
@@ -96,32 +96,38 @@
 struct start_row
 {
     const char *name;
-    // Before the start: an earlier start to the first incarnation, a restart, a stop.
+    // Before the start: an earlier start to the first incarnation, a restart, a stop, a report.
     bool startedBefore;
     bool restarted;
     bool stoppedBefore;
+    bool reportedBefore;
     unsigned renewalStatus;
     std::int64_t incarnationMs;
     order_status status;
 };
 
 constexpr start_row starts[] = {
-    {"over a new connection", false, false, false, 200, firstIncarnation, order_status::Accepted},
-    {"over a connection that is known", true, false, false, unavailable, firstIncarnation,
+    {"over a new connection", false, false, false, false, 200, firstIncarnation,
      order_status::Accepted},
-    {"over a connection that a stop has opened", false, false, true, 200, firstIncarnation,
+    {"over a connection that is known", true, false, false, false, unavailable, firstIncarnation,
      order_status::Accepted},
-    {"to the former incarnation over a new connection", false, true, false, 200, firstIncarnation,
-     order_status::OtherIncarnation},
-    {"to the former incarnation over a connection that a stop has opened", true, true, true, 200,
+    {"over a connection that a stop has opened", false, false, true, false, 200, firstIncarnation,
+     order_status::Accepted},
+    {"to the former incarnation over a new connection", false, true, false, false, 200,
      firstIncarnation, order_status::OtherIncarnation},
-    {"to the new incarnation", true, true, true, 200, secondIncarnation, order_status::Accepted},
-    {"to an incarnation that has not reported yet", false, false, false, 200, secondIncarnation,
-     order_status::OtherIncarnation},
-    {"while the worker gives no report", false, false, false, unavailable, firstIncarnation,
+    {"to the former incarnation over a connection that a stop has opened", true, true, true, false,
+     200, firstIncarnation, order_status::OtherIncarnation},
+    {"to the new incarnation", true, true, true, false, 200, secondIncarnation,
+     order_status::Accepted},
+    {"to the new incarnation after its report, over no connection to the former one", true, true,
+     false, true, 200, secondIncarnation, order_status::Accepted},
+    {"to an incarnation that has not reported yet", false, false, false, false, 200,
+     secondIncarnation, order_status::OtherIncarnation},
+    {"while the worker gives no report", false, false, false, false, unavailable, firstIncarnation,
      order_status::WorkerUnhealthy},
-    {"of a former term", false, false, false, conflict, firstIncarnation, order_status::StaleTerm},
-    {"to a worker whose address another one has", false, false, false, misdirected,
+    {"of a former term", false, false, false, false, conflict, firstIncarnation,
+     order_status::StaleTerm},
+    {"to a worker whose address another one has", false, false, false, false, misdirected,
      firstIncarnation, order_status::OtherIncarnation},
 };
 
@@ -158,6 +164,8 @@
             fixture.worker.restart(secondIncarnation, secondClockMs);
         if (row.stoppedBefore && fixture.stop() != order_status::Accepted)
             REQUIRE(fixture.stop() == order_status::Accepted);
+        if (row.reportedBefore)
+            fixture.renew(0);
         fixture.worker.answerRenewals(row.renewalStatus);
         CHECK(fixture.start(row.incarnationMs) == row.status);
         const auto &executed = fixture.worker.executed();
