Count no failure of a worker whose connection broke before the order

A start asks for the worker's incarnation over a new connection. If that connection broke, the start was taken for refused by the worker, which counts as its failure, although before the question was added a start over a broken connection did not. Such a start is now not sent and returns to waiting without a failure. A new row of adapter.orders_gateway_test.

--- a/src/cell/leader_orders.cpp
+++ b/src/cell/leader_orders.cpp
@@ -218,6 +218,9 @@
     case order_status::OtherIncarnation:
         result = start_result::OtherIncarnation;
         break;
+    case order_status::NotSent:
+        result = start_result::NotSent;
+        break;
     case order_status::StaleTerm:
     case order_status::Expired:
     case order_status::NoCapacity:
--- a/src/cell/ports.h
+++ b/src/cell/ports.h
@@ -134,6 +134,8 @@
     OtherIncarnation,
     // Not executed: the worker is unhealthy or overloaded.
     WorkerUnhealthy,
+    // Not sent: the connection broke before the worker had told its incarnation.
+    NotSent,
     // The worker rejected the order as malformed or for an unlisted reason.
     Refused,
     // No reply: the order may have been executed, or may still be executed later.
--- a/src/jobs/job_runs.cpp
+++ b/src/jobs/job_runs.cpp
@@ -502,6 +502,7 @@
         [[fallthrough]];
     case start_result::Refused:
     case start_result::OtherIncarnation:
+    case start_result::NotSent:
     case start_result::Ended:
         if (result == start_result::Refused && task->assignedWorker)
             updateHealth(*task->assignedWorker, *task, true, now);
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -212,6 +212,8 @@
     Ended,
     Unknown,
     OtherIncarnation,
+    // The connection broke before the order was sent.
+    NotSent,
     // The connection broke before the response; the run may have started.
     ConnectionBroken
 };
--- a/tests/adapter/http_worker.cpp
+++ b/tests/adapter/http_worker.cpp
@@ -121,6 +121,10 @@
                 co_return;
             --self->openRenewals;
         }
+        if (renewal && self->renewalStatus == 0) {
+            link->socket.close();
+            co_return;
+        }
         auto reply = support::jsonResponse(
             renewal ? static_cast<http::status>(self->renewalStatus) : http::status::ok,
             json::serialize(renewal ? self->report()
--- a/tests/adapter/http_worker.h
+++ b/tests/adapter/http_worker.h
@@ -45,7 +45,7 @@
     // Renewals that the present incarnation holds open.
     std::size_t openRenewals() const;
 
-    // From now on each renewal is rejected with this status; 200 answers them.
+    // From now on each renewal gets this status; 0 breaks its connection instead.
     void answerRenewals(unsigned status);
 
 private:
--- a/tests/adapter/orders_gateway_test.cpp
+++ b/tests/adapter/orders_gateway_test.cpp
@@ -125,6 +125,8 @@
      secondIncarnation, order_status::OtherIncarnation},
     {"while the worker gives no report", false, false, false, false, unavailable, firstIncarnation,
      order_status::WorkerUnhealthy},
+    {"over a connection that breaks before the report", false, false, false, false, 0,
+     firstIncarnation, order_status::NotSent},
     {"of a former term", false, false, false, false, conflict, firstIncarnation,
      order_status::StaleTerm},
     {"to a worker whose address another one has", false, false, false, false, misdirected,
