Count failures by kind of task, and hand out probes in turn

Cause: a failure counted against its worker whatever failed. A task was disregarded only after two failures of its own, and 150 tasks have enough failures before that. Then the probes: steps that last go first and took all workers that were free for one, and a probe that failed for a disregarded task left the worker to the same step again.

Change: a failure is no evidence if its kind, by image or else by step, fails on two other workers and on most of the others where it was run last. While workers are quarantined, steps that fail get probes after all others, one each in a pass and in turn, and hold at most half of the workers.

--- a/src/decision/worker_health.cpp
+++ b/src/decision/worker_health.cpp
@@ -21,6 +21,10 @@
 constexpr std::size_t kindLimit = 16384;
 constexpr duration minProbeInterval = std::chrono::seconds(1);
 constexpr duration maxProbeInterval = std::chrono::seconds(60);
+// Workers on which the last outcome of a failing kind is kept.
+constexpr std::size_t maxWorkersPerKind = 32;
+// A kind that fails on so many other workers may fail everywhere.
+constexpr std::ptrdiff_t minFailingWorkers = 2;
 // Consecutive successful probes that end a quarantine.
 constexpr int requiredProbes = 3;
 
@@ -44,6 +48,48 @@
     return (counts.failed + priorFailureRate * priorWeight) / (counts.total + priorWeight);
 }
 
+void failing_kinds::observe(const std::string &kind, const std::string &worker, bool failed)
+{
+    auto it = m_outcomesByKind.find(kind);
+    if (it == m_outcomesByKind.end()) {
+        if (!failed)
+            return;
+        if (m_outcomesByKind.size() >= kindLimit)
+            m_outcomesByKind.erase(m_outcomesByKind.begin());
+        it = m_outcomesByKind.try_emplace(kind).first;
+    }
+    auto &last = it->second;
+    std::erase_if(last, [&](const last_outcome &outcome) { return outcome.worker == worker; });
+    if (last.size() >= maxWorkersPerKind)
+        last.erase(last.begin());
+    last.push_back({worker, failed});
+    if (std::ranges::none_of(last, &last_outcome::failed))
+        m_outcomesByKind.erase(it);
+}
+
+bool failing_kinds::failsElsewhere(const std::string &kind, const std::string &worker) const
+{
+    const auto it = m_outcomesByKind.find(kind);
+    if (it == m_outcomesByKind.end())
+        return false;
+    const auto count = [&](bool failed) {
+        return std::ranges::count_if(it->second, [&](const last_outcome &last) {
+            return last.worker != worker && last.failed == failed;
+        });
+    };
+    const auto failing = count(true);
+    return failing >= minFailingWorkers && failing > count(false);
+}
+
+bool failing_kinds::mostlyFails(const std::string &kind) const
+{
+    const auto it = m_outcomesByKind.find(kind);
+    if (it == m_outcomesByKind.end())
+        return false;
+    const auto failing = std::ranges::count_if(it->second, &last_outcome::failed);
+    return 2 * failing > static_cast<std::ptrdiff_t>(it->second.size());
+}
+
 void worker_health::observe(bool failed, double kindRate)
 {
     const auto rate = std::clamp(kindRate, priorFailureRate / 2, brokenFailureRate);
--- a/src/decision/worker_health.h
+++ b/src/decision/worker_health.h
@@ -3,7 +3,9 @@
 
 #include <plantaingap/ids.h>
 #include <plantaingap/time.h>
+#include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace plantaingap::decision {
 
@@ -26,6 +28,34 @@
     std::unordered_map<kind_id, outcome_counts> m_countsByKind;
 };
 
+// The last outcome of each kind on each worker, to tell a kind that fails everywhere from a worker
+// that fails.
+class failing_kinds
+{
+public:
+    void observe(const std::string &kind, const std::string &worker, bool failed);
+
+    // Whether the kind fails on several workers other than this one, and on most of them: its
+    // failures are no evidence against the worker.
+    bool failsElsewhere(const std::string &kind, const std::string &worker) const;
+
+    // Whether the kind fails on most workers on which it was run.
+    bool mostlyFails(const std::string &kind) const;
+
+private:
+    struct last_outcome
+    {
+        std::string worker;
+        bool failed = false;
+    };
+
+    // Oldest first.
+    using outcomes = std::vector<last_outcome>;
+
+    // Kinds that fail on a worker.
+    std::unordered_map<std::string, outcomes> m_outcomesByKind;
+};
+
 // Detects a worker that fails requests of any kind. Keeps a cumulative sum (CUSUM) of the log
 // likelihood ratio between a broken worker, which fails 90 % of its requests, and the failure rate
 // of each request's kind. A kind that fails on every worker therefore adds no evidence.
--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -52,6 +52,12 @@
     return run->step->definition->longRunning && run->speedObserved;
 }
 
+// Fewer failed runs of a step may be due to the workers.
+constexpr std::size_t minFailedRuns = 3;
+// A failing step leaves probes to others, however long its runs take to fail: together such steps
+// take at most this share of the quarantined workers, but at least one.
+constexpr std::size_t failingProbeDivisor = 2;
+
 } // namespace
 
 dispatcher::dispatcher(job_scheduler &scheduler, time_point now, scheduler_orders &orders)
@@ -80,17 +86,23 @@
     ++counts.passes;
     counts.stepsReady += ready.size();
     chooseDue(ready);
+    countProbes();
     std::size_t waiting = 0;
-    for (const auto &step : ready) {
+    std::vector<const ready_step *> failing;
+    for (auto &step : ready) {
         if (waiting >= alwaysExamined && !step.due)
             continue;
         ++counts.stepsExamined;
+        step.failing = m_takesProbes && !step.isolated && isFailing(*step.step);
         schedule(step);
         if (step.step->waiting > 0) {
             ++waiting;
+            if (step.failing)
+                failing.push_back(&step);
             step.step->examineAt = m_now + examinationInterval;
         }
     }
+    scheduleFailing(std::move(failing));
     planGangs();
     for (const auto &step : m_nextGangs)
         requestAdviceAhead(step);
@@ -106,7 +118,7 @@
             for (auto &step : occurrence.steps) {
                 if (!step.ready && turnComesNext(step))
                     m_nextGangs.push_back({&step, &m_scheduler.queueOf(*job),
-                                           latenessOf(step, m_now), false, false, false});
+                                           latenessOf(step, m_now), false, false, false, false});
                 if (!step.ready || step.waiting == 0)
                     continue;
                 if (step.definition->gang && step.waiting < step.tasks.size())
@@ -121,7 +133,7 @@
                 found.push_back({&step, &m_scheduler.queueOf(*job), latenessOf(step, m_now),
                                  step.definition->gang ? step.suspectedGang()
                                                        : allWaiting(&crash_history::suspected),
-                                 allWaiting(&crash_history::stronglySuspected), false});
+                                 allWaiting(&crash_history::stronglySuspected), false, false});
             }
         }
     }
@@ -174,6 +186,46 @@
         requestAdviceForTasks(ready);
 }
 
+bool dispatcher::isFailing(const step_run &step) const
+{
+    return !step.definition->gang && step.failedOn.size() >= minFailedRuns
+           && m_scheduler.m_failingKinds.mostlyFails(job_scheduler::kindOf(step));
+}
+
+void dispatcher::countProbes()
+{
+    std::size_t quarantined = 0;
+    std::size_t held = 0;
+    for (const auto *worker : m_usableWorkers) {
+        if (!worker->health.quarantined())
+            continue;
+        ++quarantined;
+        held += std::ranges::any_of(worker->runs,
+                                    [this](const task_run *run) {
+                                        return !provedHealthy(run) && isFailing(*run->step);
+                                    })
+                    ? 1
+                    : 0;
+    }
+    m_takesProbes = quarantined > 0;
+    const auto limit = std::max<std::size_t>(1, quarantined / failingProbeDivisor);
+    m_failingProbesLeft = limit > held ? limit - held : 0;
+}
+
+void dispatcher::scheduleFailing(std::vector<const ready_step *> failing)
+{
+    std::ranges::stable_sort(failing, {},
+                             [](const ready_step *ready) { return ready->step->probedAt; });
+    m_failingMayProbe = true;
+    for (const auto *ready : failing) {
+        if (m_failingProbesLeft == 0)
+            break;
+        ++m_scheduler.m_passes.stepsExamined;
+        schedule(*ready);
+    }
+    m_failingMayProbe = false;
+}
+
 const ticket *dispatcher::validTicket(const step_run &step, const worker &worker) const
 {
     const auto *found = step.advice.ticketFor(worker.ref);
@@ -187,10 +239,10 @@
         return false;
     if (ready.isolated ? !suitsIsolation(ready, worker) : worker.isolating())
         return false;
-    // A quarantined worker gets a single run or late gang as a probe, beside long-running tasks at
-    // work.
+    // A quarantined worker gets runs of one step or a late gang as probes, beside long-running
+    // tasks at work.
     if (worker.health.quarantined()
-        && ((definition.gang && ready.lateness == 0)
+        && ((definition.gang && ready.lateness == 0) || (ready.failing && !m_failingMayProbe)
             || !std::ranges::all_of(worker.runs, provedHealthy)))
         return false;
     if (!definition.bestEffort && !hasLatencyTarget(definition))
@@ -310,7 +362,7 @@
 void dispatcher::placeIndividually(const ready_step &ready)
 {
     auto &step = *ready.step;
-    const auto workers = allowedWorkers(ready);
+    auto workers = allowedWorkers(ready);
     if (workers.empty())
         return;
     for (auto &task : step.tasks) {
@@ -324,6 +376,12 @@
         if (!worker)
             return;
         assign(task, *worker, task.attempt + 1);
+        if (!ready.failing || !worker->health.quarantined())
+            continue;
+        // The next probe goes to another failing step, if there is one.
+        step.probedAt = m_now;
+        --m_failingProbesLeft;
+        std::erase_if(workers, [](const auto *other) { return other->health.quarantined(); });
     }
 }
 
--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -28,6 +28,8 @@
         bool isolated = false;
         // All of them are strongly suspected, so they come last.
         bool stronglySuspected = false;
+        // Tasks of its kind fail on most workers, so it gets probes last; never set for gangs.
+        bool failing = false;
         // Examined in this pass whatever goes before it.
         bool due = false;
     };
@@ -71,6 +73,11 @@
     // Whether the allowed workers could hold all members once their runs have ended.
     bool couldHoldGang(const ready_step &ready) const;
     void schedule(const ready_step &ready);
+    // Limits the probes that may be placed for kinds that fail.
+    void countProbes();
+    bool isFailing(const step_run &step) const;
+    // Lets failing steps, in turn, probe the quarantined workers that others have left free.
+    void scheduleFailing(std::vector<const ready_step *> failing);
     void placeIndividually(const ready_step &ready);
 
     // Gangs.
@@ -158,6 +165,11 @@
     std::vector<worker *> m_workers;
     std::vector<worker *> m_usableWorkers;
     resources m_usableCapacity;
+    // Some of the usable workers are quarantined, so they take probes.
+    bool m_takesProbes = false;
+    // Probes that failing steps may still be given, and whether their turn has come.
+    std::size_t m_failingProbesLeft = 0;
+    bool m_failingMayProbe = false;
     // Workers on which suspected tasks are at work or which they took down, and their limit.
     std::size_t m_isolationSites = 0;
     std::size_t m_maxIsolationSites = 0;
--- a/src/jobs/job_health.cpp
+++ b/src/jobs/job_health.cpp
@@ -26,8 +26,17 @@
 
 } // namespace
 
-void job_scheduler::updateHealth(worker &worker, const task_run &task, bool failed, time_point now)
+std::string job_scheduler::kindOf(const step_run &step)
 {
+    if (!step.definition->image.empty())
+        return step.definition->image;
+    return step.occurrence->job->definition.id + '.' + std::to_string(step.number);
+}
+
+void job_scheduler::updateHealth(worker &worker, const task_run &task, run_verdict verdict,
+                                 time_point now)
+{
+    const bool failed = verdict != run_verdict::Sound;
     const auto &queue = task.step->occurrence->job->definition.queue;
     const auto number =
         m_queueKinds.try_emplace(queue, static_cast<std::uint32_t>(m_queueKinds.size()))
@@ -35,8 +44,13 @@
     const kind_id kind {number};
     const auto baseline = std::min(m_failureRates.rate(kind), maxBaselineFailureRate);
     m_failureRates.observe(kind, failed);
-    // A task that also failed on another worker is no evidence against this one.
-    if (failed && task.failedAttempts.size() > 1)
+    const auto taskKind = kindOf(*task.step);
+    const bool failsElsewhere = m_failingKinds.failsElsewhere(taskKind, worker.entry.id);
+    // A run that did not start tells nothing about its kind.
+    if (verdict != run_verdict::NotStarted)
+        m_failingKinds.observe(taskKind, worker.entry.id, failed);
+    // What also fails on other workers is no evidence against this one.
+    if (failed && (failsElsewhere || task.failedAttempts.size() > 1))
         return;
     worker.health.observe(failed, baseline);
     if (worker.health.quarantined() && !failed) {
@@ -58,7 +72,7 @@
         || now - task.startedAt < longRunningProbe)
         return;
     task.speedObserved = true;
-    updateHealth(worker, task, false, now);
+    updateHealth(worker, task, run_verdict::Sound, now);
 }
 
 void job_scheduler::observeSpeed(worker &worker, task_run &task, time_point now)
@@ -108,7 +122,7 @@
             std::max<duration>(m_options.stallTimeout, task->step->expectedDuration / 2);
         const bool hung = now - task->progressAt > stallLimit;
         if (hung)
-            updateHealth(worker, *task, true, now);
+            updateHealth(worker, *task, run_verdict::Failed, now);
         const bool tooSlow = !hung && capacityElsewhere && shouldMove(worker, *task, now);
         if (!hung && !tooSlow)
             continue;
--- a/src/jobs/job_progress.h
+++ b/src/jobs/job_progress.h
@@ -163,6 +163,8 @@
     // Placement passes examine the step before this time only if few steps that wait go before it.
     // Reset by what lets the step start or ask for advice.
     time_point examineAt {};
+    // When a task of the step was last placed as a probe while its kind failed.
+    time_point probedAt {};
     gang_plan gang;
     step_wait wait;
     // For a gang that has not started: the start that was expected when its job was accepted.
--- a/src/jobs/job_runs.cpp
+++ b/src/jobs/job_runs.cpp
@@ -329,7 +329,7 @@
         task.checkpoint = end.checkpoint;
     if (end.outcome == run_outcome::Done) {
         if (worker) {
-            updateHealth(*worker, task, false, now);
+            updateHealth(*worker, task, run_verdict::Sound, now);
             observeDuration(task, now);
         }
         if (worker)
@@ -343,7 +343,7 @@
         recordEvent("run.failed", task, "failure reported by the worker");
         recordRunEnd(task, run_end_cause::Failed, now);
         if (worker) {
-            updateHealth(*worker, task, true, now);
+            updateHealth(*worker, task, run_verdict::Failed, now);
             step.failedOn.push_back(worker->entry.id);
             extendObjective(task, now);
         }
@@ -504,12 +504,12 @@
     case start_result::OtherIncarnation:
     case start_result::Ended:
         if (result == start_result::Refused && task->assignedWorker)
-            updateHealth(*task->assignedWorker, *task, true, now);
+            updateHealth(*task->assignedWorker, *task, run_verdict::NotStarted, now);
         returnToWaiting(*task);
         break;
     case start_result::Unknown:
         if (task->assignedWorker)
-            updateHealth(*task->assignedWorker, *task, true, now);
+            updateHealth(*task->assignedWorker, *task, run_verdict::NotStarted, now);
         stopRun(*task, now);
         break;
     case start_result::ConnectionBroken:
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -469,8 +469,11 @@
     void stopPresentMembers(step_run &step, time_point now);
     void expireLeases(time_point now);
     void retryStops(time_point now, scheduler_orders &orders);
-    // Updates the health of a worker after a failed or successful run.
-    void updateHealth(worker &worker, const task_run &task, bool failed, time_point now);
+    // Tasks of one kind behave alike: those with the same image, else those of a step.
+    static std::string kindOf(const step_run &step);
+    enum class run_verdict : std::uint8_t { Sound, Failed, NotStarted };
+    // Updates the health of a worker after a failed or successful run, or a start that failed.
+    void updateHealth(worker &worker, const task_run &task, run_verdict verdict, time_point now);
     void checkProgress(worker &worker, time_point now);
     void observeLongRunning(worker &worker, task_run &task, time_point now);
     void observeSpeed(worker &worker, task_run &task, time_point now);
@@ -560,6 +563,7 @@
     std::map<std::string, observed_share> m_allowedShares;
     declared_duration_errors m_durationErrors;
     decision::kind_failures m_failureRates;
+    decision::failing_kinds m_failingKinds;
     std::map<std::string, std::uint32_t> m_queueKinds;
     // Queues of jobs that the configuration does not declare, as the last one did that this leader
     // or the row of a job knows; their jobs still use them.
