Log a write that the store rejects for what it contains

A transaction that the store answers with 400 was taken for one without a reply.

It goes on repeating the write: no accepted work is dropped, and the partition still stores nothing else.

cell.leader_log_test has the new line, and that an overloaded store and a lost reply have none.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -383,6 +383,7 @@
     // When the attempt that got the reply was sent.
     time_point repliedAttemptSentAt {};
     std::uint32_t openAttempts = 0;
+    bool rejectionLogged = false;
 };
 
 awaitable<void> leader::attemptWrite(std::shared_ptr<hedged_write> write, transaction changes)
@@ -395,7 +396,7 @@
     --write->openAttempts;
     const auto *failure = std::get_if<call_failure>(&result);
     // An attempt without a reply leaves the write to the other attempts.
-    if (write->reply || (failure && *failure != call_failure::Refused))
+    if (write->reply || (failure && *failure == call_failure::Unknown))
         co_return;
     write->reply = std::move(result);
     write->repliedAttemptSentAt = sentAt;
@@ -410,6 +411,21 @@
     m_storeFailing = true;
 }
 
+void leader::recordRejectedWrite(hedged_write &write, const transaction &changes)
+{
+    ++m_counters["store_writes_rejected"];
+    if (std::exchange(write.rejectionLogged, true))
+        return;
+    const auto valueBytes = [](const auto &put) { return put.second.size(); };
+    const auto &[row, value] = *std::ranges::max_element(changes.puts, {}, valueBytes);
+    log_event(log_level::Error, "store.write_rejected")
+        .field("partition", m_options.partition.index)
+        .field("term", m_row.term)
+        .field("operations", static_cast<std::uint64_t>(changes.operationCount()))
+        .field("largest_row", row.table + "/" + row.key)
+        .field("largest_row_bytes", static_cast<std::uint64_t>(value.size()));
+}
+
 // Sends another attempt and returns the first reply to any open attempt. Returns nullopt if the
 // store rejects the write or sends no reply until the next attempt is due.
 awaitable<std::optional<transaction_result>>
@@ -426,6 +442,8 @@
     if (reply) {
         if (const auto *result = std::get_if<transaction_result>(&*reply))
             co_return *result;
+        if (std::get<call_failure>(*reply) == call_failure::Rejected)
+            recordRejectedWrite(*write, changes);
     }
     recordStoreFailure(reply.has_value());
     if (reply)
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -109,6 +109,8 @@
                                                              const transaction &changes);
     awaitable<void> attemptWrite(std::shared_ptr<hedged_write> write, transaction changes);
     void recordStoreFailure(bool refused);
+    // Logs once for each write: the leader repeats it, and stores nothing else meanwhile.
+    void recordRejectedWrite(hedged_write &write, const transaction &changes);
     // Whether new jobs are stored on condition that the store has no end of them.
     enum class ended_check : std::uint8_t { InStore, InMemory };
     transaction makeTransaction(const std::vector<jobs::job_change> &batch,
--- a/src/cell/ports.h
+++ b/src/cell/ports.h
@@ -25,6 +25,8 @@
     // The callee reported that it did nothing: it is overloaded or unavailable, or rejects calls of
     // this instance.
     Refused,
+    // The callee rejected the call for what it contains, so repeating it is of no use.
+    Rejected,
     // The call may or may not have taken effect: no reply by the deadline, a broken connection, or
     // a malformed reply.
     Unknown,
--- a/tests/cell/leader_log_test.cpp
+++ b/tests/cell/leader_log_test.cpp
@@ -183,6 +183,44 @@
     }
 }
 
+// Guards against a row that is too large for the store, stops all writes and is named nowhere.
+TEST_CASE(
+    "A write that the store rejects for what it contains is logged once, with its largest row")
+{
+    struct rejection_row
+    {
+        const char *name;
+        memory_store::failure_mode mode;
+        std::size_t lines;
+    };
+    const rejection_row rows[] = {
+        {"rejected for what it contains", memory_store::failure_mode::RejectsContent, 1},
+        {"the store is overloaded", memory_store::failure_mode::Rejects, 0},
+        {"the reply is lost", memory_store::failure_mode::LosesReplies, 0},
+    };
+    constexpr int attempts = 3;
+    for (const auto &row : rows) {
+        CAPTURE(std::string(row.name));
+        const log_capture log;
+        leader_fixture fixture(0);
+        auto &store = fixture.store;
+        store.mode = row.mode;
+        fixture.submit(idOf(1));
+        const auto before = store.commits;
+        while (store.commits < before + attempts && fixture.accepted == 0)
+            fixture.context.run_one();
+        store.mode = memory_store::failure_mode::None;
+        while (fixture.accepted == 0)
+            fixture.context.run_one();
+        const auto lines = log.linesOf("store.write_rejected");
+        REQUIRE(lines.size() == row.lines);
+        for (const auto &line : lines) {
+            CHECK(contains(line, " largest_row=jobs/" + idOf(1)));
+            CHECK(contains(line, " largest_row_bytes="));
+        }
+    }
+}
+
 TEST_CASE("Lines a second about jobs that wait are bounded, and the rest is counted")
 {
     struct bound_row
--- a/tests/cell/memory_ports.h
+++ b/tests/cell/memory_ports.h
@@ -23,6 +23,8 @@
         None,
         // Rejects each commit without applying it.
         Rejects,
+        // Rejects each commit for what it contains.
+        RejectsContent,
         // Applies each commit but loses the reply.
         LosesReplies,
         // Neither applies a commit nor replies.
@@ -47,6 +49,8 @@
         }
         if (mode == failure_mode::Rejects)
             co_return cell::call_failure::Refused;
+        if (mode == failure_mode::RejectsContent)
+            co_return cell::call_failure::Rejected;
         auto result = apply(changes);
         if (mode == failure_mode::LosesReplies)
             co_return cell::call_failure::Unknown;
