Keep few failures of tasks that last

Cause: the attempt of each failure was kept in the row of its job, also for long-running tasks, whose failures count against no limit. Over 65,536 bytes the store rejects the row, and the leader repeats that write for ever. Each failure also left an entry in two lists of its step in memory.

Change: of a long-running task the first two failures are kept, which its evidence against workers needs, and of a long-running gang none. Rows of earlier versions are cut when they are read. The two lists have each worker and each machine once. Ordinary tasks and gangs count as before.

--- a/src/jobs/job_losses.cpp
+++ b/src/jobs/job_losses.cpp
@@ -175,7 +175,7 @@
     step.lastCrashAt = now;
     markChanged(job);
     if (lost.evidence >= crash_evidence::Fresh)
-        step.crashedAt.push_back(worker.entry.address);
+        addUnique(step.crashedAt, worker.entry.address);
     if (task->crashes.givenUp()) {
         ++m_tasksGivenUp;
         recordEvent("task.given_up", *task, "workers crash when they start it");
--- a/src/jobs/job_progress.h
+++ b/src/jobs/job_progress.h
@@ -7,6 +7,7 @@
 #include "jobs/step_advice.h"
 #include "jobs/step_wait.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -43,6 +44,7 @@
     // Highest attempt number ever stored; 0 before the first.
     std::uint32_t attempt = 0;
     // Attempts counted as failed; a worker may report the same failure again to the next leader.
+    // Of a long-running task only the first ones.
     std::vector<std::uint32_t> failedAttempts;
     crash_history crashes;
     // The run is suspected to crash its worker. Nothing else is placed there until it has survived
@@ -149,7 +151,7 @@
     std::vector<task_run> tasks;
     std::uint32_t waiting = 0;
     std::uint32_t done = 0;
-    // Failed attempts of the gang as a whole.
+    // Failed attempts of the gang as a whole; empty if it is long-running.
     std::vector<std::uint32_t> failedAttempts;
     bool ready = false;
     // Workers on which runs of the step failed in this term; other workers are preferred.
@@ -187,6 +189,14 @@
     bool suspectedGang() const;
 };
 
+// For short lists that keep their order.
+template<class T>
+void addUnique(std::vector<T> &list, const T &value)
+{
+    if (std::ranges::find(list, value) == list.end())
+        list.push_back(value);
+}
+
 // How long the step has been waiting with nothing running; zero if it is not.
 duration waitOf(const step_run &step, time_point now);
 
--- a/src/jobs/job_runs.cpp
+++ b/src/jobs/job_runs.cpp
@@ -33,6 +33,10 @@
     return std::nullopt;
 }
 
+// No attempts limit applies to a long-running task; whether one has failed more than once decides
+// if its failures are evidence against its workers.
+constexpr std::size_t maxFailuresOfLongRunning = 2;
+
 } // namespace
 
 void job_scheduler::allocate(task_run &task, worker &worker)
@@ -158,13 +162,21 @@
 // reports it.
 void job_scheduler::countFailure(task_run &task, std::uint32_t attempt)
 {
-    const auto add = [attempt](std::vector<std::uint32_t> &attempts) {
-        if (std::ranges::find(attempts, attempt) == attempts.end())
-            attempts.push_back(attempt);
-    };
-    add(task.failedAttempts);
-    if (task.step->definition->gang)
-        add(task.step->failedAttempts);
+    const auto &definition = *task.step->definition;
+    addUnique(task.failedAttempts, attempt);
+    if (definition.gang)
+        addUnique(task.step->failedAttempts, attempt);
+    if (definition.longRunning)
+        dropUncountedFailures(*task.step, task);
+}
+
+// Long-running tasks may fail any number of times, so a record of all failures would grow without
+// bound.
+void job_scheduler::dropUncountedFailures(step_run &step, task_run &task)
+{
+    if (task.failedAttempts.size() > maxFailuresOfLongRunning)
+        task.failedAttempts.resize(maxFailuresOfLongRunning);
+    step.failedAttempts.clear();
 }
 
 void job_scheduler::failTask(task_run &task, time_point now)
@@ -344,7 +356,7 @@
         recordRunEnd(task, run_end_cause::Failed, now);
         if (worker) {
             updateHealth(*worker, task, true, now);
-            step.failedOn.push_back(worker->entry.id);
+            addUnique(step.failedOn, worker->entry.id);
             extendObjective(task, now);
         }
         failTask(task, now);
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -251,6 +251,8 @@
     task.attempt = from.attempt;
     task.failedAttempts = from.failedAttempts;
     task.checkpoint = from.checkpoint;
+    if (task.step->definition->longRunning)
+        dropUncountedFailures(*task.step, task);
     task.crashes = from.crashes;
     task.step->crashed = task.step->crashed || !from.crashes.records().empty();
     if (!from.worker.empty()) {
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -407,6 +407,7 @@
     void returnToWaiting(task_run &task);
     void completeTask(task_run &task);
     void countFailure(task_run &task, std::uint32_t attempt);
+    static void dropUncountedFailures(step_run &step, task_run &task);
     void failTask(task_run &task, time_point now);
     void recordFailure(task_run &task, std::uint32_t attempt, time_point now);
     void extendObjective(task_run &task, time_point now);
