--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -53,7 +53,7 @@
 }
 
 // Fewer failed runs of a step may be due to the workers.
-constexpr std::size_t minFailedRuns = 3;
+constexpr std::uint32_t minFailedRuns = 3;
 // A failing step leaves probes to others, however long its runs take to fail: together such steps
 // take at most this share of the quarantined workers, but at least one.
 constexpr std::size_t failingProbeDivisor = 2;
@@ -188,7 +188,7 @@
 
 bool dispatcher::isFailing(const step_run &step) const
 {
-    return !step.definition->gang && step.failedOn.size() >= minFailedRuns
+    return !step.definition->gang && step.failedRuns >= minFailedRuns
            && m_scheduler.m_failingKinds.mostlyFails(job_scheduler::kindOf(step));
 }
 
