--- a/src/jobs/job_runs.cpp
+++ b/src/jobs/job_runs.cpp
@@ -356,7 +356,6 @@
         recordRunEnd(task, run_end_cause::Failed, now);
         if (worker) {
             updateHealth(*worker, task, run_verdict::Failed, now);
-
             addUnique(step.failedOn, worker->entry.id);
             ++step.failedRuns;
             extendObjective(task, now);
