--- a/src/support/http_client.h
+++ b/src/support/http_client.h
@@ -67,7 +67,7 @@
     void keep(const std::shared_ptr<http_connection> &link);
     // Closes the kept connections, as after a timeout: others of the same age may be silent too.
     void closeIdle();
-    // As above, but for connections over which an answer has come since.
+    // As above, except those over which an answer has come since.
     void closeIdle(time_point withoutAnswerSince);
     // Closes the kept connections that are known to lead to another process than `peer`.
     void closeIdleToOthers(std::int64_t peer);
