--- a/daemons/plantaingap_cell.cpp
+++ b/daemons/plantaingap_cell.cpp
@@ -43,6 +43,7 @@
     options.stopDeadline = settings.stopGrace - stopReserve;
     options.stopAcceptDelay = std::min(options.stopAcceptDelay, options.stopDeadline / 2);
     options.leader.instance = settings.instance;
+    options.leader.keyRevocation = settings.keyRevocation;
     options.capacity = {settings.milliCores, settings.linkKbps};
     if (settings.milliCores < leadingMilliCores)
         options.takeoverDelay = smallInstanceDelay;
--- a/src/cell/cell_instance.cpp
+++ b/src/cell/cell_instance.cpp
@@ -327,6 +327,7 @@
     forwarded.host = std::string(request[http::field::host]);
     forwarded.target = std::string(request.target());
     forwarded.body = std::move(request.body());
+    forwarded.authorization = std::string(request[http::field::authorization]);
     const auto result = co_await routeRequest(std::move(forwarded));
     auto response = makeHttpResponse(result);
     if (m_stopping)
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -40,6 +40,9 @@
     std::function<bool()> shouldYield;
     leadership_options leadership;
     jobs::scheduler_options scheduler;
+    // How long a key may be used after a configuration without it was stored; 0: as long as no such
+    // configuration has been read.
+    std::chrono::milliseconds keyRevocation {0};
 };
 
 // One term of leadership of a partition. Loads the cell's state from the store and the workers,
--- a/src/cell/peer_transport.cpp
+++ b/src/cell/peer_transport.cpp
@@ -120,7 +120,8 @@
                                 wireRequest->body(),
                                 clock::now() + milliseconds(wireRequest->left_ms()),
                                 wireRequest->partition(),
-                                wireRequest->configuration()};
+                                wireRequest->configuration(),
+                                wireRequest->authorization()};
         asio::post(m_context, [this, reactor, wireReply, request = std::move(request)]() mutable {
             asio::co_spawn(m_context, handleRequest(std::move(request), reactor, wireReply),
                            asio::detached);
@@ -298,6 +299,7 @@
     call->request.set_left_ms(remainingMs(request.deadline));
     call->request.set_partition(request.partition);
     call->request.set_configuration(request.configurationVersion);
+    call->request.set_authorization(request.authorization);
     call->context.set_deadline(wallDeadline(request.deadline));
     auto *async = self->stubFor(address).async();
     const bool succeeded = co_await awaitCall(
--- a/src/cell/peer_transport.h
+++ b/src/cell/peer_transport.h
@@ -57,6 +57,8 @@
     // The highest version of the configuration that the sender has seen in force; an answer by an
     // older one would contradict an earlier answer.
     std::uint64_t configurationVersion = 0;
+    // The Authorization header. Never logged.
+    std::string authorization;
 };
 
 struct caller_response
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -25,6 +25,15 @@
     return nullptr;
 }
 
+const workspace_definition *cell_configuration::workspace(std::string_view name) const
+{
+    for (const auto &workspace : workspaces) {
+        if (workspace.name == name)
+            return &workspace;
+    }
+    return nullptr;
+}
+
 std::string task_name::text() const
 {
     std::string out;
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -1,6 +1,8 @@
 #ifndef PLANTAINGAP_JOBS_JOB_H
 #define PLANTAINGAP_JOBS_JOB_H
 
+#include "jobs/workspaces/workspace.h"
+
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -63,6 +65,8 @@
     std::string id;
     // Name of the queue in the configuration.
     std::string queue;
+    // Name of the workspace that submitted it; empty for none.
+    std::string workspace;
     // Passed to each task unchanged.
     std::string payload;
     std::vector<step_definition> steps;
@@ -104,6 +108,8 @@
     double stretch = 1.0;
     milliseconds slack {0};
     std::optional<advisor_cost> advisor;
+    // Requests for the queue need no key.
+    bool open = false;
 
     bool operator==(const queue_definition &) const = default;
 };
@@ -125,6 +131,8 @@
 {
     std::uint64_t version = 0;
     std::vector<queue_definition> queues;
+    // Empty where callers need no keys.
+    std::vector<workspace_definition> workspaces;
     // Services whose machines are switched off and can be moved to other services.
     std::vector<std::string> spareServices;
     std::uint32_t bodyBytes = 262'144;
@@ -132,6 +140,8 @@
     // Returns the queue with that host and the longest matching path prefix, or null.
     const queue_definition *find(std::string_view host, std::string_view path) const;
     const queue_definition *byName(std::string_view name) const;
+    // Null for an unknown workspace.
+    const workspace_definition *workspace(std::string_view name) const;
 };
 
 enum class job_state : std::uint8_t { Queued, Running, Completed, Failed, Cancelled };
--- a/src/jobs/job_changes.cpp
+++ b/src/jobs/job_changes.cpp
@@ -70,7 +70,8 @@
             change.progress = encodeRemainingRuns(job);
     } else {
         if (!job.stored || job.queueRecordOutdated)
-            change.definition = encodeJob(job.definition, job.acceptedAt, job.queueRecord.get());
+            change.definition =
+                encodeJob(job.definition, job.acceptedAt, job.queueRecord.get(), job.beyondShare);
         job.queueRecordOutdated = false;
         if (job.stored || job.occupying > 0)
             change.progress = encodeProgress(job);
--- a/src/jobs/job_progress.h
+++ b/src/jobs/job_progress.h
@@ -230,6 +230,8 @@
     bool remainingRunsStored = false;
     // Number of runs that may exist on workers.
     std::uint32_t occupying = 0;
+    // It was sent beyond the weight of its workspace.
+    bool beyondShare = false;
     // Set for a job that runs once and was accepted in this term, for counting.
     std::optional<size_band> band;
 };
--- a/src/jobs/job_record.cpp
+++ b/src/jobs/job_record.cpp
@@ -297,7 +297,7 @@
 } // namespace
 
 std::string encodeJob(const job_definition &definition, wall_time acceptedAt,
-                      const queue_record *queue)
+                      const queue_record *queue, bool beyondShare)
 {
     json::array steps;
     for (const auto &step : definition.steps)
@@ -314,6 +314,10 @@
     };
     if (queue)
         row.emplace("queue_rules", encodeQueue(*queue));
+    if (!definition.workspace.empty())
+        row.emplace("workspace", definition.workspace);
+    if (beyondShare)
+        row.emplace("beyond_share", true);
     return json::serialize(row);
 }
 
@@ -336,6 +340,10 @@
         job.acceptedAt = wall_time(milliseconds(number("accepted_ms")));
         if (const auto *rules = row.if_contains("queue_rules"))
             job.queueRecord = decodeQueue(rules->as_array(), job.definition.queue);
+        if (const auto *workspace = row.if_contains("workspace"))
+            job.definition.workspace = workspace->as_string().c_str();
+        if (const auto *beyond = row.if_contains("beyond_share"))
+            job.beyondShare = beyond->as_bool();
         return job;
     });
 }
@@ -402,11 +410,14 @@
                 continue;
             const auto demand = effectiveDemand(*step.definition);
             steps.push_back(json::array {number, step.number, demand.milliCores, demand.memoryMib,
-                                         demand.accelerators, std::move(runs)});
+                                         demand.accelerators, std::move(runs),
+                                         step.definition->demand.milliCores});
         }
     }
-    return json::serialize(
-        json::object {{"workers", workers.takeNames()}, {"remaining", std::move(steps)}});
+    json::object row {{"workers", workers.takeNames()}, {"remaining", std::move(steps)}};
+    if (!job.definition.workspace.empty())
+        row.emplace("workspace", job.definition.workspace);
+    return json::serialize(row);
 }
 
 result<std::vector<remaining_run>> decodeRemainingRuns(std::string_view job, std::string_view text)
@@ -415,6 +426,9 @@
         const auto &row = value.as_object();
         const auto &workers = row.at("workers").as_array();
         std::vector<remaining_run> runs;
+        std::string workspace;
+        if (const auto *name = row.if_contains("workspace"))
+            workspace = name->as_string().c_str();
         for (const auto &entry : row.at("remaining").as_array()) {
             const auto &step = entry.as_array();
             task_name name {std::string(job), step.at(0).to_number<std::uint32_t>(),
@@ -422,11 +436,16 @@
             const resources demand {step.at(2).to_number<std::int64_t>(),
                                     step.at(3).to_number<std::int64_t>(),
                                     step.at(4).to_number<std::int64_t>()};
+            // Of a best-effort step the cores that it declares; rows of earlier versions lack them.
+            auto charged = demand;
+            if (step.size() > 6)
+                charged.milliCores = step.at(6).to_number<std::int64_t>();
             for (const auto &task : step.at(5).as_array()) {
                 const auto numbers = decodeNumbers(task);
                 name.index = numbers.at(0);
                 runs.push_back({name.text(), numbers.at(1),
-                                workers.at(numbers.at(2)).as_string().c_str(), demand});
+                                workers.at(numbers.at(2)).as_string().c_str(), demand, workspace,
+                                charged});
             }
         }
         return runs;
--- a/src/jobs/job_record.h
+++ b/src/jobs/job_record.h
@@ -51,6 +51,8 @@
     wall_time acceptedAt {};
     // None in rows of earlier versions.
     std::optional<queue_record> queueRecord {};
+    // It was sent beyond the weight of its workspace.
+    bool beyondShare = false;
 
     bool operator==(const recorded_job &) const = default;
 };
@@ -63,13 +65,17 @@
     std::string worker;
     // What it holds there.
     resources demand;
+    // Name of its job's workspace; empty for none.
+    std::string workspace = {};
+    // What it counts against the limit of the workspace.
+    resources charged = {};
 
     bool operator==(const remaining_run &) const = default;
 };
 
 // `queue` may be null.
 std::string encodeJob(const job_definition &definition, wall_time acceptedAt,
-                      const queue_record *queue);
+                      const queue_record *queue, bool beyondShare = false);
 result<recorded_job> decodeJob(std::string_view text);
 
 std::string encodeProgress(const job_run &job);
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -75,6 +75,7 @@
 {
     record.queue.host.clear();
     record.queue.prefix.clear();
+    record.queue.open = false;
     auto &shared = m_queueRecords[record.queue.name];
     // The version alone is no reason to write rows again.
     if (!shared || shared->queue != record.queue)
@@ -205,6 +206,7 @@
     auto &job = *restored;
     job.definition = recorded.definition;
     job.acceptedAt = recorded.acceptedAt;
+    job.beyondShare = recorded.beyondShare;
     job.stored = true;
     job.definitionSent = true;
     if (recorded.queueRecord) {
--- a/src/operator/cell_settings.h
+++ b/src/operator/cell_settings.h
@@ -35,6 +35,9 @@
     std::chrono::milliseconds longestStop {900};
     // From the signal to stop until the process is ended by force.
     std::chrono::milliseconds stopGrace {6'000};
+    // How long a key may be used after a configuration without it was stored; 0: as long as no such
+    // configuration has been read.
+    std::chrono::milliseconds keyRevocation {0};
     support::log_level logLevel = support::log_level::Info;
 };
 
--- a/src/operator/settings_tables.h
+++ b/src/operator/settings_tables.h
@@ -171,6 +171,9 @@
                  "The longest time that a worker takes to stop a run."),
         optional("stop_grace", &cell_settings::stopGrace, range(500, 3'600'000),
                  "From the signal to stop until the process is ended by force."),
+        optional("key_revocation", &cell_settings::keyRevocation, range(0, 3'600'000),
+                 "How long a key may be used after a configuration without it was stored; 0: as "
+                 "long as no such configuration has been read."),
         optional("log_level", &cell_settings::logLevel, anyValue, "The lowest level told."));
 };
 
