Check the keys of workspaces, and refuse them by an unconfirmed configuration

The leader now finds the workspace of a key by its digest and answers 401 without one, 403 for a job of another workspace. A configuration with errors is rejected by name; the last one stays active, without the keys that the new one lacks.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -53,6 +53,11 @@
 constexpr milliseconds reportedEndsStoreTimeout {400};
 
 constexpr milliseconds configurationPollTimeout {1500};
+// How often it is checked whether the watch of the configuration has fallen behind: so many times
+// in the revocation bound.
+constexpr int configurationChecks = 25;
+// Findings of a rejected configuration that are logged.
+constexpr std::size_t maxFindingsLogged = 10;
 constexpr milliseconds workerPollTimeout {1000};
 // Changes of workers that come closer together than this are read together.
 constexpr milliseconds minWorkerPollInterval {100};
@@ -83,6 +88,7 @@
     , m_scheduler(m_options.scheduler)
     , m_lastCommitSentAt(claimSentAt)
     , m_changeTimer(context)
+    , m_configurationFreshness(m_options.keyRevocation)
 {
     m_wallClock.addReading(m_options.instance, support::wallNow(), bootNow());
     m_scheduler.startTerm(m_row.term, bootNow());
@@ -151,6 +157,8 @@
         asio::co_spawn(m_context, std::move(task), asio::detached);
     };
     spawn(watchConfiguration());
+    if (m_options.keyRevocation > milliseconds(0))
+        spawn(confirmConfiguration());
     spawn(watchWorkers());
     spawn(planPeriodically());
     spawn(logLoad());
@@ -197,12 +205,15 @@
     const auto progressRange = wholeTable(progressTable);
     const key_range configurationRange {m_ports.tables.configuration.table, {}, {}, {}};
     if (!co_await loadTable(definitionRange, definitions)
-        || !co_await loadTable(progressRange, progress)
-        || !co_await loadTable(configurationRange, configurationRows)) {
+        || !co_await loadTable(progressRange, progress)) {
         co_return false;
     }
+    const auto configurationAskedAt = bootNow();
+    if (!co_await loadTable(configurationRange, configurationRows))
+        co_return false;
     for (const auto &row : configurationRows)
         applyConfiguration(row);
+    m_configurationFreshness.confirmed(configurationAskedAt);
     restoreJobs(definitions, progress);
     co_return co_await loadWorkers();
 }
@@ -528,35 +539,70 @@
     }
     if (configuration->version < m_scheduler.configuration().version)
         return;
+    const auto findings = jobs::reviewConfiguration(*configuration);
+    if (jobs::hasErrors(findings)) {
+        rejectConfiguration(row, *configuration, findings);
+        return;
+    }
+    m_keys = jobs::key_directory(configuration->workspaces);
+    m_configurationRowRevision = row.revision;
     log_event(log_level::Info, "configuration.activated")
         .field("version", configuration->version)
-        .field("queues", static_cast<std::uint64_t>(configuration->queues.size()));
+        .field("queues", static_cast<std::uint64_t>(configuration->queues.size()))
+        .field("workspaces", static_cast<std::uint64_t>(configuration->workspaces.size()))
+        .field("keys", static_cast<std::uint64_t>(m_keys.size()));
     m_scheduler.configure(std::move(*configuration));
     for (auto &[version, timer] : m_configurationWaiters)
         timer->cancel();
 }
 
+// A key that an operator has taken away must not work on because an entry beside it is wrong.
+void leader::rejectConfiguration(const stored_row &row, const jobs::cell_configuration &rejected,
+                                 const std::vector<jobs::configuration_finding> &findings)
+{
+    ++m_counters["configurations_rejected"];
+    if (!rejected.workspaces.empty())
+        m_keys.revokeMissing(rejected.workspaces);
+    m_configurationRowRevision = row.revision;
+    std::size_t logged = 0;
+    for (const auto &finding : findings) {
+        if (finding.level != jobs::finding_level::Error || logged++ >= maxFindingsLogged)
+            continue;
+        log_event(log_level::Error, "configuration.rejected")
+            .field("version", rejected.version)
+            .field("revision", row.revision)
+            .field("entry", finding.entry)
+            .field("reason", finding.message)
+            .field("active_version", m_scheduler.configuration().version)
+            .field("keys", static_cast<std::uint64_t>(m_keys.size()));
+    }
+}
+
 awaitable<void> leader::watchConfiguration()
 {
     const auto self = shared_from_this();
     const auto table = m_ports.tables.configuration.table;
+    const auto hold = m_configurationFreshness.watchHold(configurationPollTimeout);
     while (!m_ended) {
-        auto read = co_await m_ports.store.pollChanges(table, m_configurationRevision,
-                                                       configurationPollTimeout);
+        const auto askedAt = bootNow();
+        auto read = co_await m_ports.store.pollChanges(table, m_configurationRevision, hold);
         if (m_ended)
             co_return;
         if (auto *page = std::get_if<row_page>(&read)) {
             m_configurationRevision = std::max(m_configurationRevision, page->revision);
             for (const auto &row : page->rows)
                 applyConfiguration(row);
+            m_configurationFreshness.confirmed(askedAt);
             continue;
         }
         if (std::get<call_failure>(read) == call_failure::RevisionCompacted) {
             std::vector<stored_row> rows;
             const key_range range {table, {}, {}, {}};
+            const auto reloadAskedAt = bootNow();
             if (co_await loadTable(range, rows)) {
                 for (const auto &row : rows)
                     applyConfiguration(row);
+                m_configurationFreshness.confirmed(reloadAskedAt);
             }
             continue;
         }
@@ -585,24 +631,63 @@
 awaitable<void> leader::readConfiguration()
 {
     const auto self = shared_from_this();
-    const auto &key = m_ports.tables.configuration;
-    const key_range range {key.table, {}, key.key, nextKey(key.key)};
     const auto isAwaited = [this] {
         return !m_ended && !m_configurationWaiters.empty()
                && m_configurationWaiters.rbegin()->first > m_scheduler.configuration().version;
     };
     while (isAwaited()) {
-        auto read = co_await m_ports.store.read(range, clock::now() + awaitedReadTimeout);
-        if (const auto *page = std::get_if<row_page>(&read)) {
-            for (const auto &row : page->rows)
-                applyConfiguration(row);
-        }
+        co_await readConfigurationRow(clock::now() + awaitedReadTimeout, configuration_read::Apply);
         if (isAwaited())
             co_await sleepFor(initialReadBackoff);
     }
     m_readingConfiguration = false;
 }
 
+awaitable<bool> leader::readConfigurationRow(time_point deadline, configuration_read purpose)
+{
+    const auto self = shared_from_this();
+    const auto &key = m_ports.tables.configuration;
+    const key_range range {key.table, {}, key.key, nextKey(key.key)};
+    const auto askedAt = bootNow();
+    auto read = co_await m_ports.store.read(range, deadline);
+    const auto *page = std::get_if<row_page>(&read);
+    if (!page)
+        co_return false;
+    for (const auto &row : page->rows) {
+        if (purpose == configuration_read::Apply || row.revision != m_configurationRowRevision)
+            applyConfiguration(row);
+    }
+    m_configurationFreshness.confirmed(askedAt);
+    co_return true;
+}
+
+// The watch may hang on a connection that is dead without either end knowing.
+awaitable<void> leader::confirmConfiguration()
+{
+    const auto self = shared_from_this();
+    const auto checkInterval =
+        std::max(m_options.keyRevocation / configurationChecks, milliseconds(1));
+    while (!m_ended) {
+        co_await sleepFor(checkInterval);
+        if (m_ended || m_keys.size() == 0 || !m_configurationFreshness.needsRead(bootNow()))
+            continue;
+        const bool wasUsable = canCheckKeys();
+        ++m_counters["configuration_reads"];
+        co_await readConfigurationRow(clock::now() + readTimeout, configuration_read::Confirm);
+        if (wasUsable != canCheckKeys()) {
+            log_event(log_level::Info, "configuration.freshness")
+                .field("partition", m_options.partition.index)
+                .field("version", m_scheduler.configuration().version)
+                .field("keys_usable", canCheckKeys() ? 1 : 0);
+        }
+    }
+}
+
+bool leader::canCheckKeys() const
+{
+    return m_configurationFreshness.usable(bootNow());
+}
+
 void leader::applyWorkerRow(const stored_row &row)
 {
     const auto &id = row.rowKey.key;
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -10,6 +10,9 @@
 #include "cell/wall_clock_estimator.h"
 #include "jobs/job_scheduler.h"
 #include "jobs/worker_list_cache.h"
+#include "jobs/workspaces/configuration_freshness.h"
+#include "jobs/workspaces/configuration_review.h"
+#include "jobs/workspaces/key_directory.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -84,6 +87,8 @@
     // Background coroutines that end with the term.
     awaitable<void> storeChanges();
     awaitable<void> watchConfiguration();
+    // Reads the configuration whenever the watch has not confirmed it for long.
+    awaitable<void> confirmConfiguration();
     awaitable<void> watchWorkers();
     awaitable<void> renewLeaseLoop(std::string id);
     void onReport(const std::string &id, const jobs::worker_report &report, time_point askedAt);
@@ -124,6 +129,13 @@
                           std::vector<jobs::job_change> &batch, bool &applied);
     void onBatchStored(const std::vector<jobs::job_change> &batch);
     void applyConfiguration(const stored_row &row);
+    // Activates nothing, but revokes the keys that the rejected configuration does not have.
+    void rejectConfiguration(const stored_row &row, const jobs::cell_configuration &rejected,
+                             const std::vector<jobs::configuration_finding> &findings);
+    // Reads the configuration's row and applies it; false without an answer by the deadline.
+    // To confirm the configuration, a row that was applied before is not parsed again.
+    enum class configuration_read : std::uint8_t { Apply, Confirm };
+    awaitable<bool> readConfigurationRow(time_point deadline, configuration_read purpose);
     // Waits until at least that version of the configuration is in force; false if it is not by
     // the deadline.
     awaitable<bool> awaitConfiguration(std::uint64_t version, time_point deadline);
@@ -148,6 +160,15 @@
 
     // Callers' requests.
     awaitable<caller_response> handleInConfiguration(caller_request request);
+    // Refuses a request whose key does not allow it; otherwise none. `workspace` is set to that of
+    // a known key.
+    std::optional<caller_response> checkKey(const caller_request &request,
+                                            const jobs::queue_definition &queue,
+                                            std::string &workspace);
+    // Whether the configuration is recent enough for keys to be checked with it.
+    bool canCheckKeys() const;
+    caller_response refuseKey(unsigned status, std::string_view reason,
+                              const std::string &workspace);
     jobs::submit_result decideSubmission(jobs::job_definition definition, time_point now);
     awaitable<caller_response> submit(caller_request request, jobs::job_definition definition);
     // Rejects a job that was not sent to the store.
@@ -196,6 +217,12 @@
     boost::asio::steady_timer m_changeTimer;
     // The store revision up to which configuration changes have been read.
     std::uint64_t m_configurationRevision = 0;
+    // Revision of the row of the configuration that was last applied or rejected.
+    std::uint64_t m_configurationRowRevision = 0;
+    jobs::configuration_freshness m_configurationFreshness;
+    jobs::key_directory m_keys;
+    // Refusals for want of a key that may still be logged until the next load log.
+    std::uint32_t m_keyRefusalsToLog = 0;
     // By version: requests that wait for it; and whether the configuration is being read for them.
     std::multimap<std::uint64_t, std::shared_ptr<boost::asio::steady_timer>> m_configurationWaiters;
     bool m_readingConfiguration = false;
--- a/src/cell/leader_orders.cpp
+++ b/src/cell/leader_orders.cpp
@@ -22,6 +22,8 @@
 // Delay from an event to the placement pass that it triggers, so that events close together share
 // one pass.
 constexpr milliseconds planDelay {3};
+// Requests refused for want of a key that are logged between two load logs; the rest are counted.
+constexpr std::uint32_t maxKeyRefusalsLogged = 20;
 // Passes are apart by at least this multiple of the time that the last one took, at most
 // maxPassPause, which leaves the rest of the event loop's time to replies, leases and writes.
 constexpr int passPauseFactor = 2;
@@ -107,6 +109,7 @@
             resign();
         }
         const duty_times::scope timed(m_duties, leader_duty::Explanations);
+        m_keyRefusalsToLog = maxKeyRefusalsLogged;
         const auto waits = m_scheduler.observeWaits(waitingJobsLogged, now);
         const auto load = m_scheduler.load(now);
         const auto openAdviceCalls = m_scheduler.advisorCallRouter().openCalls();
--- a/src/cell/leader_requests.cpp
+++ b/src/cell/leader_requests.cpp
@@ -23,6 +23,8 @@
 
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusBadRequest = 400;
+constexpr unsigned statusUnauthorized = 401;
+constexpr unsigned statusForbidden = 403;
 constexpr unsigned statusNotFound = 404;
 constexpr unsigned statusNotAllowed = 405;
 constexpr unsigned statusGone = 410;
@@ -104,8 +106,15 @@
         co_return makeResponse(statusUnavailable, {}, 1);
     const auto path = support::targetPath(request.target);
     const auto *queue = configuration.find(hostName(request.host), path);
+    // A configuration that is too old tells neither which keys are known nor which queues.
+    if (m_keys.required() && !(queue && queue->open) && !canCheckKeys()) {
+        co_return refuseKey(statusUnavailable, "the configuration is not confirmed", {});
+    }
     if (!queue)
         co_return makeResponse(statusNotFound);
+    std::string workspace;
+    if (auto refusal = checkKey(request, *queue, workspace))
+        co_return std::move(*refusal);
     const auto id = std::string(path.substr(queue->prefix.size()));
     if (id.empty()) {
         if (request.method != "GET")
@@ -117,6 +126,10 @@
     if (!isIdentifier(id)) {
         co_return makeResponse(request.method == "POST" ? statusBadRequest : statusGone);
     }
+    const auto *known = m_scheduler.job(id);
+    if (known && !known->definition.workspace.empty() && !queue->open
+        && known->definition.workspace != workspace && m_keys.required())
+        co_return refuseKey(statusForbidden, "the job is another workspace's", workspace);
     if (request.method == "GET")
         co_return co_await reportState(std::move(request), id);
     if (request.method == "DELETE")
@@ -132,6 +145,7 @@
     }
     definition->id = id;
     definition->queue = queue->name;
+    definition->workspace = std::move(workspace);
     if (jobs::encodeJob(*definition, {}, nullptr).size() > maxRecordBytes) {
         ++m_counters["submissions_too_large"];
         log_event line(log_level::Info, "job.rejected");
@@ -144,6 +158,39 @@
     co_return co_await submit(std::move(request), std::move(*definition));
 }
 
+std::optional<caller_response> leader::checkKey(const caller_request &request,
+                                                const jobs::queue_definition &queue,
+                                                std::string &workspace)
+{
+    if (!m_keys.required())
+        return std::nullopt;
+    const auto *found = m_keys.find(request.authorization);
+    if (found)
+        workspace = *found;
+    if (found || queue.open)
+        return std::nullopt;
+    return refuseKey(statusUnauthorized, request.authorization.empty() ? "no key" : "unknown key",
+                     {});
+}
+
+caller_response leader::refuseKey(unsigned status, std::string_view reason,
+                                  const std::string &workspace)
+{
+    ++m_counters[status == statusUnauthorized ? "requests_unauthorized"
+                 : status == statusForbidden  ? "requests_of_other_workspaces"
+                                              : "requests_unconfirmed"];
+    if (m_keyRefusalsToLog > 0) {
+        --m_keyRefusalsToLog;
+        log_event(log_level::Info, "request.refused")
+            .field("partition", m_options.partition.index)
+            .field("status", status)
+            .field("reason", reason)
+            .field("workspace", workspace)
+            .field("version", m_scheduler.configuration().version);
+    }
+    return makeResponse(status, {}, status == statusUnavailable ? 1 : 0);
+}
+
 std::uint32_t leader::outageRetrySeconds(time_point now) const
 {
     const auto sinceCommit =
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -136,6 +136,8 @@
     // Services whose machines are switched off and can be moved to other services.
     std::vector<std::string> spareServices;
     std::uint32_t bodyBytes = 262'144;
+    // Workspaces that could not be read, such as "workspace 2".
+    std::vector<std::string> unreadable;
 
     // Returns the queue with that host and the longest matching path prefix, or null.
     const queue_definition *find(std::string_view host, std::string_view path) const;
--- a/tests/adapter/codec_test.cpp
+++ b/tests/adapter/codec_test.cpp
@@ -186,6 +186,76 @@
     CHECK_FALSE(decodeConfiguration("{}").has_value());
 }
 
+TEST_CASE("The workspaces of a configuration are decoded, with their keys as digests")
+{
+    const auto configuration = decodeConfiguration(
+        R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/","service":"s","public":true},)"
+        R"({"name":"q","host":"h","prefix":"/q/","service":"s"}],"services":[],"tenants":[)"
+        R"({"name":"a","api_keys":["k1","k2"],"priority":1,"weight":54,"new_field":{},)"
+        R"("max_count":{"cpu":6405683,"mem_mb":11578325,"gpus":0}},)"
+        R"({"name":"b","api_keys":[],"weight":0.5}]})");
+    REQUIRE(configuration);
+    CHECK(configuration->unreadable.empty());
+    CHECK(configuration->queues.at(0).open);
+    CHECK_FALSE(configuration->queues.at(1).open);
+    REQUIRE(configuration->workspaces.size() == 2);
+    CHECK(configuration->workspaces[0]
+          == jobs::workspace_definition {"a",
+                                         {jobs::digestOfKey("k1"), jobs::digestOfKey("k2")},
+                                         54,
+                                         {6'405'683, 11'578'325, 0}});
+    CHECK(configuration->workspaces[1] == jobs::workspace_definition {"b", {}, 0.5, {}});
+    CHECK(configuration->workspace("b") == &configuration->workspaces[1]);
+    CHECK(configuration->workspace("c") == nullptr);
+}
+
+struct unreadable_row
+{
+    const char *name;
+    std::string tenants;
+    std::vector<std::string> unreadable;
+    // Workspaces whose keys are still known.
+    std::size_t kept;
+};
+
+// Guards against a workspace that is dropped without a word, or whose keys vanish with a wrong
+// limit.
+TEST_CASE("Workspaces that cannot be read are named")
+{
+    const std::string sound = R"({"name":"a","api_keys":["k"]})";
+    const unreadable_row rows[] = {
+        {"no list", R"({"name":"a"})", {"workspaces"}, 0},
+        {"no name", "[" + sound + R"(,{"api_keys":["k2"]}])", {"workspace 2"}, 1},
+        {"no keys", "[" + sound + R"(,{"name":"b"}])", {"workspace 2"}, 1},
+        {"a key that is no text",
+         "[" + sound + R"(,{"name":"b","api_keys":[5]}])",
+         {"workspace 2"},
+         1},
+        {"an empty key", "[" + sound + R"(,{"name":"b","api_keys":[""]}])", {"workspace 2"}, 1},
+        {"a weight that is no number",
+         R"([{"name":"a","api_keys":["k"],"weight":"5"}])",
+         {"workspace a"},
+         1},
+        {"limits that are no object",
+         R"([{"name":"a","api_keys":["k"],"max_count":5}])",
+         {"workspace a"},
+         1},
+        {"a limit that is no number",
+         R"([{"name":"a","api_keys":["k"],"max_count":{"cpu":"5"}}])",
+         {"workspace a"},
+         1},
+        {"another field", R"([{"name":"a","api_keys":["k"],"colour":5}])", {}, 1},
+    };
+    for (const auto &row : rows) {
+        CAPTURE(std::string(row.name));
+        const auto configuration = decodeConfiguration(
+            R"({"version":7,"routes":[],"services":[],"tenants":)" + row.tenants + "}");
+        REQUIRE(configuration);
+        CHECK(configuration->unreadable == row.unreadable);
+        CHECK(configuration->workspaces.size() == row.kept);
+    }
+}
+
 TEST_CASE("Store rows are decoded, with values that are not base64 left empty")
 {
     cell::transaction changes;
--- a/tests/cell/memory_ports.h
+++ b/tests/cell/memory_ports.h
@@ -79,6 +79,8 @@
                                                                milliseconds wait) override
     {
         co_await sleepFor(wait);
+        if (pollsFail)
+            co_return cell::call_failure::Unknown;
         cell::row_page page;
         page.revision = revision;
         co_return page;
@@ -113,6 +115,7 @@
 
     failure_mode mode = failure_mode::None;
     std::string unreadableTable;
+    bool pollsFail = false;
     // Called after each write that is applied.
     std::function<void()> onApplied;
     std::map<cell::row_key, cell::stored_row> rows;
@@ -193,6 +196,10 @@
         jobs::cell_configuration configuration;
         configuration.version = configurationVersion;
         configuration.queues.push_back({"queue", host, "/q/", "service", 0, 1, 1.0, {}, {}});
+        configuration.queues.push_back(
+            {"open", host, "/open/", "service", 0, 1, 1.0, {}, {}, true});
+        configuration.workspaces = workspaces;
+        configuration.unreadable = unreadable;
         return configuration;
     }
     std::optional<jobs::worker_entry> parseWorkerEntry(const std::string &,
@@ -204,6 +211,8 @@
     // The Host header of requests for the queue.
     std::string host = "host";
     std::uint64_t configurationVersion = 1;
+    std::vector<jobs::workspace_definition> workspaces;
+    std::vector<std::string> unreadable;
 };
 
 } // namespace plantaingap::tests
