Keep workspaces within their limits, and their excess behind the shares of others

An account for each workspace counts the declared demand of all runs that may exist, changed where a task gets and loses its worker and with the runs that outlive their job; nothing starts beyond the limit, and a start that is being stored is withdrawn when the limit is lowered. Jobs beyond the weight of their workspace go behind all others, and are refused at once unless there is room that work within the shares is not expected to need. Retry delays are spread.

--- a/src/cell/cell_instance.cpp
+++ b/src/cell/cell_instance.cpp
@@ -254,6 +254,7 @@
         member_options options {m_options.instance, m_options.peerListen, m_options.takeoverDelay,
                                 m_options.leader};
         options.leader.partition = {index, layout.partitions};
+        options.leader.scheduler.partitions = layout.partitions;
         auto &waitingCalls = options.leader.scheduler.maxWaitingAdviceCalls;
         waitingCalls = std::max<std::uint32_t>(waitingCalls / layout.partitions, 1);
         if (layout.partitions > 1)
--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -80,6 +80,7 @@
         }
     }
     auto ready = readySteps();
+    prepareLimits(ready);
     prioritizeOverdueGang(ready);
     prepareIsolation(ready);
     auto &counts = m_scheduler.m_passes;
@@ -118,7 +119,8 @@
             for (auto &step : occurrence.steps) {
                 if (!step.ready && turnComesNext(step))
                     m_nextGangs.push_back({&step, &m_scheduler.queueOf(*job),
-                                           latenessOf(step, m_now), false, false, false, false});
+                                           latenessOf(step, m_now), false, false, false, false,
+                                           false});
                 if (!step.ready || step.waiting == 0)
                     continue;
                 if (step.definition->gang && step.waiting < step.tasks.size())
@@ -133,15 +135,19 @@
                 found.push_back({&step, &m_scheduler.queueOf(*job), latenessOf(step, m_now),
                                  step.definition->gang ? step.suspectedGang()
                                                        : allWaiting(&crash_history::suspected),
-                                 allWaiting(&crash_history::stronglySuspected), false, false});
+                                 allWaiting(&crash_history::stronglySuspected), false, false,
+                                 false});
             }
         }
     }
+    markOverShare(found);
     std::ranges::sort(found, [](const ready_step &left, const ready_step &right) {
         const auto rank = [](const ready_step &ready) {
             const auto latestStart = ready.step->onTimeUntil - ready.step->remainingChain;
             return std::make_tuple(ready.stronglySuspected, !ready.step->definition->longRunning,
-                                   ready.lateness, ready.queue->priority == 0 ? 0 : 1, latestStart);
+                                   beyondShare(*ready.step), ready.lateness,
+                                   ready.queue->priority == 0 ? 0 : 1, ready.overShare,
+                                   latestStart);
         };
         return rank(left) < rank(right);
     });
@@ -177,6 +183,15 @@
 
 void dispatcher::schedule(const ready_step &ready)
 {
+    auto &step = *ready.step;
+    step.heldByLimit = withinLimit(ready, step.definition->gang ? step.waiting : 1)
+                       < (step.definition->gang ? step.waiting : 1);
+    // Advice would expire before the limit leaves room.
+    if (step.heldByLimit) {
+        if (step.definition->gang)
+            dropReservation(step);
+        return;
+    }
     if (ready.step->definition->gang) {
         scheduleGang(ready);
         return;
@@ -314,6 +329,8 @@
     // It never ends, so it would have to wait for a worker without reservations for ever.
     if (ready.step->definition->longRunning)
         return {};
+    if (beyondShare(*worker.reservedFor) && !beyondShare(*ready.step))
+        return {};
     const auto expectedRun =
         std::chrono::duration_cast<duration>(ready.step->expectedDuration * backfillSafetyFactor);
     return m_now + expectedRun + orderLatency > worker.reservedStart ? worker.reservedCapacity
@@ -368,6 +385,8 @@
     for (auto &task : step.tasks) {
         if (task.phase != task_phase::Waiting)
             continue;
+        if (withinLimit(ready, 1) == 0)
+            return;
         if (task.crashes.suspected()) {
             placeIsolated(ready, task, workers);
             continue;
--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -32,6 +32,8 @@
         bool failing = false;
         // Examined in this pass whatever goes before it.
         bool due = false;
+        // Its workspace uses more than its part of the fleet.
+        bool overShare = false;
     };
 
     // Slots for gang members on one worker.
@@ -73,6 +75,14 @@
     // Whether the allowed workers could hold all members once their runs have ended.
     bool couldHoldGang(const ready_step &ready) const;
     void schedule(const ready_step &ready);
+    // Workspaces.
+    // Sums up the unidentified runs and lets waiting gangs claim room within the limits.
+    void prepareLimits(const std::vector<ready_step> &ready);
+    // Marks the steps of workspaces that use more than their part of the fleet.
+    void markOverShare(std::vector<ready_step> &ready) const;
+    // Tasks of the step that its workspace's limit lets start now, at most `wanted`.
+    std::uint32_t withinLimit(const ready_step &ready, std::uint32_t wanted) const;
+    static bool beyondShare(const step_run &step);
     // Limits the probes that may be placed for kinds that fail.
     void countProbes();
     bool isFailing(const step_run &step) const;
@@ -181,7 +191,9 @@
     // Gangs whose plan is to be made in this pass.
     std::vector<ready_step> m_gangsToPlan;
     // The first gang in that order that found no share of the capacity left to claim.
-    claim_order m_firstWithoutShare {2, time_point::max()};
+    claim_order m_firstWithoutShare {3, time_point::max()};
+    // Free capacity of workers with runs that nothing names: it may be in use by any workspace.
+    resources m_unidentified;
     resources m_reservedCapacity;
     // The gang that is longest overdue. It goes first, may use capacity that is reserved for others
     // and may claim beyond the share.
--- a/src/jobs/dispatcher_gangs.cpp
+++ b/src/jobs/dispatcher_gangs.cpp
@@ -46,6 +46,8 @@
 
 dispatcher::claim_order dispatcher::claimOrder(const ready_step &ready)
 {
+    if (beyondShare(*ready.step))
+        return {2, ready.step->occurrence->due};
     return {ready.queue->priority == 0 ? 0 : 1, ready.step->occurrence->due};
 }
 
@@ -58,7 +60,9 @@
     for (const auto &ready : m_gangsToPlan) {
         if (plans++ < maxPlans) {
             const auto order = claimOrder(ready);
-            planGang(ready, order <= m_firstWithoutShare);
+            // A claim keeps capacity from all others.
+            const bool mayClaim = !beyondShare(*ready.step) || fleetHasRoom();
+            planGang(ready, mayClaim && order <= m_firstWithoutShare);
             if (ready.step->gang.result == gang_plan_result::NoShareLeft)
                 m_firstWithoutShare = std::min(m_firstWithoutShare, order);
         }
@@ -184,6 +188,8 @@
 bool dispatcher::placeGang(const ready_step &ready)
 {
     auto &step = *ready.step;
+    if (withinLimit(ready, step.waiting) < step.waiting)
+        return false;
     std::vector<gang_slot> slots;
     std::uint32_t total = 0;
     for (auto *worker : allowedWorkers(ready)) {
--- a/src/jobs/fleet.h
+++ b/src/jobs/fleet.h
@@ -25,6 +25,9 @@
     std::optional<resources> demand;
     // When the first report without it arrived.
     std::optional<time_point> missingSince;
+    // Of its job's workspace, with what it is charged; null for none or when unknown.
+    workspace_account *account = nullptr;
+    resources charged = {};
 };
 
 // State of one worker as known to the leader: its resources, the runs that may exist there, and its
--- a/src/jobs/job_changes.cpp
+++ b/src/jobs/job_changes.cpp
@@ -13,8 +13,18 @@
 constexpr std::size_t entriesPerDefinition = 2;
 constexpr std::size_t entriesPerProgress = 1;
 
-std::string_view withdrawalReason(const worker &worker)
+// A limit was lowered since the task was chosen. A single task larger than the limit may run.
+bool exceedsLimit(const task_run &task)
 {
+    const auto *account = task.step->occurrence->job->account;
+    return account && !account->withinLimit() && account->used != task.step->definition->demand;
+}
+
+std::string_view withdrawalReason(const task_run &task)
+{
+    const auto &worker = *task.assignedWorker;
+    if (worker.fits())
+        return "the limit of its workspace was lowered";
     return worker.unaccountedRuns > 0 ? "the worker has reported runs that are not counted"
                                       : "the worker has shrunk since it was chosen";
 }
@@ -85,7 +95,7 @@
 }
 
 // Withdraws starts on workers that have shrunk or reported uncounted runs since they were chosen,
-// and with a member its gang.
+// and those beyond a limit that was lowered since then; with a member its gang.
 void job_scheduler::withdrawUnfitStarts(const std::vector<job_change> &batch, time_point now)
 {
     for (const auto &change : batch) {
@@ -94,9 +104,9 @@
                 continue;
             auto &task = *effect.start;
             if (task.phase != task_phase::Recording || task.attempt != effect.attempt
-                || task.assignedWorker->fits())
+                || (task.assignedWorker->fits() && !exceedsLimit(task)))
                 continue;
-            recordEvent("start.withdrawn", task, withdrawalReason(*task.assignedWorker));
+            recordEvent("start.withdrawn", task, withdrawalReason(task));
             recordRunEnd(task, run_end_cause::Withdrawn, now);
             if (task.step->definition->gang)
                 stopStep(*task.step, now);
--- a/src/jobs/job_explanation.cpp
+++ b/src/jobs/job_explanation.cpp
@@ -110,11 +110,17 @@
     if (step.waits() && wait.since)
         out += " waiting_ms=" + inMilliseconds(now - *wait.since);
     out += " overdue_ms=" + inMilliseconds(now - step.onTimeUntil);
+    const auto &jobRun = *step.occurrence->job;
+    if (jobRun.account) {
+        out += " workspace=" + jobRun.account->name
+               + " held_by_limit=" + (step.heldByLimit ? "1" : "0")
+               + " beyond_share=" + (jobRun.beyondShare ? "1" : "0");
+    }
     const bool startedBefore =
         std::ranges::any_of(step.tasks, [](const task_run &task) { return task.attempt > 0; });
     if (wait.lastEnd == run_end_cause::NeverStarted)
         return out + (startedBefore ? "" : " last_end=never_started");
-    const auto &job = step.occurrence->job->definition.id;
+    const auto &job = jobRun.definition.id;
     return out + " last_end=" + std::string(runEndName(wait.lastEnd)) + " last_end_task="
            + task_name {job, step.occurrence->number, step.number, wait.endedIndex}.text()
            + " last_end_attempt=" + std::to_string(wait.endedAttempt) + " last_end_worker="
--- a/src/jobs/job_progress.h
+++ b/src/jobs/job_progress.h
@@ -20,6 +20,7 @@
 namespace plantaingap::jobs {
 
 struct worker;
+struct workspace_account;
 struct job_run;
 struct step_run;
 
@@ -180,6 +181,8 @@
     // step.
     milliseconds remainingChain {0};
 
+    // The limit of its workspace kept a task of it from starting in the last pass that examined it.
+    bool heldByLimit = false;
     // Workers have crashed under tasks of the step.
     bool crashed = false;
     // When the last of them was counted in this term.
@@ -232,6 +235,8 @@
     std::uint32_t occupying = 0;
     // It was sent beyond the weight of its workspace.
     bool beyondShare = false;
+    // Of its workspace; null for none.
+    workspace_account *account = nullptr;
     // Set for a job that runs once and was accepted in this term, for counting.
     std::optional<size_band> band;
 };
--- a/src/jobs/job_runs.cpp
+++ b/src/jobs/job_runs.cpp
@@ -43,8 +43,11 @@
 {
     task.assignedWorker = &worker;
     --task.step->waiting;
-    ++task.step->occurrence->job->occupying;
+    auto &job = *task.step->occurrence->job;
+    ++job.occupying;
     const auto &definition = *task.step->definition;
+    if (job.account)
+        job.account->used += definition.demand;
     worker.used += effectiveDemand(definition);
     if (definition.longRunning)
         worker.usedByLongRunning += effectiveDemand(definition);
@@ -75,6 +78,8 @@
     worker.used -= effectiveDemand(definition);
     if (definition.longRunning)
         worker.usedByLongRunning -= effectiveDemand(definition);
+    if (auto *account = task.step->occurrence->job->account)
+        account->used -= definition.demand;
     std::erase(worker.runs, &task);
     task.assignedWorker = nullptr;
     task.acknowledgedAt.reset();
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -68,6 +68,7 @@
             recordRemovedQueue(queue, m_configuration.version);
     }
     m_configuration = std::move(configuration);
+    m_accounts.configure(m_configuration.workspaces, m_options.partitions);
     m_waitingWork.invalidate();
 }
 
@@ -207,6 +208,8 @@
     job.definition = recorded.definition;
     job.acceptedAt = recorded.acceptedAt;
     job.beyondShare = recorded.beyondShare;
+    if (!job.definition.workspace.empty())
+        job.account = &m_accounts.require(job.definition.workspace);
     job.stored = true;
     job.definitionSent = true;
     if (recorded.queueRecord) {
@@ -331,20 +334,32 @@
     if (!gangsFit(definition, m_fleet, admittedGangShare(*queue)))
         return {submit_status::Refused, unsatisfiableRetrySeconds,
                 "a gang is wider than the workers it is expected to be allowed"};
+    auto *account =
+        definition.workspace.empty() ? nullptr : &m_accounts.require(definition.workspace);
+    arrival arrived;
+    if (account) {
+        arrived = m_arrivals.classify(account->name, shareOf(*account), definition.id, now);
+        if (auto refused = checkWorkspace(definition, *account, arrived, now))
+            return std::move(*refused);
+    }
     ++m_admission.submissions;
     if (m_waitingWork.outdated(now))
         m_waitingWork.rebuild(m_jobs, m_fleet, outlooks(), now, m_admission);
     const auto decision = decideAdmission(definition, *queue,
                                           {m_waitingWork, m_fleet, m_durations, m_admission, now});
     if (decision.retryAfterSeconds) {
-        return {submit_status::Refused, *decision.retryAfterSeconds,
-                "cannot finish within its objective", estimateFields(decision)};
+        return {
+            submit_status::Refused,
+            retryDelay(account, arrived, std::chrono::seconds(*decision.retryAfterSeconds), now),
+            "cannot finish within its objective", estimateFields(decision)};
     }
     auto newJob = std::make_unique<job_run>();
     auto &job = *newJob;
     job.definition = std::move(definition);
     job.acceptedAt = wallNow;
     job.queueRecord = shareQueueRecord({m_configuration.version, *queue});
+    job.account = account;
+    job.beyondShare = arrived.beyond;
     m_jobs[job.definition.id] = std::move(newJob);
     if (job.definition.occurrences == 0) {
         auto &occurrence = createOccurrence(job, 0, now);
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -6,8 +6,12 @@
 #include "jobs/fleet.h"
 #include "jobs/job_record.h"
 #include "jobs/kind_figures.h"
+#include "jobs/load/spare_room.h"
 #include "jobs/size_figures.h"
 #include "jobs/start_estimate.h"
+#include "jobs/workspaces/arrival_meter.h"
+#include "jobs/workspaces/return_schedule.h"
+#include "jobs/workspaces/workspace_accounts.h"
 
 #include <array>
 #include <cstdint>
@@ -67,6 +71,8 @@
     double maxGangShare = 1.2;
     // Slowdown of a task whose data is on another rack, or of a gang on several racks.
     double crossRackFactor = 2.0;
+    // Partitions of the cell; each gets an equal part of the jobs of a workspace.
+    std::uint32_t partitions = 1;
 };
 
 // Result of a submission, as reported to the caller.
@@ -367,6 +373,8 @@
     // Counts since the start of the term, and gauges as of the last call of observeWaits().
     const figures_by_queue &figures() const { return m_figures; }
     const size_counter &sizes() const { return m_sizes; }
+    workspace_accounts &accounts() { return m_accounts; }
+    const workspace_accounts &accounts() const { return m_accounts; }
     job_size sizeOf(const job_definition &job) const { return jobs::sizeOf(job, m_fleet); }
     const job_run *job(const std::string &id) const;
 
@@ -375,6 +383,22 @@
 
     // Jobs.
     submit_result admit(job_definition definition, time_point now, wall_time wallNow);
+    // Refuses a job for the limit or the share of its workspace; none if neither keeps it out.
+    std::optional<submit_result> checkWorkspace(const job_definition &definition,
+                                                workspace_account &account, arrival arrived,
+                                                time_point now);
+    // Jobs a second that the workspace may send to this partition.
+    double shareOf(const workspace_account &account) const;
+    // Seconds after which a refused job should return; those of a workspace are spread.
+    std::uint32_t retryDelay(const workspace_account *account, arrival arrived,
+                             std::chrono::seconds earliest, time_point now);
+    // Cores that jobs beyond the shares hold or wait for.
+    double coresBeyondShares() const;
+    // Core-seconds of all steps, as they are expected to run.
+    double coreSecondsOf(const job_definition &definition) const;
+    // Time until the accepted work of a workspace has run within its limit; only that of top
+    // priority goes before a job of top priority.
+    milliseconds limitBacklog(const workspace_account &account, bool topPriority) const;
     void countDiscarded(const job_run &job);
     void countEnded(const job_run &job, job_state state, time_point now);
     occurrence_run &createOccurrence(job_run &job, std::uint32_t number, time_point due);
@@ -517,6 +541,11 @@
     time_point m_previousLeaderLeaseEnd {};
     time_point m_leasesEndBy {};
     cell_configuration m_configuration;
+    // Before the jobs and the fleet, which refer to accounts.
+    workspace_accounts m_accounts;
+    arrival_meter m_arrivals;
+    return_schedule m_returns;
+    spare_room m_spareRoom;
     fleet m_fleet;
     // Share of the fleet's cores in use as of the last placement pass. Summing it up for each
     // report would take time that grows with the square of the fleet.
--- a/src/jobs/run_accounting.cpp
+++ b/src/jobs/run_accounting.cpp
@@ -72,11 +72,15 @@
         worker.used += *orphan.demand;
     else
         ++worker.unaccountedRuns;
+    if (orphan.account)
+        orphan.account->used += orphan.charged;
     worker.orphans.push_back(std::move(orphan));
 }
 
 void job_scheduler::removeOrphan(worker &worker, const orphan_run &orphan)
 {
+    if (orphan.account)
+        orphan.account->used -= orphan.charged;
     if (!orphan.demand) {
         --worker.unaccountedRuns;
     } else {
@@ -120,8 +124,9 @@
     }
     m_remainingRuns[id] = runs.size();
     for (const auto &run : runs) {
+        auto *account = run.workspace.empty() ? nullptr : &m_accounts.require(run.workspace);
         addOrphan(m_fleet.require(run.worker, m_previousLeaderLeaseEnd),
-                  {run.task, run.attempt, run.demand, std::nullopt});
+                  {run.task, run.attempt, run.demand, std::nullopt, account, run.charged});
     }
 }
 
@@ -151,7 +156,7 @@
         worker.orphans.push_back(std::move(orphan));
     }
     for (const auto &[run, cause] : unaccounted) {
-        const orphan_run orphan {run->task, run->attempt, std::nullopt, std::nullopt};
+        const orphan_run orphan {run->task, run->attempt, std::nullopt, std::nullopt, nullptr, {}};
         if (!isIn(worker.orphans, orphan))
             addOrphan(worker, orphan);
     }
--- a/src/jobs/waiting_work.cpp
+++ b/src/jobs/waiting_work.cpp
@@ -109,6 +109,8 @@
     ++counts.rebuilds;
     counts.workersExamined += workers.all().size();
     for (const auto &[id, job] : jobs) {
+        if (job->beyondShare)
+            continue;
         forEachStep(*job, now,
                     [&](const waiting_step &step, const std::string &service, double running) {
                         ++counts.stepsExamined;
@@ -127,7 +129,7 @@
 
 void waiting_work_index::add(const job_run &job, double widthWithRoom, time_point now)
 {
-    if (!m_valid)
+    if (!m_valid || job.beyondShare)
         return;
     if (widthWithRoom > 0)
         m_services[outlook(job.definition.queue).service].addedWidth += widthWithRoom;
--- /dev/null
+++ b/src/jobs/workspaces/workspace_accounts.h
@@ -0,0 +1,79 @@
+#ifndef PLANTAINGAP_JOBS_WORKSPACES_WORKSPACE_ACCOUNTS_H
+#define PLANTAINGAP_JOBS_WORKSPACES_WORKSPACE_ACCOUNTS_H
+
+#include "jobs/workspaces/workspace.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <plantaingap/resources.h>
+#include <plantaingap/time.h>
+#include <string>
+#include <vector>
+
+// What each workspace uses of its limit, and how much of it may be started.
+namespace plantaingap::jobs {
+
+struct step_run;
+
+// Room within the limit that the oldest waiting gang of a workspace keeps from younger steps.
+struct limit_claim
+{
+    const step_run *gang = nullptr;
+    time_point due {};
+    resources amount;
+};
+
+struct workspace_account
+{
+    std::string name;
+    // Of the configuration in force; all 0 for a workspace that it does not declare.
+    resources limit;
+    double weight = 0;
+    // What this leader may start in a cell of several partitions; none: the limit.
+    std::optional<resources> ceiling;
+    // Declared demands of all runs that may exist on workers: starts that are being stored, ordered
+    // or unanswered, runs at work and runs that are being stopped.
+    resources used;
+    limit_claim claim;
+    // Counts since the start of the term.
+    std::uint64_t submittedBeyond = 0;
+    std::uint64_t refusedBeyond = 0;
+    std::uint64_t refusedByLimit = 0;
+
+    bool limited() const { return limit != resources {}; }
+    // Tasks of that demand that may start now, at most `wanted`, while `unavailable` is taken by
+    // what is not in `used`. A workspace that uses nothing may start one task that is larger than
+    // its limit, which otherwise could never run.
+    std::uint32_t startable(const resources &demand, std::uint32_t wanted,
+                            const resources &unavailable) const;
+    // What is used is within the limit.
+    bool withinLimit() const;
+    // Whether the limit holds that amount at all.
+    bool holds(const resources &amount) const;
+    // The largest part of the fleet that it uses of any resource.
+    double dominantShare(const resources &capacity) const;
+};
+
+// Accounts keep their addresses. One exists for each workspace of the configuration and of a job.
+class workspace_accounts
+{
+public:
+    workspace_account &require(const std::string &name);
+    const workspace_account *find(const std::string &name) const;
+    // In a cell of several partitions each may use an equal part of every limit.
+    void configure(const std::vector<workspace_definition> &workspaces, std::uint32_t partitions);
+    // The configuration limits a workspace.
+    bool limits() const { return m_limits; }
+    bool empty() const { return m_accounts.empty(); }
+    auto &all() { return m_accounts; }
+    const auto &all() const { return m_accounts; }
+
+private:
+    std::map<std::string, workspace_account> m_accounts;
+    bool m_limits = false;
+};
+
+} // namespace plantaingap::jobs
+
+#endif
--- a/tests/jobs/backlog_partition.cpp
+++ b/tests/jobs/backlog_partition.cpp
@@ -83,6 +83,14 @@
     renewAllLeases();
 }
 
+void backlog_partition::setWorkspaces(std::vector<jobs::workspace_definition> workspaces)
+{
+    auto configuration = scheduler.configuration();
+    ++configuration.version;
+    configuration.workspaces = std::move(workspaces);
+    scheduler.configure(std::move(configuration));
+}
+
 jobs::scheduler_options backlog_partition::optionsOf(std::uint32_t partitions)
 {
     jobs::scheduler_options options;
--- a/tests/jobs/backlog_partition.h
+++ b/tests/jobs/backlog_partition.h
@@ -54,6 +54,7 @@
     backlog_partition(int workers, resources capacity, const std::vector<backlog_queue> &queues,
                       std::uint32_t partitions, std::uint64_t seed);
 
+    void setWorkspaces(std::vector<jobs::workspace_definition> workspaces);
     jobs::submit_result submit(const backlog_job &job);
     // Advances by one tick.
     void tick();
--- a/tests/jobs/backlog_traffic.cpp
+++ b/tests/jobs/backlog_traffic.cpp
@@ -273,16 +273,40 @@
     const auto &profile = site.kinds[kind];
     const auto now = std::chrono::duration<double>(elapsed).count();
     const auto wave = 1 + swing * std::sin(2 * std::numbers::pi * now / swingPeriod);
-    const auto scale = profile.widthScales ? m_options.partitions / site.partitions
-                                           : m_options.workers() / site.workers;
     const auto &more = profile.moreTraffic;
     const auto factor = elapsed >= more.from && elapsed < more.until ? more.factor : 1.0;
     const auto tick = std::chrono::duration<double>(backlog_partition::tickLength).count();
-    std::poisson_distribution<int> count(profile.perSecond * scale * m_options.load * factor * wave
-                                         * tick);
+    std::poisson_distribution<int> count(profile.perSecond * scaleOf(kind) * m_options.load * factor
+                                         * wave * tick);
     return count(m_random);
 }
 
+double backlog_traffic::scaleOf(std::size_t kind) const
+{
+    const auto &site = trafficOf(m_options.site);
+    return site.kinds[kind].widthScales ? m_options.partitions / site.partitions
+                                        : m_options.workers() / site.workers;
+}
+
+double backlog_traffic::usualPerSecond() const
+{
+    double sum = 0;
+    for (std::size_t kind = 0; kind < backlogKinds; ++kind)
+        sum += trafficOf(m_options.site).kinds[kind].perSecond * scaleOf(kind) * m_options.load;
+    return sum;
+}
+
+int backlog_traffic::excessArrivals(std::size_t kind, duration elapsed)
+{
+    if (m_options.workspaces == 0 || elapsed < m_options.hotFrom || elapsed >= m_options.hotUntil)
+        return 0;
+    const auto usual = trafficOf(m_options.site).kinds[kind].perSecond * scaleOf(kind)
+                       * m_options.load / m_options.workspaces;
+    const auto tick = std::chrono::duration<double>(backlog_partition::tickLength).count();
+    std::poisson_distribution<int> count(usual * (m_options.hotFactor - 1) * tick);
+    return m_options.hotFactor > 1 ? count(m_random) : 0;
+}
+
 backlog_job backlog_traffic::createJob(std::size_t kind)
 {
     backlog_job job;
--- a/tests/jobs/backlog_traffic.h
+++ b/tests/jobs/backlog_traffic.h
@@ -22,6 +22,15 @@
     std::uint32_t partitions = 3;
     int workersPerPartition = 64;
     std::uint64_t seed = 1;
+    // Jobs belong to so many workspaces in equal parts; the first one sends so many times its usual
+    // in that time. 0: none.
+    int workspaces = 0;
+    double hotFactor = 1;
+    milliseconds hotFrom {9000};
+    milliseconds hotUntil {17'000};
+    // The configuration declares the workspaces, with 1.9 times what each usually sends as its
+    // weight.
+    bool declared = true;
 
     int workers() const { return workersPerPartition * static_cast<int>(partitions); }
 };
@@ -39,6 +48,10 @@
 
     // Number of jobs that arrive in one tick.
     int arrivals(std::size_t kind, duration elapsed);
+    // Those that the first workspace sends beyond its usual.
+    int excessArrivals(std::size_t kind, duration elapsed);
+    // Jobs of all kinds that arrive in a second in the mean.
+    double usualPerSecond() const;
     // A job without an id.
     backlog_job createJob(std::size_t kind);
     std::uint64_t randomNumber() { return m_random(); }
@@ -53,6 +66,8 @@
     // A log-normal number with that mean, at most max.
     double spreadAround(double mean, double spread, double max);
     double widthFactor(std::size_t kind) const;
+    // What the modelled deployment's jobs a second are multiplied by.
+    double scaleOf(std::size_t kind) const;
     void addStep(std::size_t kind, backlog_job &job);
 
     backlog_options m_options;
--- a/tests/jobs/capacity_world.cpp
+++ b/tests/jobs/capacity_world.cpp
@@ -29,6 +29,8 @@
 constexpr milliseconds longestSplit {15'000};
 constexpr milliseconds longestRestart {1000};
 constexpr milliseconds longestWaitForCut {2500};
+// From a change of the configuration until the leader has read it.
+constexpr milliseconds configurationTime {1000};
 // The clocks of workers first start at or above this value. Half of the restarts change them by at
 // most `smallClockStep`, the others to any value up to twice this one.
 constexpr std::int64_t firstClockMs = 8'000'000;
@@ -45,6 +47,10 @@
                                              {8'000, 9'000, 0},
                                              {16'000, 16'000, 0}}};
 
+// Limits that workspaces are changed to; the least is below the demand of some tasks.
+constexpr std::array<resources, 4> limits {
+    {{4'000, 6'000, 0}, {12'000, 0, 0}, {0, 24'000, 0}, {32'000, 50'000, 0}}};
+
 wall_time wallAt(duration elapsed)
 {
     return wall_time(std::chrono::hours(24 * 365 * 50))
@@ -170,11 +176,7 @@
     schedulerOptions.maxStopTime = m_options.stopTime;
     m_leader->scheduler = std::make_unique<jobs::job_scheduler>(schedulerOptions);
     auto &next = *m_leader->scheduler;
-    jobs::cell_configuration configuration;
-    configuration.version = 1;
-    configuration.queues = {
-        {"queue", "host", "/queue/", "service", 1, 2, 100.0, milliseconds(600'000), std::nullopt}};
-    next.configure(configuration);
+    next.configure(configuration());
     next.startTerm(m_term, now());
     for (const auto &[job, definition] : m_definitions) {
         std::optional<jobs::recorded_progress> progress;
@@ -196,6 +198,37 @@
     });
 }
 
+jobs::cell_configuration capacity_world::configuration() const
+{
+    jobs::cell_configuration found;
+    found.version = m_configurationVersion;
+    found.queues = {
+        {"queue", "host", "/queue/", "service", 1, 2, 100.0, milliseconds(600'000), std::nullopt}};
+    found.workspaces = m_options.workspaces;
+    for (auto &workspace : found.workspaces) {
+        if (!m_options.limitsKnown)
+            workspace.limit = {};
+    }
+    return found;
+}
+
+// The leader reads the configuration a moment later.
+void capacity_world::changeLimit(const std::string &workspace, resources limit)
+{
+    for (auto &definition : m_options.workspaces) {
+        if (definition.name != workspace)
+            continue;
+        m_pastLimits[workspace].emplace_back(now() + configurationTime, definition.limit);
+        definition.limit = limit;
+    }
+    ++m_configurationVersion;
+    log("limit of " + workspace + " " + std::to_string(limit.milliCores));
+    at(randomTime(configurationTime), [this] {
+        if (!m_leader->ended)
+            m_leader->scheduler->configure(configuration());
+    });
+}
+
 void capacity_world::endTerm(milliseconds gap)
 {
     m_leader->ended = true;
@@ -606,6 +639,7 @@
     if (reply.result == start_result::Accepted && !present) {
         ++m_starts;
         checkStart(worker, order, before, sentAt);
+        checkLimit(order, sentAt);
     }
     return reply;
 }
@@ -633,6 +667,50 @@
     }
 }
 
+resources capacity_world::usedBy(const std::string &workspace) const
+{
+    resources used;
+    for (const auto &[id, worker] : m_workers) {
+        if (!worker->up || worker->leaseEnded(now()))
+            continue;
+        for (const auto &[task, run] : worker->active) {
+            if (m_jobs.at(jobs::task_name::parse(task)->job).workspace == workspace)
+                used += run.demand;
+        }
+    }
+    return used;
+}
+
+// Of the limits that may have been in force when the order was sent the highest counts.
+void capacity_world::checkLimit(const jobs::start_order &order, time_point sentAt)
+{
+    const auto name = jobs::task_name::parse(order.task);
+    const auto &job = m_jobs.at(name->job);
+    const auto definition =
+        std::ranges::find(m_options.workspaces, job.workspace, &jobs::workspace_definition::name);
+    if (definition == m_options.workspaces.end())
+        return;
+    std::vector<resources> inForce {definition->limit};
+    for (const auto &[until, past] : m_pastLimits[job.workspace]) {
+        if (until >= sentAt)
+            inForce.push_back(past);
+    }
+    const auto used = usedBy(job.workspace);
+    const auto &demand = job.steps.at(name->step).demand;
+    for (const auto dimension :
+         {&resources::milliCores, &resources::memoryMib, &resources::accelerators}) {
+        const auto isOver = [&](const resources &limit) {
+            const auto bound = limit.*dimension + limit.*dimension / 10 + demand.*dimension;
+            return limit.*dimension > 0 && used.*dimension > bound;
+        };
+        if (std::ranges::all_of(inForce, isOver)) {
+            fail("limit: " + describe(order.task, order.attempt) + " brings " + job.workspace
+                 + " to " + std::to_string(used.*dimension) + " of "
+                 + std::to_string(definition->limit.*dimension));
+        }
+    }
+}
+
 void capacity_world::crash(model_worker &worker, milliseconds downTime, restart_options next)
 {
     if (!worker.up || m_replaced.contains(worker.entry.id))
@@ -735,12 +813,13 @@
 // Jobs.
 
 void capacity_world::submit(const std::string &id, std::vector<jobs::step_definition> steps,
-                            milliseconds runTime)
+                            milliseconds runTime, const std::string &workspace)
 {
-    m_jobs[id] = {steps, runTime};
+    m_jobs[id] = {steps, runTime, workspace};
     jobs::job_definition job;
     job.id = id;
     job.queue = "queue";
+    job.workspace = workspace;
     job.payload = "payload";
     job.steps = std::move(steps);
     m_leader->scheduler->submit(std::move(job), now(), wallAt(m_elapsed));
@@ -776,7 +855,12 @@
     }
     if (lasts)
         steps.resize(1);
-    submit(hexId(m_nextJob++), std::move(steps), milliseconds(50 + m_random() % 1500));
+    const milliseconds runTime(50 + m_random() % 1500);
+    const auto workspace =
+        m_options.workspaces.empty()
+            ? std::string()
+            : m_options.workspaces[m_random() % m_options.workspaces.size()].name;
+    submit(hexId(m_nextJob++), std::move(steps), runTime, workspace);
 }
 
 // The clock.
@@ -791,6 +875,10 @@
         std::advance(it, static_cast<std::ptrdiff_t>(m_random() % m_definitions.size()));
         cancel(it->first);
     }
+    if (chance(faults.changeLimit)) {
+        const auto &changed = m_options.workspaces[m_random() % m_options.workspaces.size()];
+        changeLimit(changed.name, limits[m_random() % limits.size()]);
+    }
     if (chance(faults.resign))
         resign(randomTime(milliseconds(100)));
     if (chance(faults.kill))
--- a/tests/jobs/capacity_world.h
+++ b/tests/jobs/capacity_world.h
@@ -11,8 +11,9 @@
 
 // Model workers and the real scheduler over a network and a store that lose, delay and reorder, on
 // a clock that advances in steps. Checks that no start brings a worker over its capacity, that no
-// task runs twice at a time, and that none is started again after it has ended as done under a
-// lease that still holds.
+// task runs twice at a time, that none is started again after it has ended as done under a lease
+// that still holds, and that no start brings a workspace over its limit by more than a tenth and
+// one task.
 namespace plantaingap::tests {
 
 // Chances per mille of one message or, for the events of the world, of one step.
@@ -45,6 +46,8 @@
     // Of a job: is a gang, lasts.
     int gang = 0;
     int lasting = 0;
+    // A configuration changes the limit of a workspace.
+    int changeLimit = 0;
 };
 
 struct capacity_options
@@ -65,6 +68,10 @@
     // Starts, and renewals with a lease, are executed only by the incarnation that they name, as
     // the gateway to the workers ensures.
     bool bound = true;
+    // Each random job belongs to one of these.
+    std::vector<jobs::workspace_definition> workspaces {};
+    // The scheduler knows the limits; without them the checks of the world must find a violation.
+    bool limitsKnown = true;
 };
 
 // How a worker that crashes starts again.
@@ -89,7 +96,8 @@
     void step();
 
     void submit(const std::string &id, std::vector<jobs::step_definition> steps,
-                milliseconds runTime);
+                milliseconds runTime, const std::string &workspace = {});
+    void changeLimit(const std::string &workspace, resources limit);
     void cancel(const std::string &id);
     // Ends the gang of a step, its first member now and the others `later`.
     void endGang(const std::string &step, jobs::run_outcome outcome, milliseconds later);
@@ -167,6 +175,7 @@
     {
         std::vector<jobs::step_definition> steps;
         milliseconds runTime {0};
+        std::string workspace;
     };
 
     void at(milliseconds delay, std::function<void()> action);
@@ -197,6 +206,10 @@
                               time_point sentAt);
     void checkStart(const model_worker &worker, const jobs::start_order &order,
                     const resources &before, time_point sentAt);
+    // What the runs of a workspace that are at work, or being stopped, demand.
+    resources usedBy(const std::string &workspace) const;
+    void checkLimit(const jobs::start_order &order, time_point sentAt);
+    jobs::cell_configuration configuration() const;
     // None while the worker is down.
     model_worker *reached(const std::string &id);
     bool isSplit(std::uint64_t term, const std::string &worker) const;
@@ -225,6 +238,9 @@
     time_point m_storeAwayUntil {};
     // By worker: capacities with the time until which each held.
     std::map<std::string, std::vector<std::pair<time_point, resources>>> m_pastCapacities;
+    // By workspace: limits with the time until which each was in force.
+    std::map<std::string, std::vector<std::pair<time_point, resources>>> m_pastLimits;
+    std::uint64_t m_configurationVersion = 1;
     std::map<std::string, job_model> m_jobs;
     // By step and attempt.
     std::map<std::pair<std::string, std::uint32_t>, gang_state> m_gangs;
--- a/tests/jobs/gang_backlog_world.cpp
+++ b/tests/jobs/gang_backlog_world.cpp
@@ -49,17 +49,49 @@
     return *this;
 }
 
+namespace {
+
+constexpr std::uint64_t excessSeedOffset = 7919;
+// From the deployments with workspaces.
+constexpr double weightFactor = 1.9;
+
+backlog_options excessOptions(backlog_options options)
+{
+    options.seed += excessSeedOffset;
+    return options;
+}
+
+std::string workspaceName(int index)
+{
+    return "workspace-" + std::to_string(index);
+}
+
+} // namespace
+
 gang_backlog_world::gang_backlog_world(const backlog_options &options)
     : m_options(options)
     , m_traffic(options)
+    , m_excess(excessOptions(options))
 {
     for (std::uint32_t i = 0; i < options.partitions; ++i) {
         m_partitions.push_back(std::make_unique<backlog_partition>(
             options.workersPerPartition, backlog_traffic::workerCapacity, m_traffic.queues(),
             options.partitions, options.seed * options.partitions + i));
+        if (options.workspaces > 0 && options.declared)
+            m_partitions.back()->setWorkspaces(workspaces());
     }
 }
 
+std::vector<jobs::workspace_definition> gang_backlog_world::workspaces() const
+{
+    std::vector<jobs::workspace_definition> found;
+    for (int i = 0; i < m_options.workspaces; ++i) {
+        const auto usual = m_traffic.usualPerSecond() / m_options.workspaces;
+        found.push_back({workspaceName(i), {}, usual * weightFactor, {}});
+    }
+    return found;
+}
+
 void gang_backlog_world::run()
 {
     constexpr auto ruleEnd = trafficTime + finishTime + maxIdle;
@@ -108,33 +140,57 @@
 void gang_backlog_world::createJobs()
 {
     for (std::size_t kind = 0; kind < backlogKinds; ++kind) {
-        for (auto left = m_traffic.arrivals(kind, elapsed()); left > 0; --left)
-            m_unsent.push_back(createJob(kind));
+        for (auto left = m_traffic.arrivals(kind, elapsed()); left > 0; --left) {
+            auto created = createJob(kind, m_traffic);
+            ++m_figures.kinds[kind].sent;
+            m_figures.kinds[kind].worthOwed += created.worth;
+            if (m_options.workspaces > 0) {
+                auto &definition = created.job.definition;
+                definition.workspace = workspaceName(static_cast<int>(
+                    uniformHash(definition.id, m_options.seed) * m_options.workspaces));
+                auto &outcomes = m_figures.workspaces[definition.workspace];
+                ++outcomes.sent;
+                outcomes.worthOwed += created.worth;
+            }
+            m_unsent.push_back(std::move(created));
+        }
+    }
+    createExcess();
+}
+
+void gang_backlog_world::createExcess()
+{
+    for (std::size_t kind = 0; kind < backlogKinds; ++kind) {
+        for (auto left = m_excess.excessArrivals(kind, elapsed()); left > 0; --left) {
+            auto created = createJob(kind, m_excess);
+            created.excess = true;
+            created.job.definition.workspace = workspaceName(0);
+            m_unsent.push_back(std::move(created));
+        }
     }
 }
 
-gang_backlog_world::client_job gang_backlog_world::createJob(std::size_t kind)
+gang_backlog_world::client_job gang_backlog_world::createJob(std::size_t kind,
+                                                             backlog_traffic &traffic)
 {
     client_job created;
     created.kind = kind;
     created.firstSent = elapsed();
     created.nextSend = elapsed();
-    created.job = m_traffic.createJob(kind);
-    chooseId(created);
+    created.job = traffic.createJob(kind);
+    chooseId(created, traffic);
     const auto timeLost = created.partition->timeLostByFailures(created.job);
     created.objective = m_traffic.objectiveOf(kind, created.job, timeLost);
     created.worth = m_traffic.worthOf(kind, created.job);
     m_coreSecondsSent += coreSeconds(created.job) * (timeLost > duration(0) ? 2 : 1);
-    ++m_figures.kinds[kind].sent;
-    m_figures.kinds[kind].worthOwed += created.worth;
     return created;
 }
 
 // An id whose partition allows the job's gangs enough workers.
-void gang_backlog_world::chooseId(client_job &created)
+void gang_backlog_world::chooseId(client_job &created, backlog_traffic &traffic)
 {
     for (int i = 0; i < maxIdDraws; ++i) {
-        const auto number = m_traffic.randomNumber();
+        const auto number = traffic.randomNumber();
         auto &id = created.job.definition.id;
         id.clear();
         for (int shift = 60; shift >= 0; shift -= 4)
@@ -156,7 +212,8 @@
 {
     const auto result = client.partition->submit(client.job);
     if (result.status != jobs::submit_status::Refused) {
-        ++m_figures.kinds[client.kind].accepted;
+        if (!client.excess)
+            ++m_figures.kinds[client.kind].accepted;
         m_open.push_back(client);
         return true;
     }
@@ -210,9 +267,16 @@
 void gang_backlog_world::recordOutcome(const client_job &client,
                                        std::uint64_t backlog_outcomes::*outcome, double worthEarned)
 {
+    if (client.excess)
+        return;
     auto &outcomes = m_figures.kinds[client.kind];
     ++(outcomes.*outcome);
     outcomes.worthEarned += worthEarned;
+    if (!client.job.definition.workspace.empty()) {
+        auto &mine = m_figures.workspaces[client.job.definition.workspace];
+        ++(mine.*outcome);
+        mine.worthEarned += worthEarned;
+    }
     m_outcomes[client.kind].push_back(
         {coreSeconds(client.job), outcome, client.worth, worthEarned});
 }
--- a/tests/jobs/gang_backlog_world.h
+++ b/tests/jobs/gang_backlog_world.h
@@ -38,6 +38,8 @@
 {
     std::array<backlog_outcomes, backlogKinds> kinds;
     std::array<std::array<backlog_outcomes, backlogBands>, backlogKinds> bands;
+    // By workspace, without what the first one sends beyond its usual.
+    std::map<std::string, backlog_outcomes> workspaces;
     // Longest time for which a gang whose turn had come had no run.
     duration longestGangWait {0};
     // From the end of traffic to the end of the last job.
@@ -80,6 +82,8 @@
     {
         backlog_job job;
         std::size_t kind = 0;
+        // Sent beyond the usual of its workspace.
+        bool excess = false;
         backlog_partition *partition = nullptr;
         duration firstSent {};
         duration nextSend {};
@@ -97,8 +101,10 @@
     duration elapsed() const { return m_partitions.front()->elapsed; }
     void tick();
     void createJobs();
-    client_job createJob(std::size_t kind);
-    void chooseId(client_job &created);
+    std::vector<jobs::workspace_definition> workspaces() const;
+    client_job createJob(std::size_t kind, backlog_traffic &traffic);
+    void createExcess();
+    void chooseId(client_job &created, backlog_traffic &traffic);
     void sendJobs();
     // Returns false while the client goes on trying.
     bool send(client_job &client);
@@ -117,6 +123,8 @@
 
     backlog_options m_options;
     backlog_traffic m_traffic;
+    // Draws what the first workspace sends beyond its usual, so that all else stays the same.
+    backlog_traffic m_excess;
     std::vector<std::unique_ptr<backlog_partition>> m_partitions;
     std::vector<client_job> m_unsent;
     std::vector<client_job> m_open;
--- a/tests/jobs/job_record_test.cpp
+++ b/tests/jobs/job_record_test.cpp
@@ -103,17 +103,65 @@
     for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
         step.tasks[i].index = i;
     step.tasks[1].assignedWorker = nullptr;
-    const auto text = encodeRemainingRuns(fixture.job);
-    const auto decoded = decodeRemainingRuns(fixture.job.definition.id, text);
-    REQUIRE(decoded.has_value());
-    CHECK(*decoded
-          == std::vector<remaining_run> {{"00000000000000a1.0.0.0", 3, "w1", {2'000, 300, 1}},
-                                         {"00000000000000a1.0.0.2", 3, "w1", {2'000, 300, 1}}});
+    struct remaining_case
+    {
+        const char *name;
+        std::string workspace;
+        bool bestEffort;
+        // What a run holds on its worker, and what it counts against the workspace's limit.
+        resources held;
+        resources charged;
+    };
+    const remaining_case cases[] = {
+        {"without a workspace", "", false, {2'000, 300, 1}, {2'000, 300, 1}},
+        {"of a workspace", "w", false, {2'000, 300, 1}, {2'000, 300, 1}},
+        {"best effort", "w", true, {0, 300, 1}, {2'000, 300, 1}},
+    };
+    std::string text;
+    for (const auto &row : cases) {
+        CAPTURE(std::string(row.name));
+        fixture.job.definition.workspace = row.workspace;
+        definition.bestEffort = row.bestEffort;
+        text = encodeRemainingRuns(fixture.job);
+        const auto decoded = decodeRemainingRuns(fixture.job.definition.id, text);
+        REQUIRE(decoded.has_value());
+        CHECK(*decoded
+              == std::vector<remaining_run> {
+                  {"00000000000000a1.0.0.0", 3, "w1", row.held, row.workspace, row.charged},
+                  {"00000000000000a1.0.0.2", 3, "w1", row.held, row.workspace, row.charged}});
+    }
+    // As an earlier version wrote it.
+    const auto earlier = decodeRemainingRuns(
+        "00000000000000a1", R"({"workers":["w1"],"remaining":[[0,0,2000,300,1,[[0,3,0]]]]})");
+    REQUIRE(earlier.has_value());
+    CHECK(*earlier
+          == std::vector<remaining_run> {
+              {"00000000000000a1.0.0.0", 3, "w1", {2'000, 300, 1}, "", {2'000, 300, 1}}});
     // Neither row is mistaken for the other.
     CHECK_FALSE(decodeProgress(text).has_value());
     CHECK_FALSE(decodeRemainingRuns("a1", encodeProgress(fixture.job)).has_value());
 }
 
+// Guards against a new leader that forgets whose a job is, and which were beyond their share.
+TEST_CASE("A job's row keeps its workspace and its share")
+{
+    for (const bool beyond : {false, true}) {
+        for (const auto &workspace : {std::string(), std::string("w")}) {
+            CAPTURE(beyond);
+            CAPTURE(workspace);
+            job_definition definition;
+            definition.id = "00000000000000a1";
+            definition.queue = "queue";
+            definition.workspace = workspace;
+            definition.steps.resize(1);
+            const auto decoded = decodeJob(encodeJob(definition, {}, nullptr, beyond));
+            REQUIRE(decoded.has_value());
+            CHECK(decoded->definition == definition);
+            CHECK(decoded->beyondShare == beyond);
+        }
+    }
+}
+
 TEST_CASE("Progress that the first version of the program stored is read")
 {
     const auto decoded = decodeProgress(
--- a/tests/jobs/scheduler_world.h
+++ b/tests/jobs/scheduler_world.h
@@ -281,9 +281,10 @@
             definitions[change.id] = *change.definition;
         if (change.progress)
             progress[change.id] = *change.progress;
+        else if (change.finished || change.remainingRunsGone)
+            progress.erase(change.id);
         if (change.finished) {
             definitions.erase(change.id);
-            progress.erase(change.id);
             finished[change.id] = *change.finished;
         }
     }
