Move a gang's far claim to allowed workers that have room now

A claim whose start is more than a second off is now given up for another plan when the allowed workers have room for all members. dispatcher_gangs.cpp also leaves the place of the overdue gang to those that may start, and ends far claims of gangs beyond their share.

--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -104,6 +104,8 @@
     // Keeps the claim of a gang on its workers. Returns false if it no longer stands: a worker is
     // gone, or its runs take longer than planned.
     bool renewClaim(const ready_step &ready);
+    // Whether allowed workers, its own or unclaimed ones, have room for all members now.
+    bool hasRoomElsewhere(const ready_step &ready) const;
     // When the worker has that capacity free; none if its runs do not leave it.
     std::optional<time_point> freeAt(const worker &worker, const resources &wanted) const;
     // Expected end of a run, not before now.
--- a/src/jobs/dispatcher_gangs.cpp
+++ b/src/jobs/dispatcher_gangs.cpp
@@ -20,6 +20,8 @@
 // A reservation expires after this time, a few review intervals, unless planning renews it.
 constexpr std::chrono::milliseconds reservationDuration {400};
 constexpr std::chrono::milliseconds reviewInterval {100};
+// A claim whose start is farther off than this moves to allowed workers that have room now.
+constexpr std::chrono::milliseconds longClaimWait {1000};
 // Gangs that are planned in one pass.
 constexpr std::size_t maxPlans = 16;
 // Tickets are also requested for spare workers that could hold this share of the members, because
@@ -35,7 +37,9 @@
     if (placeGang(ready))
         return;
     const auto &plan = ready.step->gang;
-    if (plan.nextReviewAt <= m_now && !(plan.reserved && renewClaim(ready))) {
+    // A claim keeps capacity from all others.
+    const bool mayKeep = !beyondShare(*ready.step) || fleetHasRoom();
+    if (plan.nextReviewAt <= m_now && !(plan.reserved && mayKeep && renewClaim(ready))) {
         m_gangsToPlan.push_back(ready);
         return;
     }
@@ -60,7 +64,6 @@
     for (const auto &ready : m_gangsToPlan) {
         if (plans++ < maxPlans) {
             const auto order = claimOrder(ready);
-            // A claim keeps capacity from all others.
             const bool mayClaim = !beyondShare(*ready.step) || fleetHasRoom();
             planGang(ready, mayClaim && order <= m_firstWithoutShare);
             if (ready.step->gang.result == gang_plan_result::NoShareLeft)
@@ -90,7 +93,7 @@
 }
 
 // A claim is kept from review to review: one that lapsed whenever the gang was late or its start
-// far off would lose its workers to younger steps each time.
+// far // off would lose its workers to younger steps each time.
 bool dispatcher::renewClaim(const ready_step &ready)
 {
     auto &plan = ready.step->gang;
@@ -105,6 +108,8 @@
             return false;
         startAt = std::max(startAt, *free);
     }
+    if (startAt > m_now + longClaimWait && hasRoomElsewhere(ready))
+        return false;
     plan.startAt = startAt;
     plan.nextReviewAt = m_now + reviewInterval;
     plan.plannedAt = m_now;
@@ -116,6 +121,20 @@
     return true;
 }
 
+// A run of a long tail may keep a claimed worker for many seconds after others have come free.
+bool dispatcher::hasRoomElsewhere(const ready_step &ready) const
+{
+    std::size_t slots = 0;
+    for (const auto *worker : knownWorkers(ready)) {
+        const bool available = !worker->reservedFor || worker->reservedFor == ready.step;
+        if (available && !worker->speed.slow() && eligible(ready, *worker))
+            slots += freeTaskSlots(ready, *worker);
+        if (slots >= ready.step->tasks.size())
+            return true;
+    }
+    return false;
+}
+
 time_point dispatcher::runEnd(const task_run &run) const
 {
     const bool started = run.phase == task_phase::Running || run.phase == task_phase::Stopping
@@ -163,7 +182,9 @@
     std::vector<std::vector<ready_step>::iterator> late;
     for (auto it = ready.begin(); it != ready.end(); ++it) {
         const auto &definition = *it->step->definition;
-        if (definition.gang && !definition.longRunning && overdueFrom(*it->step) < m_now)
+        const bool held =
+            beyondShare(*it->step) || withinLimit(*it, it->step->waiting) < it->step->waiting;
+        if (definition.gang && !definition.longRunning && !held && overdueFrom(*it->step) < m_now)
             late.push_back(it);
     }
     std::ranges::sort(late, {}, [&](auto it) { return overdueFrom(*it->step); });
@@ -303,7 +324,7 @@
     auto &step = *ready.step;
     auto &plan = step.gang;
     // A gang whose claim no longer stands goes on with another one, whoever waits for the share.
-    const bool heldClaim = plan.reserved;
+    const bool heldClaim = plan.reserved && (!beyondShare(step) || fleetHasRoom());
     dropReservation(step);
     const auto nextDiscoveryAt = plan.nextDiscoveryAt;
     plan = {};
