Ask for keys by the job's queue, keep owners of ended jobs, and survive bad configurations

The end of a job is stored with its workspace, a new leader uses the sound part of a configuration with errors, and such submissions get 504.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -233,8 +233,8 @@
             continue;
         }
         for (const auto &row : page->rows) {
-            if (const auto state = jobs::parseState(row.value))
-                m_scheduler.recordEnded(row.rowKey.key, *state, bootNow());
+            if (const auto ended = jobs::parseEnded(row.value))
+                m_scheduler.recordEnded(row.rowKey.key, ended->state, bootNow(), ended->workspace);
         }
         count += page->rows.size();
         if (!page->hasMore || page->rows.empty()) {
@@ -310,7 +310,8 @@
                 changes.puts.emplace_back(progress, *change.progress);
             else
                 changes.deletions.push_back(progress);
-            changes.puts.emplace_back(ended, std::string(jobs::stateName(*change.finished)));
+            changes.puts.emplace_back(
+                ended, jobs::encodeEnded({*change.finished, m_scheduler.workspaceOf(change.id)}));
             continue;
         }
         if (change.definition) {
@@ -331,7 +332,7 @@
         if (row.rowKey.table == endedTable) {
             if (row.revision == 0 || row.value.empty())
                 continue;
-            const auto state = jobs::parseState(row.value).value_or(jobs::job_state::Completed);
+            const auto state = jobs::parseEnded(row.value).value_or(jobs::ended_record {}).state;
             std::erase_if(batch,
                           [&row](const auto &change) { return change.id == row.rowKey.key; });
             m_scheduler.recordAlreadyEnded(row.rowKey.key, state, bootNow());
@@ -537,12 +538,17 @@
         log_event(log_level::Error, "configuration.unreadable").field("revision", row.revision);
         return;
     }
-    if (configuration->version < m_scheduler.configuration().version)
+    // A read that was delayed tells less than what is known.
+    if (configuration->version < m_scheduler.configuration().version
+        || row.revision < m_configurationRowRevision)
         return;
     const auto findings = jobs::reviewConfiguration(*configuration);
     if (jobs::hasErrors(findings)) {
         rejectConfiguration(row, *configuration, findings);
-        return;
+        if (m_scheduler.configuration().version > 0)
+            return;
+        // A new leader knows no earlier configuration.
+        configuration = jobs::soundPart(std::move(*configuration), findings);
     }
     m_keys = jobs::key_directory(configuration->workspaces);
     m_configurationRowRevision = row.revision;
@@ -560,6 +566,8 @@
 void leader::rejectConfiguration(const stored_row &row, const jobs::cell_configuration &rejected,
                                  const std::vector<jobs::configuration_finding> &findings)
 {
+    if (row.revision != 0 && row.revision == m_configurationRowRevision)
+        return;
     ++m_counters["configurations_rejected"];
     if (!rejected.workspaces.empty())
         m_keys.revokeMissing(rejected.workspaces);
@@ -669,12 +677,13 @@
         std::max(m_options.keyRevocation / configurationChecks, milliseconds(1));
     while (!m_ended) {
         co_await sleepFor(checkInterval);
-        if (m_ended || m_keys.size() == 0 || !m_configurationFreshness.needsRead(bootNow()))
+        if (m_ended || !m_keys.required())
             continue;
-        const bool wasUsable = canCheckKeys();
-        ++m_counters["configuration_reads"];
-        co_await readConfigurationRow(clock::now() + readTimeout, configuration_read::Confirm);
-        if (wasUsable != canCheckKeys()) {
+        if (m_configurationFreshness.needsRead(bootNow())) {
+            ++m_counters["configuration_reads"];
+            co_await readConfigurationRow(clock::now() + readTimeout, configuration_read::Confirm);
+        }
+        if (std::exchange(m_keysUsable, canCheckKeys()) != m_keysUsable) {
             log_event(log_level::Info, "configuration.freshness")
                 .field("partition", m_options.partition.index)
                 .field("version", m_scheduler.configuration().version)
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -73,6 +73,9 @@
     static constexpr std::string_view explainMethod = "EXPLAIN";
     heartbeat_reply handleHeartbeat(const heartbeat_request &request);
     std::string metrics() const;
+    // Requests refused for want of a key that are logged between two load logs; the rest are
+    // counted.
+    static constexpr std::uint32_t maxKeyRefusalsLogged = 20;
     // The leader's row as this leader last wrote it.
     const leader_row &row() const { return m_row; }
 
@@ -107,6 +110,7 @@
     void logDuties();
     void addFigures(std::string &metrics) const;
     void addSizes(std::string &metrics) const;
+    void addWorkspaces(std::string &metrics) const;
     awaitable<void> loadEndedJobs();
 
     // Writes to the store; a write without a reply is hedged by further attempts.
@@ -160,11 +164,15 @@
 
     // Callers' requests.
     awaitable<caller_response> handleInConfiguration(caller_request request);
+    // // Whether a request for the job needs a key; `queue` is that of the path, null for none.
+    bool requiresKey(const jobs::queue_definition *queue, const std::string &id) const;
     // Refuses a request whose key does not allow it; otherwise none. `workspace` is set to that of
     // a known key.
-    std::optional<caller_response> checkKey(const caller_request &request,
-                                            const jobs::queue_definition &queue,
-                                            std::string &workspace);
+    std::optional<caller_response> checkKey(const caller_request &request, bool keyRequired,
+                                            const std::string &id, std::string &workspace);
+    // Whether a caller of that workspace may see a job of that owner; a job without one is
+    // everyone's.
+    bool mayAccess(const std::string &workspace, const std::string &owner) const;
     // Whether the configuration is recent enough for keys to be checked with it.
     bool canCheckKeys() const;
     caller_response refuseKey(unsigned status, std::string_view reason,
@@ -174,9 +182,11 @@
     // Rejects a job that was not sent to the store.
     caller_response rejectUnstored(const std::string &id, const jobs::job_size &size,
                                    std::string_view reason, time_point now);
-    awaitable<caller_response> cancel(caller_request request, std::string id);
-    awaitable<caller_response> reportState(caller_request request, std::string id);
-    awaitable<std::optional<jobs::job_state>> readEndedState(std::string id, bool &storeRead);
+    awaitable<caller_response> cancel(caller_request request, std::string id,
+                                      std::string workspace);
+    awaitable<caller_response> reportState(caller_request request, std::string id,
+                                           std::string workspace);
+    awaitable<std::optional<jobs::ended_record>> readEnded(std::string id, bool &storeRead);
     awaitable<void> waitUntilStored(std::string id, time_point deadline);
     void wakeWaiters(const std::string &id);
     bool storeUnavailable(time_point now) const;
@@ -222,7 +232,8 @@
     jobs::configuration_freshness m_configurationFreshness;
     jobs::key_directory m_keys;
     // Refusals for want of a key that may still be logged until the next load log.
-    std::uint32_t m_keyRefusalsToLog = 0;
+    std::uint32_t m_keyRefusalsToLog = maxKeyRefusalsLogged;
+    bool m_keysUsable = true;
     // By version: requests that wait for it; and whether the configuration is being read for them.
     std::multimap<std::uint64_t, std::shared_ptr<boost::asio::steady_timer>> m_configurationWaiters;
     bool m_readingConfiguration = false;
--- a/src/cell/leader_log.cpp
+++ b/src/cell/leader_log.cpp
@@ -154,6 +154,31 @@
                 });
 }
 
+// A line for each workspace and figure. Names come from the configuration.
+void leader::addWorkspaces(std::string &metrics) const
+{
+    for (const auto &[name, account] : m_scheduler.accounts().all()) {
+        std::string label;
+        for (const char character : name) {
+            if (character == '"' || character == '\\')
+                label.push_back('\\');
+            label.push_back(character == '\n' ? ' ' : character);
+        }
+        const auto add = [&](std::string_view metric, std::uint64_t value) {
+            metrics.append("plantaingap_workspace_").append(metric).append("{partition=\"");
+            metrics.append(std::to_string(m_options.partition.index)).append("\",workspace=\"");
+            metrics.append(label).append("\"} ").append(std::to_string(value)).append("\n");
+        };
+        add("used_millicores", static_cast<std::uint64_t>(account.used.milliCores));
+        add("used_memory_mib", static_cast<std::uint64_t>(account.used.memoryMib));
+        add("limit_millicores", static_cast<std::uint64_t>(account.limit.milliCores));
+        add("limit_memory_mib", static_cast<std::uint64_t>(account.limit.memoryMib));
+        add("jobs_beyond_share_total", account.submittedBeyond);
+        add("jobs_refused_beyond_share_total", account.refusedBeyond);
+        add("jobs_refused_by_limit_total", account.refusedByLimit);
+    }
+}
+
 void leader::addSizes(std::string &metrics) const
 {
     const auto partition = "partition=\"" + std::to_string(m_options.partition.index) + "\"";
--- a/src/cell/leader_orders.cpp
+++ b/src/cell/leader_orders.cpp
@@ -22,8 +22,6 @@
 // Delay from an event to the placement pass that it triggers, so that events close together share
 // one pass.
 constexpr milliseconds planDelay {3};
-// Requests refused for want of a key that are logged between two load logs; the rest are counted.
-constexpr std::uint32_t maxKeyRefusalsLogged = 20;
 // Passes are apart by at least this multiple of the time that the last one took, at most
 // maxPassPause, which leaves the rest of the event loop's time to replies, leases and writes.
 constexpr int passPauseFactor = 2;
@@ -330,6 +328,7 @@
     add("memory_mib_used", static_cast<std::uint64_t>(load.used.memoryMib));
     addFigures(out);
     addSizes(out);
+    addWorkspaces(out);
     for (std::size_t duty = 0; duty < leaderDuties; ++duty) {
         out += "plantaingap_leader_seconds_total{partition=\""
                + std::to_string(m_options.partition.index) + "\",duty=\""
--- a/src/cell/leader_requests.cpp
+++ b/src/cell/leader_requests.cpp
@@ -106,16 +106,22 @@
         co_return makeResponse(statusUnavailable, {}, 1);
     const auto path = support::targetPath(request.target);
     const auto *queue = configuration.find(hostName(request.host), path);
+    const auto id = queue ? std::string(path.substr(queue->prefix.size())) : std::string();
+    const bool keyRequired = m_keys.required() && requiresKey(queue, id);
     // A configuration that is too old tells neither which keys are known nor which queues.
-    if (m_keys.required() && !(queue && queue->open) && !canCheckKeys()) {
-        co_return refuseKey(statusUnavailable, "the configuration is not confirmed", {});
+    if (keyRequired && !canCheckKeys()) {
+        // An accepted job runs, whatever the answer to a repeated submission.
+        const bool mayRun =
+            request.method == "POST"
+            && (m_scheduler.awaitingStore(id) || m_scheduler.state(id) || !m_endedJobsLoaded);
+        co_return refuseKey(mayRun ? statusUnknown : statusUnavailable,
+                            "the configuration is not confirmed", {});
     }
     if (!queue)
         co_return makeResponse(statusNotFound);
     std::string workspace;
-    if (auto refusal = checkKey(request, *queue, workspace))
+    if (auto refusal = checkKey(request, keyRequired, id, workspace))
         co_return std::move(*refusal);
-    const auto id = std::string(path.substr(queue->prefix.size()));
     if (id.empty()) {
         if (request.method != "GET")
             co_return makeResponse(statusNotAllowed);
@@ -126,14 +132,10 @@
     if (!isIdentifier(id)) {
         co_return makeResponse(request.method == "POST" ? statusBadRequest : statusGone);
     }
-    const auto *known = m_scheduler.job(id);
-    if (known && !known->definition.workspace.empty() && !queue->open
-        && known->definition.workspace != workspace && m_keys.required())
-        co_return refuseKey(statusForbidden, "the job is another workspace's", workspace);
     if (request.method == "GET")
-        co_return co_await reportState(std::move(request), id);
+        co_return co_await reportState(std::move(request), id, std::move(workspace));
     if (request.method == "DELETE")
-        co_return co_await cancel(std::move(request), id);
+        co_return co_await cancel(std::move(request), id, std::move(workspace));
     if (request.method != "POST")
         co_return makeResponse(statusNotAllowed);
     if (request.body.size() > configuration.bodyBytes)
@@ -158,26 +160,48 @@
     co_return co_await submit(std::move(request), std::move(*definition));
 }
 
-std::optional<caller_response> leader::checkKey(const caller_request &request,
-                                                const jobs::queue_definition &queue,
-                                                std::string &workspace)
+// A job of a workspace is the workspace's also when it is asked for by the path of an open queue.
+bool leader::requiresKey(const jobs::queue_definition *queue, const std::string &id) const
+{
+    if (!queue || !queue->open)
+        return true;
+    const auto *job = m_scheduler.job(id);
+    if (!job)
+        return !m_scheduler.workspaceOf(id).empty();
+    const auto *own = m_scheduler.configuration().byName(job->definition.queue);
+    return !job->definition.workspace.empty() && !(own && own->open);
+}
+
+bool leader::mayAccess(const std::string &workspace, const std::string &owner) const
+{
+    return !m_keys.required() || owner.empty() || owner == workspace;
+}
+
+std::optional<caller_response> leader::checkKey(const caller_request &request, bool keyRequired,
+                                                const std::string &id, std::string &workspace)
 {
     if (!m_keys.required())
         return std::nullopt;
-    const auto *found = m_keys.find(request.authorization);
+    const auto *found = canCheckKeys() ? m_keys.find(request.authorization) : nullptr;
     if (found)
         workspace = *found;
-    if (found || queue.open)
+    if (!keyRequired)
         return std::nullopt;
-    return refuseKey(statusUnauthorized, request.authorization.empty() ? "no key" : "unknown key",
-                     {});
+    if (!found) {
+        return refuseKey(statusUnauthorized,
+                         request.authorization.empty() ? "no key" : "unknown key", {});
+    }
+    const auto owner = m_scheduler.workspaceOf(id);
+    if (!owner.empty() && owner != workspace)
+        return refuseKey(statusForbidden, "the job belongs to another workspace", workspace);
+    return std::nullopt;
 }
 
 caller_response leader::refuseKey(unsigned status, std::string_view reason,
                                   const std::string &workspace)
 {
     ++m_counters[status == statusUnauthorized ? "requests_unauthorized"
-                 : status == statusForbidden  ? "requests_of_other_workspaces"
+                 : status == statusForbidden  ? "requests_for_other_workspaces"
                                               : "requests_unconfirmed"];
     if (m_keyRefusalsToLog > 0) {
         --m_keyRefusalsToLog;
@@ -270,7 +294,8 @@
     co_return response;
 }
 
-awaitable<caller_response> leader::cancel(caller_request request, std::string id)
+awaitable<caller_response> leader::cancel(caller_request request, std::string id,
+                                          std::string workspace)
 {
     if (m_scheduler.cancel(id, bootNow())) {
         m_changeTimer.cancel();
@@ -286,15 +311,18 @@
         co_return makeResponse(statusUnknown);
     }
     bool storeRead = false;
-    auto state = m_scheduler.state(id);
-    if (!state)
-        state = co_await readEndedState(id, storeRead);
-    if (state)
+    if (m_scheduler.state(id))
         co_return makeResponse(statusOk);
+    if (const auto ended = co_await readEnded(id, storeRead)) {
+        if (!mayAccess(workspace, ended->workspace))
+            co_return refuseKey(statusForbidden, "the job belongs to another workspace", workspace);
+        co_return makeResponse(statusOk);
+    }
     co_return storeRead ? makeResponse(statusGone) : makeResponse(statusUnavailable, {}, 1);
 }
 
-awaitable<caller_response> leader::reportState(caller_request request, std::string id)
+awaitable<caller_response> leader::reportState(caller_request request, std::string id,
+                                               std::string workspace)
 {
     if (!m_scheduler.state(id) && m_scheduler.awaitingStore(id))
         co_await waitUntilStored(id, request.deadline);
@@ -303,17 +331,19 @@
     if (m_ended)
         co_return caller_response {};
     bool storeRead = false;
-    const auto ended = co_await readEndedState(id, storeRead);
+    const auto ended = co_await readEnded(id, storeRead);
+    if (ended && !mayAccess(workspace, ended->workspace))
+        co_return refuseKey(statusForbidden, "the job belongs to another workspace", workspace);
     if (ended)
-        co_return makeResponse(statusOk, m_ports.codec.formatState(*ended));
+        co_return makeResponse(statusOk, m_ports.codec.formatState(ended->state));
     if (storeRead)
         co_return makeResponse(statusGone);
     co_return makeResponse(statusUnavailable, {}, 1);
 }
 
-// Reads the final state of a job that is not in memory; nullopt if the store has none. Sets
+// Reads the end of a job that is not in memory; nullopt if the store has none. Sets
 // `storeRead` if the read succeeded and was up to date.
-awaitable<std::optional<jobs::job_state>> leader::readEndedState(std::string id, bool &storeRead)
+awaitable<std::optional<jobs::ended_record>> leader::readEnded(std::string id, bool &storeRead)
 {
     const auto self = shared_from_this();
     const auto readAt = bootNow();
@@ -325,7 +355,7 @@
         page && !m_ended && m_lastCommitSentAt >= readAt - m_options.leadership.unchangedTimeout;
     if (!page || page->rows.empty())
         co_return std::nullopt;
-    co_return jobs::parseState(page->rows.front().value);
+    co_return jobs::parseEnded(page->rows.front().value);
 }
 
 awaitable<void> leader::waitUntilStored(std::string id, time_point deadline)
--- a/src/jobs/job_record.cpp
+++ b/src/jobs/job_record.cpp
@@ -461,6 +461,27 @@
     return "unknown";
 }
 
+// The state and, after a space, the workspace. Earlier versions wrote the state only.
+std::string encodeEnded(const ended_record &record)
+{
+    std::string text(stateName(record.state));
+    if (!record.workspace.empty())
+        text.append(" ").append(record.workspace);
+    return text;
+}
+
+std::optional<ended_record> parseEnded(std::string_view text)
+{
+    const auto space = text.find(' ');
+    const auto state = parseState(text.substr(0, space));
+    if (!state)
+        return std::nullopt;
+    ended_record record {*state, {}};
+    if (space != std::string_view::npos)
+        record.workspace = text.substr(space + 1);
+    return record;
+}
+
 std::optional<job_state> parseState(std::string_view text)
 {
     for (const auto &[value, name] : stateNames) {
--- a/src/jobs/job_record.h
+++ b/src/jobs/job_record.h
@@ -85,6 +85,20 @@
 std::string encodeRemainingRuns(const job_run &job);
 result<std::vector<remaining_run>> decodeRemainingRuns(std::string_view job, std::string_view text);
 
+// The row of an ended job.
+struct ended_record
+{
+    job_state state = job_state::Completed;
+    // Name of its workspace; empty for none.
+    std::string workspace;
+
+    bool operator==(const ended_record &) const = default;
+};
+
+std::string encodeEnded(const ended_record &record);
+// None for a malformed row.
+std::optional<ended_record> parseEnded(std::string_view text);
+
 // Name of a state in rows and for operators.
 std::string_view stateName(job_state state);
 std::optional<job_state> parseState(std::string_view text);
--- a/src/jobs/workspaces/configuration_review.cpp
+++ b/src/jobs/workspaces/configuration_review.cpp
@@ -13,6 +13,13 @@
 // Far above any fleet; sums of a million such amounts do not overflow.
 constexpr std::int64_t maxLimit = 1'000'000'000'000;
 constexpr double maxWeight = 1'000'000;
+// The name is stored with each job of the workspace.
+constexpr std::size_t maxNameLength = 200;
+
+std::string entryOf(const workspace_definition &workspace)
+{
+    return "workspace " + workspace.name;
+}
 
 using findings_list = std::vector<configuration_finding>;
 
@@ -53,7 +60,9 @@
     std::map<std::string_view, std::size_t> names;
     std::map<key_digest, const workspace_definition *> owners;
     for (const auto &workspace : configuration.workspaces) {
-        const auto entry = "workspace " + workspace.name;
+        const auto entry = entryOf(workspace);
+        if (workspace.name.empty() || workspace.name.size() > maxNameLength)
+            addError(found, entry, "its name is empty or too long");
         if (++names[workspace.name] == 2)
             addError(found, entry, "it is declared twice");
         reviewAmounts(workspace, entry, found);
@@ -108,6 +117,34 @@
     return found;
 }
 
+cell_configuration soundPart(cell_configuration configuration, const findings_list &findings)
+{
+    // Every workspace that holds a key of another one is left without keys, since either may be
+    // meant.
+    std::map<key_digest, std::size_t> holders;
+    for (const auto &workspace : configuration.workspaces) {
+        for (const auto &key : workspace.keys)
+            ++holders[key];
+    }
+    for (auto &workspace : configuration.workspaces) {
+        const bool wrong = std::ranges::any_of(findings,
+                                               [&](const configuration_finding &finding) {
+                                                   return finding.level == finding_level::Error
+                                                          && finding.entry == entryOf(workspace);
+                                               })
+                           || std::ranges::any_of(workspace.keys, [&](const key_digest &key) {
+                                  return holders[key] > 1;
+                              });
+        if (!wrong)
+            continue;
+        workspace.keys.clear();
+        workspace.weight = 0;
+        workspace.limit = {1, 1, 1};
+    }
+    configuration.unreadable.clear();
+    return configuration;
+}
+
 bool hasErrors(const findings_list &findings)
 {
     return std::ranges::any_of(findings, [](const configuration_finding &finding) {
--- a/src/jobs/workspaces/configuration_review.h
+++ b/src/jobs/workspaces/configuration_review.h
@@ -31,6 +31,11 @@
 // only.
 std::vector<configuration_finding> reviewConfiguration(const cell_configuration &configuration);
 
+// What remains of a configuration with errors when no earlier one is known: workspaces with errors
+// keep no key and run one task at a time, because their limits are unknown.
+cell_configuration soundPart(cell_configuration configuration,
+                             const std::vector<configuration_finding> &findings);
+
 // Whether one of them keeps the configuration from being activated.
 bool hasErrors(const std::vector<configuration_finding> &findings);
 
--- a/src/jobs/workspaces/key_directory.cpp
+++ b/src/jobs/workspaces/key_directory.cpp
@@ -1,12 +1,25 @@
 #include "jobs/workspaces/key_directory.h"
 
+#include <algorithm>
+#include <cctype>
 #include <cstring>
 
 namespace plantaingap::jobs {
 
 namespace {
 
-constexpr std::string_view bearerPrefix = "Bearer ";
+constexpr std::string_view bearerPrefix = "bearer ";
+
+// The name of an authentication scheme has no case.
+bool hasBearerScheme(std::string_view authorization)
+{
+    const auto isSame = [](char left, char right) {
+        return std::tolower(static_cast<unsigned char>(left)) == right;
+    };
+    return authorization.size() > bearerPrefix.size()
+           && std::ranges::equal(authorization.substr(0, bearerPrefix.size()), bearerPrefix,
+                                 isSame);
+}
 
 } // namespace
 
@@ -28,7 +41,7 @@
 
 const std::string *key_directory::find(std::string_view authorization) const
 {
-    if (m_workspaces.empty() || !authorization.starts_with(bearerPrefix))
+    if (m_workspaces.empty() || !hasBearerScheme(authorization))
         return nullptr;
     const auto found = m_workspaces.find(digestOfKey(authorization.substr(bearerPrefix.size())));
     return found == m_workspaces.end() ? nullptr : &found->second;
--- a/src/jobs/workspaces/workspace.h
+++ b/src/jobs/workspaces/workspace.h
@@ -2,7 +2,6 @@
 #define PLANTAINGAP_JOBS_WORKSPACES_WORKSPACE_H
 
 #include <array>
-#include <compare>
 #include <cstdint>
 #include <plantaingap/resources.h>
 #include <string>
@@ -17,7 +16,8 @@
 {
     std::array<std::uint8_t, 32> bytes {};
 
-    auto operator<=>(const key_digest &) const = default;
+    bool operator==(const key_digest &) const = default;
+    bool operator<(const key_digest &other) const { return bytes < other.bytes; }
 };
 
 key_digest digestOfKey(std::string_view key);
--- a/tests/adapter/codec_test.cpp
+++ b/tests/adapter/codec_test.cpp
@@ -1,6 +1,7 @@
 #include "platform/codecs.h"
 #include "platform/json_codec.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <random>
 #include <string>
@@ -214,8 +215,8 @@
     const char *name;
     std::string tenants;
     std::vector<std::string> unreadable;
-    // Workspaces whose keys are still known.
-    std::size_t kept;
+    // Workspaces with keys that are known in spite of it.
+    std::ptrdiff_t kept;
 };
 
 // Guards against a workspace that is dropped without a word, or whose keys vanish with a wrong
@@ -225,13 +226,16 @@
     const std::string sound = R"({"name":"a","api_keys":["k"]})";
     const unreadable_row rows[] = {
         {"no list", R"({"name":"a"})", {"workspaces"}, 0},
-        {"no name", "[" + sound + R"(,{"api_keys":["k2"]}])", {"workspace 2"}, 1},
-        {"no keys", "[" + sound + R"(,{"name":"b"}])", {"workspace 2"}, 1},
+        {"no name", "[" + sound + R"(,{"api_keys":["k2"]}])", {"workspace 2"}, 2},
+        {"no keys", "[" + sound + R"(,{"name":"b"}])", {"workspace b"}, 1},
         {"a key that is no text",
-         "[" + sound + R"(,{"name":"b","api_keys":[5]}])",
-         {"workspace 2"},
-         1},
-        {"an empty key", "[" + sound + R"(,{"name":"b","api_keys":[""]}])", {"workspace 2"}, 1},
+         "[" + sound + R"(,{"name":"b","api_keys":[5,"k2"]}])",
+         {"workspace b"},
+         2},
+        {"an empty key",
+         "[" + sound + R"(,{"name":"b","api_keys":["","k2"]}])",
+         {"workspace b"},
+         2},
         {"a weight that is no number",
          R"([{"name":"a","api_keys":["k"],"weight":"5"}])",
          {"workspace a"},
@@ -252,7 +256,10 @@
             R"({"version":7,"routes":[],"services":[],"tenants":)" + row.tenants + "}");
         REQUIRE(configuration);
         CHECK(configuration->unreadable == row.unreadable);
-        CHECK(configuration->workspaces.size() == row.kept);
+        const auto kept = std::ranges::count_if(
+            configuration->workspaces,
+            [](const jobs::workspace_definition &workspace) { return !workspace.keys.empty(); });
+        CHECK(kept == row.kept);
     }
 }
 
--- a/tests/cell/leader_key_test.cpp
+++ b/tests/cell/leader_key_test.cpp
@@ -17,6 +17,8 @@
 
 const std::string jobA = "00000000000000a1";
 const std::string jobB = "00000000000000b1";
+const std::string endedJob = "00000000000000e1";
+const std::string earlierJob = "00000000000000e2";
 const row_key leaderKey {"cell", "leader", {}};
 const row_key configurationKey {"op", "config", {}};
 
@@ -36,6 +38,8 @@
         transaction first;
         first.puts.emplace_back(leaderKey, encodeLeaderRow(row));
         first.puts.emplace_back(configurationKey, "1");
+        first.puts.emplace_back(row_key {"ended", endedJob, {}}, "completed a");
+        first.puts.emplace_back(row_key {"ended", earlierJob, {}}, "completed");
         const auto revision = store.apply(first).revision;
         leader_options options;
         options.instance = "one";
@@ -112,6 +116,9 @@
 TEST_CASE("Each request is checked for its key")
 {
     key_fixture fixture(twoWorkspaces());
+    while (fixture.leading->metrics().find(R"(ended_jobs_loaded{partition="0"} 1)")
+           == std::string::npos)
+        fixture.context.run_one();
     REQUIRE(fixture.status("POST", "/q/" + jobA, "Bearer key-a1") == 200);
     const request_row rows[] = {
         {"a submission without a key", "POST", "/q/" + jobB, "", 401},
@@ -131,6 +138,20 @@
         {"an unknown queue", "GET", "/none/", "", 404},
         {"a job of an open queue without a key", "POST", "/open/" + jobB, "", 200},
         {"its state without a key", "GET", "/open/" + jobB, "", 200},
+        {"a job of a closed queue by the path of an open one", "GET", "/open/" + jobA, "", 401},
+        {"with the key of another workspace", "GET", "/open/" + jobA, "Bearer key-b", 403},
+        {"its cancellation by that path", "DELETE", "/open/" + jobA, "", 401},
+        {"its submission by that path", "POST", "/open/" + jobA, "", 401},
+        {"its state by that path with its own key", "GET", "/open/" + jobA, "Bearer key-a1", 200},
+        {"a scheme in other letters", "GET", "/q/" + jobA, "bearer key-a1", 200},
+        {"the end of a job of an earlier term", "GET", "/q/" + endedJob, "Bearer key-a1", 200},
+        {"with the key of another workspace", "GET", "/q/" + endedJob, "Bearer key-b", 403},
+        {"its cancellation with the key of another workspace", "DELETE", "/q/" + endedJob,
+         "Bearer key-b", 403},
+        {"its submission again with the key of another workspace", "POST", "/q/" + endedJob,
+         "Bearer key-b", 403},
+        {"the end of a job that an earlier version stored", "GET", "/q/" + earlierJob,
+         "Bearer key-b", 200},
     };
     for (const auto &row : rows) {
         CAPTURE(std::string(row.name));
@@ -142,6 +163,10 @@
 {
     key_fixture fixture({}, milliseconds(40));
     fixture.store.mode = memory_store::failure_mode::Unresponsive;
+    fixture.store.pollsFail = true;
+    const auto tooOldAt = support::bootNow() + milliseconds(40);
+    while (support::bootNow() < tooOldAt)
+        fixture.context.run_one();
     CHECK(fixture.status("GET", "/q/", "") == 200);
 }
 
@@ -223,3 +248,31 @@
         CHECK(fixture.status("GET", "/q/", "Bearer key-new") == 401);
     }
 }
+
+// Guards against an answer "not run" for a job that runs: 503 means that it was not accepted and
+// never is.
+TEST_CASE("A repeated submission of an accepted job is not told to have been refused")
+{
+    key_fixture fixture(twoWorkspaces(), milliseconds(400));
+    while (fixture.leading->metrics().find(R"(ended_jobs_loaded{partition="0"} 1)")
+           == std::string::npos)
+        fixture.context.run_one();
+    REQUIRE(fixture.status("POST", "/q/" + jobA, "Bearer key-a1") == 200);
+    fixture.store.mode = memory_store::failure_mode::Unresponsive;
+    fixture.store.pollsFail = true;
+    fixture.awaitStatus(503, "Bearer key-a1");
+    CHECK(fixture.status("POST", "/q/" + jobA, "Bearer key-a1") == 504);
+    CHECK(fixture.status("POST", "/q/" + jobB, "Bearer key-a1") == 503);
+}
+
+// Guards against a cell without any configuration, because the one that is stored has an error and
+// the new leader knows no earlier one.
+TEST_CASE("A new leader uses the sound part of a configuration with errors")
+{
+    auto workspaces = twoWorkspaces();
+    workspaces[0].limit.milliCores = -1;
+    key_fixture fixture(workspaces);
+    CHECK(fixture.status("GET", "/q/", "Bearer key-b") == 200);
+    CHECK(fixture.status("GET", "/q/", "Bearer key-a1") == 401);
+    CHECK(fixture.status("GET", "/open/", "") == 200);
+}
--- a/tests/jobs/job_record_test.cpp
+++ b/tests/jobs/job_record_test.cpp
@@ -142,7 +142,28 @@
     CHECK_FALSE(decodeRemainingRuns("a1", encodeProgress(fixture.job)).has_value());
 }
 
-// Guards against a new leader that forgets whose a job is, and which were beyond their share.
+TEST_CASE("The row of an ended job keeps its workspace, and earlier rows are read")
+{
+    struct ended_case
+    {
+        ended_record record;
+        std::string text;
+    };
+    const ended_case cases[] = {
+        {{job_state::Completed, {}}, "completed"},
+        {{job_state::Failed, "w"}, "failed w"},
+        {{job_state::Cancelled, "a name of words"}, "cancelled a name of words"},
+    };
+    for (const auto &row : cases) {
+        CAPTURE(row.text);
+        CHECK(encodeEnded(row.record) == row.text);
+        CHECK(parseEnded(row.text) == row.record);
+    }
+    CHECK_FALSE(parseEnded("gone").has_value());
+}
+
+// Guards against a new leader that does not know the workspace of a job, and which were beyond
+// their share.
 TEST_CASE("A job's row keeps its workspace and its share")
 {
     for (const bool beyond : {false, true}) {
