--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -97,7 +97,9 @@
         step.failing = m_takesProbes && !step.isolated && isFailing(*step.step);
         schedule(step);
         if (step.step->waiting > 0) {
-            ++waiting;
+            // Any number of steps may wait for a limit; they cost little and must not use up the
+            // examinations.
+            waiting += step.step->heldByLimit ? 0 : 1;
             if (step.failing)
                 failing.push_back(&step);
             step.step->examineAt = m_now + examinationInterval;
@@ -144,8 +146,8 @@
     std::ranges::sort(found, [](const ready_step &left, const ready_step &right) {
         const auto rank = [](const ready_step &ready) {
             const auto latestStart = ready.step->onTimeUntil - ready.step->remainingChain;
-            return std::make_tuple(ready.stronglySuspected, !ready.step->definition->longRunning,
-                                   beyondShare(*ready.step), ready.lateness,
+            return std::make_tuple(ready.stronglySuspected, beyondShare(*ready.step),
+                                   !ready.step->definition->longRunning, ready.lateness,
                                    ready.queue->priority == 0 ? 0 : 1, ready.overShare,
                                    latestStart);
         };
@@ -188,8 +190,10 @@
                        < (step.definition->gang ? step.waiting : 1);
     // Advice would expire before the limit leaves room.
     if (step.heldByLimit) {
-        if (step.definition->gang)
+        if (step.gang.reserved) {
             dropReservation(step);
+            step.gang = {};
+        }
         return;
     }
     if (ready.step->definition->gang) {
@@ -197,7 +201,8 @@
         return;
     }
     placeIndividually(ready);
-    if (ready.step->waiting > 0 && (!ready.isolated || mayRequestIsolation(ready)))
+    if (ready.step->waiting > 0 && !ready.step->heldByLimit
+        && (!ready.isolated || mayRequestIsolation(ready)))
         requestAdviceForTasks(ready);
 }
 
@@ -385,8 +390,10 @@
     for (auto &task : step.tasks) {
         if (task.phase != task_phase::Waiting)
             continue;
-        if (withinLimit(ready, 1) == 0)
+        if (withinLimit(ready, 1) == 0) {
+            step.heldByLimit = true;
             return;
+        }
         if (task.crashes.suspected()) {
             placeIsolated(ready, task, workers);
             continue;
--- a/src/jobs/dispatcher_workspaces.cpp
+++ b/src/jobs/dispatcher_workspaces.cpp
@@ -1,6 +1,8 @@
 #include "jobs/dispatcher.h"
 
 #include <algorithm>
+#include <map>
+#include <set>
 
 // Limits and shares of workspaces in a placement pass. They target a workspace that has reached its
 // limit, and a full fleet for which several workspaces compete.
@@ -8,6 +10,9 @@
 
 namespace {
 
+// How long a gang keeps its whole room within the limit while it waits for workers.
+constexpr std::chrono::milliseconds completeClaimTime {1000};
+
 resources chargeOf(const step_run &step)
 {
     return step.definition->demand * static_cast<std::int64_t>(step.tasks.size());
@@ -45,8 +50,12 @@
     auto &accounts = m_scheduler.m_accounts;
     if (!accounts.limits())
         return;
-    for (auto &[name, account] : accounts.all())
+    std::map<const workspace_account *, limit_claim> previous;
+    for (auto &[name, account] : accounts.all()) {
+        if (account.claim.gang)
+            previous[&account] = account.claim;
         account.claim = {};
+    }
     for (const auto *worker : m_workers) {
         if (worker->unaccountedRuns > 0)
             m_unidentified += positivePart(worker->entry.capacity - worker->used);
@@ -61,10 +70,21 @@
         const auto latestStart = step.onTimeUntil - step.remainingChain;
         const auto waits = account->startable(step.definition->demand, step.waiting, m_unidentified)
                            < step.waiting;
-        if (!waits || !account->holds(charge) || m_now < due + (latestStart - due) / 2)
+        if (!account->holds(charge) || m_now < due + (latestStart - due) / 2)
             continue;
+        // Once the room is complete the gang may still wait for workers; others get the room back
+        // if that takes long.
+        auto roomUntil = time_point::max();
+        if (!waits) {
+            const auto held = previous.find(account);
+            if (held == previous.end() || held->second.gang != &step)
+                continue;
+            roomUntil = std::min(held->second.until, m_now + completeClaimTime);
+            if (roomUntil <= m_now)
+                continue;
+        }
         if (!account->claim.gang || due < account->claim.due)
-            account->claim = {&step, due, charge};
+            account->claim = {&step, due, charge, roomUntil};
     }
 }
 
@@ -73,15 +93,21 @@
     const auto &accounts = m_scheduler.m_accounts;
     if (accounts.empty())
         return;
+    std::set<const workspace_account *> active;
+    for (const auto &[name, account] : accounts.all()) {
+        if (account.used != resources {})
+            active.insert(&account);
+    }
+    for (const auto &each : ready)
+        active.insert(each.step->occurrence->job->account);
     double weights = 0;
-    for (const auto &[name, account] : accounts.all())
-        weights += account.used == resources {} ? 0 : account.weight;
-    if (weights <= 0)
-        return;
+    for (const auto *account : active)
+        weights += account ? account->weight : 0;
+    // A workspace that the configuration does not declare has no share to exceed.
     for (auto &each : ready) {
         const auto *account = each.step->occurrence->job->account;
-        each.overShare =
-            account && account->dominantShare(m_usableCapacity) * weights > account->weight;
+        each.overShare = account && account->weight > 0
+                         && account->dominantShare(m_usableCapacity) * weights > account->weight;
     }
 }
 
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -2,6 +2,7 @@
 
 #include "jobs/admission.h"
 #include "jobs/dispatcher.h"
+#include "jobs/task_capacity.h"
 
 #include <algorithm>
 #include <cmath>
@@ -337,8 +338,12 @@
     auto *account =
         definition.workspace.empty() ? nullptr : &m_accounts.require(definition.workspace);
     arrival arrived;
-    if (account) {
+    if (account)
         arrived = m_arrivals.classify(account->name, shareOf(*account), definition.id, now);
+    // Jobs without a workspace, as those of open queues, count as within the shares.
+    if (!m_accounts.empty() && !arrived.beyond && !arrived.repeated)
+        m_spareRoom.submitted(coreSecondsOf(definition), now);
+    if (account) {
         if (auto refused = checkWorkspace(definition, *account, arrived, now))
             return std::move(*refused);
     }
@@ -369,6 +374,12 @@
         }
     }
     m_waitingWork.add(job, decision.estimate.widthWithRoom, now);
+    if (account && account->limited())
+        addToBacklog(*account, job);
+    if (job.beyondShare) {
+        for (const auto &step : job.definition.steps)
+            m_beyondShares += effectiveDemand(step) * static_cast<std::int64_t>(step.tasks);
+    }
     markChanged(job);
     return {submit_status::AwaitingStore, 0, {}};
 }
@@ -414,11 +425,13 @@
     closeJob(id, state, now);
 }
 
-void job_scheduler::recordEnded(const std::string &id, job_state state, time_point now)
+void job_scheduler::recordEnded(const std::string &id, job_state state, time_point now,
+                                const std::string &workspace)
 {
     auto *jobRun = findJob(id);
     if (!jobRun) {
-        m_endedJobs.try_emplace(id, ended_job {state, now + m_options.endedJobRetention});
+        m_endedJobs.try_emplace(id,
+                                ended_job {state, now + m_options.endedJobRetention, workspace});
     } else if (!jobRun->stored) {
         // The job was submitted again before the row of its end was loaded.
         recordAlreadyEnded(id, state, now);
@@ -430,6 +443,14 @@
     }
 }
 
+std::string job_scheduler::workspaceOf(const std::string &id) const
+{
+    if (const auto *jobRun = job(id))
+        return jobRun->definition.workspace;
+    const auto ended = m_endedJobs.find(id);
+    return ended == m_endedJobs.end() ? std::string() : ended->second.workspace;
+}
+
 bool job_scheduler::storeWritePending(const std::string &id) const
 {
     const auto *jobRun = job(id);
@@ -489,7 +510,7 @@
 
 void job_scheduler::closeJob(const std::string &id, job_state state, time_point now)
 {
-    m_endedJobs[id] = {state, now + m_options.endedJobRetention};
+    m_endedJobs[id] = {state, now + m_options.endedJobRetention, workspaceOf(id)};
     if (auto *job = findJob(id)) {
         countEnded(*job, state, now);
         job->closed = true;
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -304,7 +304,11 @@
     // dropped.
     void recordAlreadyEnded(const std::string &id, job_state state, time_point now);
     // Records a job that ended in an earlier term.
-    void recordEnded(const std::string &id, job_state state, time_point now);
+    void recordEnded(const std::string &id, job_state state, time_point now,
+                     const std::string &workspace = {});
+    // Name of the workspace of a job that is live or has ended lately; empty for none or when
+    // unknown.
+    std::string workspaceOf(const std::string &id) const;
     // The job was sent to the store, which has not responded.
     bool storeWritePending(const std::string &id) const;
     // Returns false when there is no such job.
@@ -392,13 +396,16 @@
     // Seconds after which a refused job should return; those of a workspace are spread.
     std::uint32_t retryDelay(const workspace_account *account, arrival arrived,
                              std::chrono::seconds earliest, time_point now);
-    // Cores that jobs beyond the shares hold or wait for.
-    double coresBeyondShares() const;
-    // Core-seconds of all steps, as they are expected to run.
+    // What jobs beyond the shares hold or wait for.
+    resources heldBeyondShares(time_point now);
+    // Whether there is room that work within the shares is not expected to need.
+    bool hasSpareRoom(const job_definition &definition, time_point now);
+    // Core-seconds of all steps that end, as they are expected to run.
     double coreSecondsOf(const job_definition &definition) const;
-    // Time until the accepted work of a workspace has run within its limit; only that of top
-    // priority goes before a job of top priority.
-    milliseconds limitBacklog(const workspace_account &account, bool topPriority) const;
+    void updateBacklog(workspace_account &account, time_point now) const;
+    void addToBacklog(workspace_account &account, const job_run &job) const;
+    std::optional<milliseconds> limitBacklog(const workspace_account &account,
+                                             bool topPriority) const;
     void countDiscarded(const job_run &job);
     void countEnded(const job_run &job, job_state state, time_point now);
     occurrence_run &createOccurrence(job_run &job, std::uint32_t number, time_point due);
@@ -546,6 +553,9 @@
     arrival_meter m_arrivals;
     return_schedule m_returns;
     spare_room m_spareRoom;
+    // As of that time.
+    resources m_beyondShares;
+    time_point m_beyondSharesAt {};
     fleet m_fleet;
     // Share of the fleet's cores in use as of the last placement pass. Summing it up for each
     // report would take time that grows with the square of the fleet.
@@ -561,6 +571,7 @@
     {
         job_state state = job_state::Completed;
         time_point forgetAt {};
+        std::string workspace;
     };
     std::unordered_map<std::string, ended_job> m_endedJobs;
     // Ids of jobs with changes that are not stored, in order of the first change.
--- a/src/jobs/job_workspaces.cpp
+++ b/src/jobs/job_workspaces.cpp
@@ -14,16 +14,33 @@
 constexpr std::chrono::seconds oversizedRetry {10};
 // Retry delay of a job whose workspace's accepted work takes too long within its limit.
 constexpr std::chrono::seconds limitRetry {2};
+constexpr std::chrono::seconds shareRetry {1};
 // Part of the fleet that may be planned for: some workers are always down, slow or too small for a
 // task.
 constexpr double plannableShare = 0.9;
 // A result has little value after this many objectives; see maxCompletionFactor of the admission.
 constexpr double maxCompletionFactor = 2.4;
+// Sums over all jobs are made anew at most this often, and jobs that were accepted since are added.
+constexpr std::chrono::milliseconds maxSumAge {100};
 
-double inCoreSeconds(const step_definition &step, milliseconds expected, double tasks)
+using amounts = std::array<double, 3>;
+
+amounts scaled(const resources &demand, double factor)
+{
+    return {static_cast<double>(demand.milliCores) * factor,
+            static_cast<double>(demand.memoryMib) * factor,
+            static_cast<double>(demand.accelerators) * factor};
+}
+
+void add(amounts &sum, const amounts &more)
+{
+    for (std::size_t i = 0; i < sum.size(); ++i)
+        sum[i] += more[i];
+}
+
+double inSeconds(milliseconds span)
 {
-    const std::chrono::duration<double> time = expected;
-    return static_cast<double>(step.demand.milliCores) / 1000 * tasks * time.count();
+    return std::chrono::duration<double>(span).count();
 }
 
 } // namespace
@@ -45,65 +62,122 @@
 {
     double sum = 0;
     for (const auto &step : definition.steps) {
-        if (!step.longRunning && !step.bestEffort)
-            sum += inCoreSeconds(step, m_durations.estimate(definition.queue, step.estimate),
-                                 step.tasks);
+        if (step.longRunning || step.bestEffort)
+            continue;
+        const auto expected = m_durations.estimate(definition.queue, step.estimate);
+        sum +=
+            static_cast<double>(step.demand.milliCores) / 1000 * step.tasks * inSeconds(expected);
     }
     return sum;
 }
 
-double job_scheduler::coresBeyondShares() const
+// What the steps whose turn has come of jobs beyond the shares hold or wait for.
+resources job_scheduler::heldBeyondShares(time_point now)
 {
-    double cores = 0;
+    if (now - m_beyondSharesAt < maxSumAge)
+        return m_beyondShares;
+    m_beyondSharesAt = now;
+    m_beyondShares = {};
     for (const auto &[id, job] : m_jobs) {
         if (!job->beyondShare || job->state > job_state::Running)
             continue;
         for (const auto &[number, occurrence] : job->occurrences) {
             for (const auto &step : occurrence.steps) {
-                const auto left = step.tasks.size() - step.done;
                 if (step.ready)
-                    cores += static_cast<double>(step.definition->demand.milliCores) / 1000
-                             * static_cast<double>(left);
+                    m_beyondShares += effectiveDemand(*step.definition)
+                                      * static_cast<std::int64_t>(step.tasks.size() - step.done);
             }
         }
     }
-    return cores;
+    return m_beyondShares;
 }
 
-milliseconds job_scheduler::limitBacklog(const workspace_account &account, bool topPriority) const
+void job_scheduler::updateBacklog(workspace_account &account, time_point now) const
 {
-    // Resource-seconds of what runs and waits.
-    std::array<double, 3> work {};
+    auto &backlog = account.backlog;
+    if (backlog.countedAt != time_point {} && now - backlog.countedAt < maxSumAge)
+        return;
+    backlog = {};
+    backlog.countedAt = now;
     for (const auto &[id, job] : m_jobs) {
-        if (job->account != &account || job->state > job_state::Running)
-            continue;
-        if (topPriority && queueOf(*job).priority != 0)
-            continue;
-        for (const auto &[number, occurrence] : job->occurrences) {
-            for (const auto &step : occurrence.steps) {
-                const auto &demand = step.definition->demand;
-                const std::chrono::duration<double> time = step.expectedDuration;
-                const auto running = step.tasks.size() - step.waiting - step.done;
-                // Half of a run is left in the mean.
-                const auto taskSeconds =
-                    (static_cast<double>(step.waiting) + static_cast<double>(running) / 2)
-                    * time.count();
-                if (step.definition->longRunning)
-                    continue;
-                work[0] += taskSeconds * static_cast<double>(demand.milliCores);
-                work[1] += taskSeconds * static_cast<double>(demand.memoryMib);
-                work[2] += taskSeconds * static_cast<double>(demand.accelerators);
+        if (job->account == &account && job->state <= job_state::Running)
+            addToBacklog(account, *job);
+    }
+}
+
+void job_scheduler::addToBacklog(workspace_account &account, const job_run &job) const
+{
+    auto &backlog = account.backlog;
+    auto &waiting = queueOf(job).priority == 0 ? backlog.waitingTop : backlog.waitingOther;
+    for (const auto &[number, occurrence] : job.occurrences) {
+        for (const auto &step : occurrence.steps) {
+            const auto &demand = step.definition->demand;
+            const auto running = step.tasks.size() - step.waiting - step.done;
+            if (step.definition->longRunning) {
+                backlog.longRunning += demand * static_cast<std::int64_t>(step.tasks.size());
+                continue;
             }
+            const auto seconds = inSeconds(step.expectedDuration);
+            add(waiting, scaled(demand, static_cast<double>(step.waiting) * seconds));
+            // Half of a run is left in the mean.
+            add(backlog.running, scaled(demand, static_cast<double>(running) * seconds / 2));
         }
     }
-    const std::array<std::int64_t, 3> limits {account.limit.milliCores, account.limit.memoryMib,
-                                              account.limit.accelerators};
+}
+
+// Time until the accepted work of a workspace has run within its limit; only that of top priority
+// goes before a job of top priority. None if long-running tasks take the whole limit.
+std::optional<milliseconds> job_scheduler::limitBacklog(const workspace_account &account,
+                                                        bool topPriority) const
+{
+    const auto &backlog = account.backlog;
+    auto work = backlog.running;
+    add(work, backlog.waitingTop);
+    if (!topPriority)
+        add(work, backlog.waitingOther);
+    // In a divided cell the part of this partition grows with its work, at least to an equal one.
+    const auto part = 1.0 / std::max<std::uint32_t>(m_options.partitions, 1);
+    auto left = scaled(account.limit, part);
+    if (account.ceiling) {
+        const auto ceiling = scaled(*account.ceiling, 1);
+        std::ranges::transform(left, ceiling, left.begin(), [](double equal, double granted) {
+            return std::max(equal, granted);
+        });
+    }
+    add(left, scaled(backlog.longRunning, -1));
+    const auto limit = scaled(account.limit, 1);
     double seconds = 0;
-    for (std::size_t i = 0; i < limits.size(); ++i) {
-        if (limits[i] > 0)
-            seconds = std::max(seconds, work[i] / static_cast<double>(limits[i]));
+    for (std::size_t i = 0; i < work.size(); ++i) {
+        if (limit[i] == 0 || work[i] == 0)
+            continue;
+        if (left[i] <= 0)
+            return std::nullopt;
+        seconds = std::max(seconds, work[i] / left[i]);
     }
-    return milliseconds(std::llround(seconds * 1000 * m_options.partitions));
+    return milliseconds(std::llround(seconds * 1000));
+}
+
+bool job_scheduler::hasSpareRoom(const job_definition &definition, time_point now)
+{
+    resources widest;
+    for (const auto &step : definition.steps)
+        widest = greatest(widest, effectiveDemand(step) * static_cast<std::int64_t>(step.tasks));
+    const auto beyond = heldBeyondShares(now);
+    const auto capacity = m_fleet.capacity();
+    const auto used = m_fleet.used();
+    // Work within the shares needs at least what it holds. Its long-running tasks, and what it
+    // submitted before this leader's term, are known only so.
+    const auto heldWithin = greatest(used - beyond, {});
+    auto needed = heldWithin;
+    needed.milliCores =
+        std::max(needed.milliCores, static_cast<std::int64_t>(m_spareRoom.neededCores(now) * 1000));
+    const auto planned = scaled(needed + beyond + widest, 1);
+    const auto plannable = scaled(capacity, plannableShare);
+    for (std::size_t i = 0; i < planned.size(); ++i) {
+        if (planned[i] > plannable[i])
+            return false;
+    }
+    return true;
 }
 
 std::optional<submit_result> job_scheduler::checkWorkspace(const job_definition &definition,
@@ -123,37 +197,30 @@
             return refuse(oversizedRetry, "a gang is larger than the limit of its workspace");
         }
     }
-    const auto coreSeconds = coreSecondsOf(definition);
-    if (!arrived.beyond) {
-        if (!arrived.repeated)
-            m_spareRoom.submitted(coreSeconds, now);
-    } else {
+    if (arrived.beyond) {
         account.submittedBeyond += arrived.repeated ? 0 : 1;
-        double widest = 0;
-        for (const auto &step : definition.steps)
-            widest =
-                std::max(widest, static_cast<double>(step.demand.milliCores) / 1000 * step.tasks);
-        const auto capacity =
-            static_cast<double>(m_fleet.capacity().milliCores) / 1000 * plannableShare;
-        if (widest + coresBeyondShares() + m_spareRoom.neededCores(now) > capacity) {
+        // It would keep for ever what others need a moment later.
+        const bool stays = definition.occurrences > 0
+                           || std::ranges::any_of(definition.steps, &step_definition::longRunning);
+        if (stays || !hasSpareRoom(definition, now)) {
             ++account.refusedBeyond;
-            return refuse(std::chrono::seconds(1), "beyond the share of its workspace");
+            return refuse(shareRetry, "beyond the share of its workspace");
         }
     }
-    const bool mayWait = account.limited() && definition.occurrences == 0
-                         && account.startable(account.used, 1, {}) == 0;
-    if (mayWait) {
-        const auto *queue = m_configuration.byName(definition.queue);
-        milliseconds chain {0};
-        milliseconds objective = queue->slack;
-        for (const auto &step : definition.steps)
-            chain += m_durations.estimate(queue->name, step.estimate);
-        objective += milliseconds(std::llround(static_cast<double>(chain.count()) * queue->stretch
-                                               * maxCompletionFactor));
-        if (limitBacklog(account, queue->priority == 0) + chain > objective) {
-            ++account.refusedByLimit;
-            return refuse(limitRetry, "cannot finish within the limit of its workspace");
-        }
+    if (!account.limited() || definition.occurrences > 0)
+        return std::nullopt;
+    updateBacklog(account, now);
+    const auto *queue = m_configuration.byName(definition.queue);
+    milliseconds chain {0};
+    for (const auto &step : definition.steps)
+        chain += m_durations.estimate(queue->name, step.estimate);
+    const auto latestEnd = queue->slack
+                           + milliseconds(std::llround(static_cast<double>(chain.count())
+                                                       * queue->stretch * maxCompletionFactor));
+    const auto backlog = limitBacklog(account, queue->priority == 0);
+    if (!backlog || *backlog + chain > latestEnd) {
+        ++account.refusedByLimit;
+        return refuse(limitRetry, "cannot finish within the limit of its workspace");
     }
     return std::nullopt;
 }
--- a/src/jobs/workspaces/return_schedule.cpp
+++ b/src/jobs/workspaces/return_schedule.cpp
@@ -9,7 +9,7 @@
 using std::chrono::seconds;
 
 constexpr seconds minDelay {1};
-// Longer delays tell callers nothing: load changes within seconds.
+// Load changes within seconds, so jobs are not spread over a longer time.
 constexpr seconds maxDelay {8};
 
 } // namespace
@@ -17,10 +17,11 @@
 std::uint32_t return_schedule::assign(const std::string &workspace, double perSecond,
                                       bool refusedBefore, seconds earliest, time_point now)
 {
-    const auto first = now + std::clamp(earliest, minDelay, maxDelay);
+    const auto first = now + std::max(earliest, minDelay);
+    const auto latest = now + std::max(earliest, maxDelay);
     auto &next = m_nextReturn[workspace];
     auto returnAt = refusedBefore ? first : std::max(next, first);
-    if (returnAt > now + maxDelay)
+    if (returnAt > latest)
         returnAt = first;
     if (!refusedBefore) {
         const std::chrono::duration<double> spacing(1 / std::max(perSecond, 0.1));
--- a/src/jobs/workspaces/workspace_accounts.h
+++ b/src/jobs/workspaces/workspace_accounts.h
@@ -3,6 +3,7 @@
 
 #include "jobs/workspaces/workspace.h"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -22,6 +23,20 @@
     const step_run *gang = nullptr;
     time_point due {};
     resources amount;
+    // The claim ends then, although the gang has not started.
+    time_point until = time_point::max();
+};
+
+// Work of a workspace's accepted jobs in resource-seconds, as of a moment.
+struct limit_backlog
+{
+    time_point countedAt {};
+    // Of tasks at work, half of their time, and of those that wait: of top priority and of the
+    // rest.
+    std::array<double, 3> running {};
+    std::array<double, 3> waitingTop {};
+    std::array<double, 3> waitingOther {};
+    resources longRunning;
 };
 
 struct workspace_account
@@ -36,6 +51,7 @@
     // or unanswered, runs at work and runs that are being stopped.
     resources used;
     limit_claim claim;
+    limit_backlog backlog;
     // Counts since the start of the term.
     std::uint64_t submittedBeyond = 0;
     std::uint64_t refusedBeyond = 0;
--- a/tests/jobs/capacity_world.cpp
+++ b/tests/jobs/capacity_world.cpp
@@ -943,4 +943,38 @@
         step();
 }
 
+std::string capacity_world::drain(milliseconds span)
+{
+    m_options.faults = {};
+    // An accepted gang that is larger than a lowered limit waits until the limit is raised.
+    for (auto &workspace : std::vector(m_options.workspaces)) {
+        if (workspace.limit != resources {})
+            changeLimit(workspace.name, {fullCapacity.milliCores * m_options.workers, 0, 0});
+    }
+    advance(longestGap + longestSplit);
+    for (const auto &[id, definition] : std::map(m_definitions)) {
+        if (m_jobs.at(id).steps.front().longRunning && !m_leader->ended)
+            cancel(id);
+    }
+    const auto until = now() + span;
+    const auto charged = [this] {
+        return std::ranges::any_of(m_leader->scheduler->accounts().all(), [](const auto &entry) {
+            return entry.second.used != resources {};
+        });
+    };
+    while (now() < until && (!m_definitions.empty() || charged()))
+        step();
+    std::string left;
+    for (const auto &[id, definition] : m_definitions) {
+        left += " " + id;
+        for (const auto &line : m_leader->scheduler->explain(id, now()))
+            left += " (" + line + ")";
+    }
+    for (const auto &[name, account] : m_leader->scheduler->accounts().all()) {
+        if (account.used != resources {})
+            left += " " + name + " charged " + std::to_string(account.used.milliCores);
+    }
+    return left;
+}
+
 } // namespace plantaingap::tests
--- a/tests/jobs/capacity_world.h
+++ b/tests/jobs/capacity_world.h
@@ -93,6 +93,10 @@
 
     // Steps until `span` has passed or an invariant is broken.
     void advance(milliseconds span);
+    // // Ends all faults and submissions, raises the limits so that they hold any gang, cancels
+    // what lasts, and advances until no job is left, at most for `span`. Returns what accounts
+    // still charge, and what still waits; empty if all has ended.
+    std::string drain(milliseconds span);
     void step();
 
     void submit(const std::string &id, std::vector<jobs::step_definition> steps,
--- a/tests/jobs/workspace_limit_random_test.cpp
+++ b/tests/jobs/workspace_limit_random_test.cpp
@@ -83,6 +83,9 @@
             capacity_world world(optionsOf(row, seed, true));
             world.advance(capacity_world::stepTime * steps);
             CHECK(world.violation() == "");
+            // No charge is left, and no job waits for ever.
+            CHECK(world.drain(std::chrono::seconds(120)) == "");
+            CHECK(world.violation() == "");
             if (traced)
                 std::cout << world.trace(traced);
             done += world.done();
