--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -138,6 +138,8 @@
     std::uint32_t bodyBytes = 262'144;
     // Workspaces that could not be read, such as "workspace 2".
     std::vector<std::string> unreadable;
+    // Queues that could not be read and are left out, such as "queue 2". The others are served.
+    std::vector<std::string> ignored;
 
     // Returns the queue with that host and the longest matching path prefix, or null.
     const queue_definition *find(std::string_view host, std::string_view path) const;
--- a/tests/adapter/codec_test.cpp
+++ b/tests/adapter/codec_test.cpp
@@ -175,6 +175,8 @@
     REQUIRE(configuration);
     CHECK(configuration->version == 7);
     REQUIRE(configuration->queues.size() == 1);
+    CHECK(configuration->ignored == std::vector<std::string> {"queue 2"});
+    CHECK(configuration->unreadable.empty());
     const auto &queue = configuration->queues[0];
     CHECK(queue.slack == std::chrono::milliseconds(1200));
     REQUIRE(queue.advisor);
