Add the command check-cell, with a check that the program passes in

The operators' program cannot check the configuration of a cell, because src/operator must not know the platform's format. The command takes its check as a function of plain types, so that the program that joins the packages supplies it; without one there is no such command. Exit codes and output are those of check: 0 without errors, 1 with errors, 2 for a wrong command line, as a table or as JSON.

With exit code 1 for warnings the new case fails.

--- a/src/operator/cli.cpp
+++ b/src/operator/cli.cpp
@@ -14,11 +14,15 @@
 
 constexpr const char *defaultServer = "127.0.0.1:8081";
 
-std::vector<cli_command> allCommands()
+std::vector<cli_command> allCommands(const cell_check &check)
 {
     std::vector<cli_command> all;
     for (const auto commands : {configurationCommands(), cellCommands(), jobCommands()})
         all.insert(all.end(), commands.begin(), commands.end());
+    if (check) {
+        const auto commands = cellCheckCommands();
+        all.insert(all.end(), commands.begin(), commands.end());
+    }
     return all;
 }
 
@@ -30,11 +34,12 @@
            "now or not reached, nothing was changed; 9 the job failed or was cancelled.\n";
 }
 
-void printOverview(std::ostream &out)
+void printOverview(std::ostream &out, const std::vector<cli_command> &commands)
 {
     out << "plantaingap COMMAND [ARGUMENT] [OPTIONS]\n\n";
     std::vector<std::vector<std::string>> rows;
-    for (const auto &command : allCommands())
+    rows.reserve(commands.size());
+    for (const auto &command : commands)
         rows.push_back({std::string(command.name), std::string(command.argument),
                         std::string(command.summary)});
     printColumns(out, {"command", "argument", ""}, rows);
@@ -112,7 +117,7 @@
 }
 
 exit_code runParsed(const cli_command &command, const po::variables_map &options, std::ostream &out,
-                    std::ostream &err)
+                    std::ostream &err, const cell_check &check)
 {
     const auto format = options["output"].as<std::string>();
     if (format != "table" && format != "json")
@@ -124,12 +129,12 @@
     if (!durationsAreSound(options))
         return tellUsage(err, "a duration is a whole number with ms, s, m or h");
     const cli_context context {
-        options, format == "json" ? output_format::Json : output_format::Table, out, err};
+        options, format == "json" ? output_format::Json : output_format::Table, out, err, check};
     return command.local ? command.local(context) : runRemote(command, context);
 }
 
 exit_code runCommand(const cli_command &command, const std::vector<std::string> &arguments,
-                     std::ostream &out, std::ostream &err)
+                     std::ostream &out, std::ostream &err, const cell_check &check)
 {
     auto visible = commonOptions();
     if (command.remote)
@@ -156,7 +161,7 @@
     } catch (const po::error &fault) {
         return tellUsage(err, fault.what());
     }
-    return runParsed(command, options, out, err);
+    return runParsed(command, options, out, err, check);
 }
 
 } // namespace
@@ -182,18 +187,20 @@
 }
 
 exit_code runCommandLine(const std::vector<std::string> &arguments, std::ostream &out,
-                         std::ostream &err)
+                         std::ostream &err, const cell_check &check)
 {
+    const auto commands = allCommands(check);
     if (arguments.empty() || arguments.front() == "--help") {
-        printOverview(arguments.empty() ? err : out);
+        printOverview(arguments.empty() ? err : out, commands);
         return arguments.empty() ? exit_code::Usage : exit_code::Ok;
     }
-    for (const auto &command : allCommands()) {
+    for (const auto &command : commands) {
         if (command.name == arguments.front())
-            return runCommand(command, {arguments.begin() + 1, arguments.end()}, out, err);
+            return runCommand(command, {arguments.begin() + 1, arguments.end()}, out, err, check);
     }
     std::vector<std::string_view> names;
-    for (const auto &command : allCommands())
+    names.reserve(commands.size());
+    for (const auto &command : commands)
         names.push_back(command.name);
     return tellUsage(err, "no command '" + arguments.front() + "'"
                               + nearestNameHint(arguments.front(), names));
--- a/src/operator/cli.h
+++ b/src/operator/cli.h
@@ -2,6 +2,7 @@
 #define PLANTAINGAP_OPERATOR_CLI_H
 
 #include <iosfwd>
+#include <plantaingap/cell_check.h>
 #include <string>
 #include <vector>
 
@@ -29,9 +30,10 @@
     JobFailed = 9,
 };
 
-// Runs the operators' program: the arguments without its own name, and where it writes.
+// Runs the operators' program: the arguments without its own name, and where it writes. The command
+// check-cell exists only in a program that passes a check.
 exit_code runCommandLine(const std::vector<std::string> &arguments, std::ostream &out,
-                         std::ostream &err);
+                         std::ostream &err, const cell_check &check = {});
 
 } // namespace plantaingap::operators
 
--- a/src/operator/cli_commands.h
+++ b/src/operator/cli_commands.h
@@ -20,6 +20,7 @@
     output_format format = output_format::Table;
     std::ostream &out;
     std::ostream &err;
+    const cell_check &check;
 
     // The positional argument: a folder, a file or a job's name.
     std::string argument() const;
@@ -47,6 +48,8 @@
 std::span<const cli_command> configurationCommands();
 std::span<const cli_command> cellCommands();
 std::span<const cli_command> jobCommands();
+// Needs cli_context::check.
+std::span<const cli_command> cellCheckCommands();
 
 } // namespace plantaingap::operators
 
--- a/src/operator/cli_output.cpp
+++ b/src/operator/cli_output.cpp
@@ -1,5 +1,7 @@
 #include "operator/cli_output.h"
 
+#include "operator/cell_check_tables.h"
+
 #include <algorithm>
 
 namespace plantaingap::operators {
@@ -67,6 +69,35 @@
     }
 }
 
+void printCellFindings(std::ostream &out, const std::vector<cell_finding> &found)
+{
+    for (const auto &each : found) {
+        out << each.file;
+        if (each.line > 0)
+            out << ':' << each.line;
+        out << ": " << enumName(each.level) << ": " << (each.entry.empty() ? "" : each.entry + ": ")
+            << each.message << '\n';
+    }
+}
+
+void printCellChanges(std::ostream &out, const std::vector<cell_change> &changes)
+{
+    for (const auto &change : changes) {
+        const auto subject = change.entry + (change.field.empty() ? "" : ": " + change.field);
+        switch (change.kind) {
+        case cell_change_kind::Added:
+            out << "+ " << subject << '\n';
+            break;
+        case cell_change_kind::Removed:
+            out << "- " << subject << '\n';
+            break;
+        case cell_change_kind::Changed:
+            out << "~ " << subject << ' ' << change.before << " -> " << change.after << '\n';
+            break;
+        }
+    }
+}
+
 void printRefusal(std::ostream &out, const refusal_message &refusal)
 {
     out << refusal.code << ": " << refusal.message << '\n';
--- a/src/operator/cli_output.h
+++ b/src/operator/cli_output.h
@@ -5,6 +5,7 @@
 #include "operator/document_writer.h"
 
 #include <ostream>
+#include <plantaingap/cell_check.h>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -55,6 +56,12 @@
 // "+ path after", "- path before" or "~ path before -> after".
 void printChanges(std::ostream &out, const std::vector<declaration_change> &changes);
 
+// One line each: file:line: level: entry: message.
+void printCellFindings(std::ostream &out, const std::vector<cell_finding> &found);
+
+// "+ entry: field", "- entry: field" or "~ entry: field before -> after".
+void printCellChanges(std::ostream &out, const std::vector<cell_change> &changes);
+
 // Why the instance refused, with its findings or with what the winner of a race changed.
 void printRefusal(std::ostream &out, const refusal_message &refusal);
 
--- a/tests/operator/cli_test.cpp
+++ b/tests/operator/cli_test.cpp
@@ -183,3 +183,94 @@
     CHECK(fixture.run({"apply", examples + "/registry"}) == exit_code::Unknown);
     CHECK(fixture.behind.versions.size() == 1);
 }
+
+// Guards against a check whose exit code or output a script cannot rely on, whatever the check
+// finds: a stand-in takes the place of the platform's format.
+TEST_CASE("a cell's configuration is checked by the program's own check")
+{
+    using level = cell_finding_level;
+    const cell_finding warning {level::Warning, "f", 3, "queue q", "never matches"};
+    const cell_finding error {level::Error, "f", 0, "", "not JSON"};
+    const cell_change change {cell_change_kind::Changed, "queue q", "priority", "1", "2"};
+    const temporary_folder folder;
+    const auto file = folder.write("cell.json", "new");
+    const auto inForce = folder.write("in-force.json", "old");
+    const auto missing = folder.path() + "/missing";
+    struct row
+    {
+        std::string name;
+        std::vector<std::string> arguments;
+        cell_check_report report;
+        exit_code code;
+        std::string out;
+        std::string err;
+    };
+    const std::vector<row> rows = {
+        {"sound", {file}, {}, exit_code::Ok, "sound, 0 warnings\n", ""},
+        {"warnings only",
+         {file},
+         {{warning}, {}},
+         exit_code::Ok,
+         "sound, 1 warnings\n",
+         "f:3: warning: queue q: never matches\n"},
+        {"an error", {file}, {{error}, {}}, exit_code::Findings, "", "f: error: not JSON\n"},
+        {"changes",
+         {file, "--in-force", inForce},
+         {{}, {change}},
+         exit_code::Ok,
+         "~ queue q: priority 1 -> 2\nsound, 0 warnings\n",
+         ""},
+        {"JSON",
+         {file, "--output", "json"},
+         {{warning, error}, {change}},
+         exit_code::Findings,
+         R"({"findings":[{"level":"warning","file":"f","line":3,"entry":"queue q",)"
+         R"("message":"never matches"},{"level":"error","file":"f","line":0,"entry":"",)"
+         R"("message":"not JSON"}],"changes":[{"kind":"changed","entry":"queue q",)"
+         R"("field":"priority","before":"1","after":"2"}]})"
+         "\n",
+         ""},
+        {"no such file",
+         {missing},
+         {},
+         exit_code::Findings,
+         "",
+         missing + ": error: it cannot be read: No such file or directory\n"},
+        {"no such version in force",
+         {file, "--in-force", missing},
+         {},
+         exit_code::Findings,
+         "",
+         missing + ": error: it cannot be read: No such file or directory\n"},
+        {"no file", {}, {}, exit_code::Usage, "", "FILE is missing\n"},
+        {"another format",
+         {file, "--output", "xml"},
+         {},
+         exit_code::Usage,
+         "",
+         "--output must be table or json\n"},
+    };
+    for (const auto &row : rows) {
+        CAPTURE(row.name);
+        const bool compared = row.arguments.size() > 1 && row.arguments[1] == "--in-force";
+        const cell_check check = [&](const named_text &checked,
+                                     const std::optional<named_text> &before) {
+            CHECK(checked.name == file);
+            CHECK(checked.text == "new");
+            CHECK(before.has_value() == (compared && row.arguments[2] == inForce));
+            CHECK((!before || before->text == "old"));
+            return row.report;
+        };
+        std::vector<std::string> arguments {"check-cell"};
+        arguments.insert(arguments.end(), row.arguments.begin(), row.arguments.end());
+        std::ostringstream out;
+        std::ostringstream err;
+        CHECK(runCommandLine(arguments, out, err, check) == row.code);
+        CHECK(out.str() == row.out);
+        CHECK(err.str() == row.err);
+    }
+    std::ostringstream out;
+    std::ostringstream err;
+    CHECK(runCommandLine({"check-cell", file}, out, err) == exit_code::Usage);
+    CHECK(err.str().find("no command 'check-cell'") != std::string::npos);
+}
