Check the operators' configuration with the line of each finding

Instances drop malformed routes and replace fields of another type by a default, and an operator learned of a syntax error only from configuration.unreadable.

--- a/daemons/plantaingap.cpp
+++ b/daemons/plantaingap.cpp
@@ -1,4 +1,5 @@
 #include "operator/cli.h"
+#include "platform/configuration_check.h"
 
 #include <iostream>
 
@@ -6,6 +7,7 @@
 int main(int argc, char **argv)
 {
     const std::vector<std::string> arguments(argv + 1, argv + argc);
-    const auto code = plantaingap::operators::runCommandLine(arguments, std::cout, std::cerr);
+    const auto code = plantaingap::operators::runCommandLine(
+        arguments, std::cout, std::cerr, plantaingap::adapter::checkConfiguration);
     return static_cast<int>(code);
 }
