--- a/src/jobs/job_changes.cpp
+++ b/src/jobs/job_changes.cpp
@@ -17,7 +17,7 @@
 bool exceedsLimit(const task_run &task)
 {
     const auto *account = task.step->occurrence->job->account;
-    return account && !account->withinLimit() && account->used != task.step->definition->demand;
+    return account && !account->allows(task.step->definition->demand);
 }
 
 std::string_view withdrawalReason(const task_run &task)
--- a/src/jobs/workspaces/workspace_accounts.cpp
+++ b/src/jobs/workspaces/workspace_accounts.cpp
@@ -16,13 +16,11 @@
                                            const resources &unavailable) const
 {
     std::int64_t count = wanted;
-    bool holdsWholeLimit = true;
     for (const auto dimension : dimensions) {
         const auto bound = limit.*dimension;
         if (bound == 0)
             continue;
         const auto mine = ceiling ? std::min((*ceiling).*dimension, bound) : bound;
-        holdsWholeLimit = holdsWholeLimit && mine == bound;
         const auto left = mine - used.*dimension - unavailable.*dimension;
         const auto each = demand.*dimension;
         if (each > 0)
@@ -31,13 +29,22 @@
             count = 0;
     }
     // Another partition that holds a part of the limit may have a run at work.
-    if (count == 0 && wanted > 0 && used == resources {} && holdsWholeLimit)
+    if (count == 0 && wanted > 0 && used == resources {} && holdsWholeLimit())
         return 1;
     return static_cast<std::uint32_t>(count);
 }
 
-bool workspace_account::withinLimit() const
+bool workspace_account::holdsWholeLimit() const
 {
+    return std::ranges::all_of(dimensions, [this](const auto dimension) {
+        return !ceiling || limit.*dimension <= (*ceiling).*dimension;
+    });
+}
+
+bool workspace_account::allows(const resources &demand) const
+{
+    if (used == demand && holdsWholeLimit())
+        return true;
     const auto within = [this](const auto dimension) {
         const auto bound = limit.*dimension;
         const auto mine = ceiling ? std::min((*ceiling).*dimension, bound) : bound;
--- a/src/jobs/workspaces/workspace_accounts.h
+++ b/src/jobs/workspaces/workspace_accounts.h
@@ -47,10 +47,12 @@
     // its limit, which otherwise could never run.
     std::uint32_t startable(const resources &demand, std::uint32_t wanted,
                             const resources &unavailable) const;
-    // What is used is within the limit.
-    bool withinLimit() const;
+    // A start of that demand, which is in `used` but not ordered yet, still keeps the limit.
+    bool allows(const resources &demand) const;
     // Whether the limit holds that amount at all.
     bool holds(const resources &amount) const;
+    // No other partition may use a part of the limit.
+    bool holdsWholeLimit() const;
     // The largest part of the fleet that it uses of any resource.
     double dominantShare(const resources &capacity) const;
 };
