--- a/src/cell/peer_transport.cpp
+++ b/src/cell/peer_transport.cpp
@@ -45,6 +45,18 @@
     return std::chrono::duration_cast<milliseconds>(deadline - clock::now()).count();
 }
 
+resources fromWire(const wire::resource_amounts &amounts)
+{
+    return {amounts.milli_cores(), amounts.memory_mib(), amounts.accelerators()};
+}
+
+void toWire(const resources &from, wire::resource_amounts &to)
+{
+    to.set_milli_cores(from.milliCores);
+    to.set_memory_mib(from.memoryMib);
+    to.set_accelerators(from.accelerators);
+}
+
 // State of a call that gRPC uses until the call has finished.
 template<class Request, class Reply>
 struct pending_call
@@ -144,7 +156,43 @@
         return reactor;
     }
 
+    grpc::ServerUnaryReactor *ShareLimits(grpc::CallbackServerContext *call,
+                                          const wire::share_limits_request *wireRequest,
+                                          wire::share_limits_reply *wireReply) override
+    {
+        auto *reactor = call->DefaultReactor();
+        jobs::limit_request request {wireRequest->partition(),
+                                     wireRequest->term(),
+                                     wireRequest->number(),
+                                     wireRequest->configuration(),
+                                     {}};
+        for (const auto &use : wireRequest->uses()) {
+            request.uses.push_back({use.workspace(), fromWire(use.used()), fromWire(use.wanted()),
+                                    fromWire(use.ceiling())});
+        }
+        asio::post(m_context, [this, reactor, wireReply, request = std::move(request)]() mutable {
+            asio::co_spawn(m_context, handleLimitRequest(std::move(request), reactor, wireReply),
+                           asio::detached);
+        });
+        return reactor;
+    }
+
 private:
+    awaitable<void> handleLimitRequest(jobs::limit_request request,
+                                       grpc::ServerUnaryReactor *reactor,
+                                       wire::share_limits_reply *wireReply)
+    {
+        const auto reply = co_await m_handlers.limitRequest(std::move(request));
+        wireReply->set_answered(reply.answered);
+        wireReply->set_number(reply.number);
+        for (const auto &[workspace, ceiling] : reply.ceilings) {
+            auto *entry = wireReply->add_ceilings();
+            entry->set_workspace(workspace);
+            toWire(ceiling, *entry->mutable_ceiling());
+        }
+        reactor->Finish(grpc::Status::OK);
+    }
+
     awaitable<void> handleRequest(caller_request request, grpc::ServerUnaryReactor *reactor,
                                   wire::relay_reply *wireReply)
     {
@@ -346,4 +394,35 @@
     co_return result;
 }
 
+awaitable<outcome<jobs::limit_reply>>
+peer_transport::shareLimits(std::string address, jobs::limit_request request, time_point deadline)
+{
+    const auto self = m_state;
+    auto call =
+        std::make_shared<pending_call<wire::share_limits_request, wire::share_limits_reply>>();
+    call->request.set_partition(request.partition);
+    call->request.set_term(request.term);
+    call->request.set_number(request.number);
+    call->request.set_configuration(request.configuration);
+    for (const auto &use : request.uses) {
+        auto *entry = call->request.add_uses();
+        entry->set_workspace(use.workspace);
+        toWire(use.used, *entry->mutable_used());
+        toWire(use.wanted, *entry->mutable_wanted());
+        toWire(use.ceiling, *entry->mutable_ceiling());
+    }
+    call->context.set_deadline(wallDeadline(deadline));
+    auto *async = self->stubFor(address).async();
+    const bool succeeded = co_await awaitCall(
+        self->context, call, [async](auto *context, auto *wireRequest, auto *reply, auto done) {
+            async->ShareLimits(context, wireRequest, reply, std::move(done));
+        });
+    if (!succeeded)
+        co_return call_failure::Unknown;
+    jobs::limit_reply reply {call->reply.answered(), call->reply.number(), {}};
+    for (const auto &ceiling : call->reply.ceilings())
+        reply.ceilings[ceiling.workspace()] = fromWire(ceiling.ceiling());
+    co_return reply;
+}
+
 } // namespace plantaingap::cell
--- a/src/cell/peer_transport.h
+++ b/src/cell/peer_transport.h
@@ -2,6 +2,7 @@
 #define PLANTAINGAP_CELL_PEER_TRANSPORT_H
 
 #include "cell/ports.h"
+#include "jobs/workspaces/limit_shares.h"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -91,6 +92,8 @@
     std::function<heartbeat_reply(const heartbeat_request &)> heartbeat;
     std::function<awaitable<caller_response>(caller_request)> callerRequest;
     std::function<awaitable<outcome<advice>>(peer_advice_request)> adviceRequest;
+    // Handled by the leader of partition 0.
+    std::function<awaitable<jobs::limit_reply>(jobs::limit_request)> limitRequest = {};
 };
 
 class peer_transport
@@ -112,6 +115,9 @@
     sendHeartbeat(std::string address, heartbeat_request request, time_point deadline);
     awaitable<outcome<caller_response>> forwardRequest(std::string address, caller_request request);
     awaitable<outcome<advice>> requestAdvice(std::string address, peer_advice_request request);
+    // Asks the leader of partition 0 for shares of the workspaces' limits.
+    awaitable<outcome<jobs::limit_reply>>
+    shareLimits(std::string address, jobs::limit_request request, time_point deadline);
     // Drops the connection to an unresponsive instance; the next call opens a new one.
     void dropConnection(const std::string &address);
 
