--- a/src/jobs/workspaces/workspace_accounts.h
+++ b/src/jobs/workspaces/workspace_accounts.h
@@ -63,10 +63,12 @@
     // its limit, which otherwise could never run.
     std::uint32_t startable(const resources &demand, std::uint32_t wanted,
                             const resources &unavailable) const;
-    // What is used is within the limit.
-    bool withinLimit() const;
+    // A start of that demand, which is in `used` but not ordered yet, still keeps the limit.
+    bool allows(const resources &demand) const;
     // Whether the limit holds that amount at all.
     bool holds(const resources &amount) const;
+    // No other partition may use a part of the limit.
+    bool holdsWholeLimit() const;
     // The largest part of the fleet that it uses of any resource.
     double dominantShare(const resources &capacity) const;
 };
@@ -77,7 +79,8 @@
 public:
     workspace_account &require(const std::string &name);
     const workspace_account *find(const std::string &name) const;
-    // In a cell of several partitions each may use an equal part of every limit.
+    // In a cell of several partitions nothing of a limited workspace may start until a ceiling is
+    // set.
     void configure(const std::vector<workspace_definition> &workspaces, std::uint32_t partitions);
     // The configuration limits a workspace.
     bool limits() const { return m_limits; }
