Keep kinds of tasks that slow each other down on different workers where there is room

Nothing told the placement that two kinds disturb each other, and best fit packs them onto one worker. With keepInterferingApart the scheduler feeds the reports to the interference model: spans of a run in which the kinds beside it stay the same, without first moments, resumed and stalled runs, gangs, and workers that are slow, quarantined or have unaccounted runs. chooseWorker and placeGang rank workers with a kind to keep apart behind others; no worker is excluded. Changes are logged, at most 20 a minute. Without the option nothing is observed and the ranking is as before.

--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -337,15 +337,26 @@
                                                                      : resources {};
 }
 
+bool dispatcher::hasRunOf(kind_set kinds, const worker &worker) const
+{
+    return kinds != 0 && std::ranges::any_of(worker.runs, [&](const task_run *run) {
+               return m_scheduler.m_interference.contains(
+                   kinds, job_scheduler::interferenceKindOf(*run->step));
+           });
+}
+
 // Best fit: the worker with the least capacity left, so that large free blocks remain for large
-// tasks. Long-running tasks are spread instead. Workers in the rack of the data are preferred;
-// those that are slow or failed the step come last.
+// tasks. Long-running tasks are spread instead. Workers in the rack of the data are preferred, then
+// those without tasks of kinds that slow each other down with the step's; those that are slow or
+// failed the step come last.
 worker *dispatcher::chooseWorker(const ready_step &ready,
                                  const std::vector<worker *> &workers) const
 {
     const auto &definition = *ready.step->definition;
+    const auto apart =
+        m_scheduler.m_interference.apartFrom(job_scheduler::interferenceKindOf(*ready.step));
     worker *best = nullptr;
-    auto bestRank = std::make_tuple(true, true, true, std::int64_t {0}, std::int64_t {0});
+    auto bestRank = std::make_tuple(true, true, true, true, std::int64_t {0}, std::int64_t {0});
     for (auto *worker : workers) {
         if (freeTaskSlots(ready, *worker) == 0)
             continue;
@@ -353,7 +364,7 @@
         const auto left = worker->free() - effectiveDemand(definition);
         const auto spread = definition.longRunning ? -left.milliCores : left.milliCores;
         const auto rank = std::make_tuple(stepFailedOn(ready, *worker), worker->speed.slow(),
-                                          remote, spread, left.memoryMib);
+                                          remote, hasRunOf(apart, *worker), spread, left.memoryMib);
         if (!best || rank < bestRank) {
             best = worker;
             bestRank = rank;
--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -41,6 +41,8 @@
     {
         // The worker is slow, or a run of the step failed there.
         bool leastPreferred = false;
+        // A run there is of a kind that is kept apart from the gang.
+        bool interfering = false;
         std::uint32_t count = 0;
         worker *target = nullptr;
     };
@@ -162,6 +164,8 @@
     // Workers on which the step may be placed now by placement rules and valid tickets; capacity is
     // not checked.
     std::vector<worker *> allowedWorkers(const ready_step &ready) const;
+    // Whether a run there is of one of the kinds.
+    bool hasRunOf(kind_set kinds, const worker &worker) const;
     worker *chooseWorker(const ready_step &ready, const std::vector<worker *> &workers) const;
     void assign(task_run &task, worker &worker, std::uint32_t attempt);
 
--- a/src/jobs/dispatcher_gangs.cpp
+++ b/src/jobs/dispatcher_gangs.cpp
@@ -192,6 +192,8 @@
         return false;
     std::vector<gang_slot> slots;
     std::uint32_t total = 0;
+    const auto apart =
+        m_scheduler.m_interference.apartFrom(job_scheduler::interferenceKindOf(step));
     for (auto *worker : allowedWorkers(ready)) {
         const auto count = freeTaskSlots(ready, *worker);
         if (count == 0)
@@ -200,14 +202,17 @@
         const bool leastPreferred = worker->speed.slow() || worker->health.quarantined()
                                     || stepFailedOn(ready, *worker)
                                     || stepCrashedAt(ready, *worker);
-        slots.push_back({leastPreferred, count, worker});
+        slots.push_back({leastPreferred, hasRunOf(apart, *worker), count, worker});
         total += count;
     }
     if (total < step.tasks.size())
         return false;
     std::ranges::stable_sort(slots, [](const gang_slot &a, const gang_slot &b) {
-        return std::make_pair(a.leastPreferred, -std::int64_t {a.count})
-               < std::make_pair(b.leastPreferred, -std::int64_t {b.count});
+        const auto rank = [](const gang_slot &slot) {
+            return std::make_tuple(slot.leastPreferred, slot.interfering,
+                                   -std::int64_t {slot.count});
+        };
+        return rank(a) < rank(b);
     });
     if (ready.isolated) {
         std::uint32_t members = 0;
@@ -228,7 +233,7 @@
             checkpoint = task.checkpoint;
     }
     std::size_t next = 0;
-    for (const auto &[leastPreferred, count, worker] : slots) {
+    for (const auto &[leastPreferred, interfering, count, worker] : slots) {
         for (std::uint32_t i = 0; i < count && next < step.tasks.size(); ++i) {
             auto &task = step.tasks[next++];
             task.checkpoint = checkpoint;
--- a/src/jobs/job_progress.h
+++ b/src/jobs/job_progress.h
@@ -2,6 +2,7 @@
 #define PLANTAINGAP_JOBS_JOB_PROGRESS_H
 
 #include "jobs/crash_history.h"
+#include "jobs/interference/run_window.h"
 #include "jobs/job.h"
 #include "jobs/size_figures.h"
 #include "jobs/step_advice.h"
@@ -92,6 +93,8 @@
     // For a long-running task the tail latency of its requests in milliseconds, else the cores in
     // use in thousandths.
     double measure = 0;
+    // Its progress with unchanged neighbours; used only if interference is observed.
+    run_window window;
 };
 
 // Estimates the end of a run from its progress, or from the expected task duration while there is
--- a/src/jobs/job_runs.cpp
+++ b/src/jobs/job_runs.cpp
@@ -88,6 +88,7 @@
     task.percent = 0;
     task.firstReportAt = {};
     task.speedObserved = false;
+    task.window = {};
     task.orderedAt = {};
     task.startedAt = {};
     task.recordedIncarnationMs = 0;
@@ -474,6 +475,7 @@
     releaseMissingRuns(*worker, report, askedAt, restarted, now);
     worker->lastReportAskedAt = askedAt;
     checkProgress(*worker, now);
+    observeInterference(*worker, now);
 }
 
 void job_scheduler::onStartReply(const start_order &order, start_result result,
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -653,6 +653,7 @@
     createDueOccurrences(now, wallNow);
     expireLeases(now);
     countLostByQueue();
+    reviewInterference(now);
     dispatcher(*this, now, orders).run();
     for (const auto &request : orders.advice)
         countAdviceCall(request);
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -4,6 +4,7 @@
 #include "jobs/advisor_call_router.h"
 #include "jobs/duration_estimator.h"
 #include "jobs/fleet.h"
+#include "jobs/interference/interference_model.h"
 #include "jobs/job_record.h"
 #include "jobs/kind_figures.h"
 #include "jobs/load/spare_room.h"
@@ -73,6 +74,9 @@
     double crossRackFactor = 2.0;
     // Partitions of the cell; each gets an equal part of the jobs of a workspace.
     std::uint32_t partitions = 1;
+    // Learn which kinds of tasks slow each other down on a worker, and keep them apart where there
+    // is room.
+    bool keepInterferingApart = false;
 };
 
 // Result of a submission, as reported to the caller.
@@ -375,6 +379,8 @@
     const size_counter &sizes() const { return m_sizes; }
     workspace_accounts &accounts() { return m_accounts; }
     const workspace_accounts &accounts() const { return m_accounts; }
+    const interference_model &interference() const { return m_interference; }
+    bool keepsInterferingApart() const { return m_options.keepInterferingApart; }
     job_size sizeOf(const job_definition &job) const { return jobs::sizeOf(job, m_fleet); }
     const job_run *job(const std::string &id) const;
 
@@ -505,6 +511,13 @@
     void observeLongRunning(worker &worker, task_run &task, time_point now);
     void observeSpeed(worker &worker, task_run &task, time_point now);
     bool shouldMove(const worker &worker, const task_run &task, time_point now) const;
+    // Kind of the tasks of a step with regard to interference: their image, else their queue.
+    static std::string_view interferenceKindOf(const step_run &step);
+    // The progress or tail of the run may be compared with that of others of its kind.
+    bool tellsInterference(const task_run &task, time_point now) const;
+    void observeInterference(worker &worker, time_point now);
+    void observeRun(task_run &task, std::uint32_t kind, kind_set beside, time_point now);
+    void reviewInterference(time_point now);
     // Average share of requested workers that the advisor allowed in recent calls for the queue.
     double allowedShare(const std::string &queue) const;
     // Share of all workers that a gang of the queue may need to be accepted; 1 until enough calls
@@ -546,6 +559,12 @@
     arrival_meter m_arrivals;
     return_schedule m_returns;
     spare_room m_spareRoom;
+    interference_model m_interference;
+    time_point m_interferenceReviewAt {};
+    // Lines about it in the current minute, until when that lasts, and changes without a line.
+    std::size_t m_interferenceLogged = 0;
+    time_point m_interferenceLogUntil {};
+    std::size_t m_interferenceLeftOut = 0;
     fleet m_fleet;
     // Share of the fleet's cores in use as of the last placement pass. Summing it up for each
     // report would take time that grows with the square of the fleet.
--- a/tests/jobs/scheduler_world.h
+++ b/tests/jobs/scheduler_world.h
@@ -141,7 +141,8 @@
         report.clockMs = workerClock();
         report.incarnationMs = fake.incarnationMs;
         for (const auto &[task, run] : fake.active)
-            report.active.push_back({task, run.attempt, run.checkpoint, progressOf(task, run), 0});
+            report.active.push_back(
+                {task, run.attempt, run.checkpoint, progressOf(task, run), measureOf(fake, task)});
         report.ended = fake.ended;
         scheduler.onReport(id, report, now(), now());
     }
@@ -240,6 +241,12 @@
             std::min<std::int64_t>((elapsed - run.startedAt) * 100 / runTime, 100));
     }
 
+    // Tail latency or cores in use that a worker reports for a run.
+    virtual double measureOf(const fake_worker & /*worker*/, const std::string & /*task*/) const
+    {
+        return 0;
+    }
+
     // Ends the runs that have worked for runTime.
     void endDueRuns()
     {
