--- a/daemons/plantaingap_cell.cpp
+++ b/daemons/plantaingap_cell.cpp
@@ -50,6 +50,7 @@
     auto &scheduler = options.leader.scheduler;
     scheduler.lease = std::min(scheduler.lease, settings.longestLease);
     scheduler.maxStopTime = settings.longestStop;
+    scheduler.keepInterferingApart = settings.separateInterfering;
     return options;
 }
 
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -107,6 +107,7 @@
     void logDuties();
     void addFigures(std::string &metrics) const;
     void addSizes(std::string &metrics) const;
+    void addInterference(std::string &metrics) const;
     awaitable<void> loadEndedJobs();
 
     // Writes to the store; a write without a reply is hedged by further attempts.
--- a/src/cell/leader_log.cpp
+++ b/src/cell/leader_log.cpp
@@ -170,6 +170,27 @@
     }
 }
 
+// Names of images are callers' text of any number, so pairs appear only in the log.
+void leader::addInterference(std::string &metrics) const
+{
+    if (!m_scheduler.keepsInterferingApart())
+        return;
+    const auto &model = m_scheduler.interference();
+    const auto &counts = model.counts();
+    const std::array<std::pair<std::string_view, std::uint64_t>, 6> values {
+        {{"observations_total", counts.observations},
+         {"found_total", counts.found},
+         {"gone_total", counts.gone},
+         {"kinds", model.kinds()},
+         {"pairs", model.pairs()},
+         {"pairs_apart", model.pairsApart()}}};
+    for (const auto &[name, value] : values) {
+        metrics.append("plantaingap_interference_").append(name).append("{partition=\"");
+        metrics.append(std::to_string(m_options.partition.index)).append("\"} ");
+        metrics.append(std::to_string(value)).append("\n");
+    }
+}
+
 void leader::logWaits(const jobs::job_explanations &waits, time_point now)
 {
     const auto log = [this](std::string_view event, const jobs::job_explanation &line) {
--- a/src/cell/leader_orders.cpp
+++ b/src/cell/leader_orders.cpp
@@ -330,6 +330,7 @@
     add("memory_mib_used", static_cast<std::uint64_t>(load.used.memoryMib));
     addFigures(out);
     addSizes(out);
+    addInterference(out);
     for (std::size_t duty = 0; duty < leaderDuties; ++duty) {
         out += "plantaingap_leader_seconds_total{partition=\""
                + std::to_string(m_options.partition.index) + "\",duty=\""
--- a/src/operator/cell_settings.h
+++ b/src/operator/cell_settings.h
@@ -38,6 +38,8 @@
     // How long a key may be used after a configuration without it was stored; 0: as long as no such
     // configuration has been read.
     std::chrono::milliseconds keyRevocation {0};
+    // Keep kinds of tasks that slow each other down on different workers where there is room.
+    bool separateInterfering = false;
     support::log_level logLevel = support::log_level::Info;
 };
 
--- a/src/operator/settings_tables.h
+++ b/src/operator/settings_tables.h
@@ -174,6 +174,10 @@
         optional("key_revocation", &cell_settings::keyRevocation, range(0, 3'600'000),
                  "How long a key may be used after a configuration without it was stored; 0: as "
                  "long as no such configuration has been read."),
+        optional(
+            "separate_interfering", &cell_settings::separateInterfering, anyValue,
+            "Keep kinds of tasks that slow each other down on different workers where there is "
+            "room."),
         optional("log_level", &cell_settings::logLevel, anyValue, "The lowest level told."));
 };
 
--- a/tests/cell/leader_log_test.cpp
+++ b/tests/cell/leader_log_test.cpp
@@ -74,7 +74,7 @@
 // A leader without workers that has accepted jobs of one task, whose objective is over at once.
 struct leader_fixture
 {
-    explicit leader_fixture(int jobs)
+    explicit leader_fixture(int jobs, const jobs::scheduler_options &scheduler = {})
     {
         leader_row row {"one", "10.0.0.1:7000", 1, 0, false};
         transaction first;
@@ -83,6 +83,7 @@
         const auto revision = store.apply(first).revision;
         leader_options options;
         options.instance = "one";
+        options.scheduler = scheduler;
         leading =
             std::make_shared<leader>(context, ports, options, row, revision, support::bootNow());
         asio::co_spawn(
@@ -291,3 +292,27 @@
     while (!fixture.ended)
         fixture.context.run_one();
 }
+
+// Guards against an operator who cannot see whether anything is learned, and against figures of a
+// feature that is switched off.
+TEST_CASE("Metrics tell about interference only where it is observed")
+{
+    for (const bool observed : {false, true}) {
+        CAPTURE(observed);
+        jobs::scheduler_options options;
+        options.keepInterferingApart = observed;
+        leader_fixture fixture(1, options);
+        const auto metrics = fixture.leading->metrics();
+        for (const auto *name :
+             {"observations_total", "found_total", "gone_total", "kinds", "pairs", "pairs_apart"}) {
+            CAPTURE(std::string(name));
+            CHECK(contains(metrics, "plantaingap_interference_" + std::string(name)
+                                        + "{partition=\"0\"} 0\n")
+                  == observed);
+        }
+        CHECK(contains(metrics, "plantaingap_interference_") == observed);
+        fixture.leading->resign();
+        while (!fixture.ended)
+            fixture.context.run_one();
+    }
+}
--- a/tests/operator/cell_settings_test.cpp
+++ b/tests/operator/cell_settings_test.cpp
@@ -41,6 +41,12 @@
     CHECK(settings->longestLease == std::chrono::milliseconds(10'000));
     CHECK(settings->longestStop == std::chrono::milliseconds(400));
     CHECK(settings->stopGrace == std::chrono::milliseconds(6'000));
+    // New behaviour takes effect only where it is switched on.
+    CHECK_FALSE(settings->separateInterfering);
+    const auto separating = parseCellSettings(
+        "file", replaced("\"stop_grace\": \"6s\"", "\"separate_interfering\": true"));
+    REQUIRE(separating.has_value());
+    CHECK(separating->separateInterfering);
 }
 
 TEST_CASE("All that is wrong with settings on the platform is told at once")
