--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -114,6 +114,7 @@
     void addFigures(std::string &metrics) const;
     void addSizes(std::string &metrics) const;
     void addWorkspaces(std::string &metrics) const;
+    void addInterference(std::string &metrics) const;
     awaitable<void> loadEndedJobs();
 
     // Writes to the store; a write without a reply is hedged by further attempts.
--- a/src/cell/leader_orders.cpp
+++ b/src/cell/leader_orders.cpp
@@ -331,6 +331,7 @@
     addSizes(out);
     addWorkspaces(out);
     addLimits(out);
+    addInterference(out);
     for (std::size_t duty = 0; duty < leaderDuties; ++duty) {
         out += "plantaingap_leader_seconds_total{partition=\""
                + std::to_string(m_options.partition.index) + "\",duty=\""
