--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -578,7 +578,7 @@
         timer->cancel();
 }
 
-// A key that an operator has taken away must not work on because an entry beside it is wrong.
+// An error in another entry must not keep a removed key valid.
 void leader::rejectConfiguration(const stored_row &row, const jobs::cell_configuration &rejected,
                                  const std::vector<jobs::configuration_finding> &findings)
 {
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -76,7 +76,7 @@
     // Answers a partition's request for shares of the workspaces' limits; only in partition 0.
     awaitable<jobs::limit_reply> handleLimitRequest(jobs::limit_request request);
     std::string metrics() const;
-    // Requests refused for want of a key that are logged between two load logs; the rest are
+    // Requests without a valid key that are logged between two load logs; the rest are
     // counted.
     static constexpr std::uint32_t maxKeyRefusalsLogged = 20;
     // The leader's row as this leader last wrote it.
@@ -252,7 +252,7 @@
     std::uint64_t m_configurationRowRevision = 0;
     jobs::configuration_freshness m_configurationFreshness;
     jobs::key_directory m_keys;
-    // Refusals for want of a key that may still be logged until the next load log.
+    // Refusals of requests without a valid key that may still be logged until the next load log.
     std::uint32_t m_keyRefusalsToLog = maxKeyRefusalsLogged;
     bool m_keysUsable = true;
     jobs::limit_holder m_limitHolder;
--- a/src/jobs/load/spare_room.cpp
+++ b/src/jobs/load/spare_room.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-// A leader that has just taken over has seen less than the whole window, but a mean over a moment
-// tells nothing.
+// A leader that has just taken over has seen less than the whole window. The mean of less than a
+// second varies too much.
 constexpr std::int64_t minSlots = 4;
 
 } // namespace
--- a/src/jobs/workspaces/arrival_meter.h
+++ b/src/jobs/workspaces/arrival_meter.h
@@ -23,7 +23,7 @@
 class arrival_meter
 {
 public:
-    // A job arrives whose workspace may send `perSecond` jobs.
+    // Classifies a submitted job of a workspace whose share is `perSecond` jobs.
     arrival classify(const std::string &workspace, double perSecond, const std::string &job,
                      time_point now);
 
--- a/src/jobs/workspaces/configuration_freshness.h
+++ b/src/jobs/workspaces/configuration_freshness.h
@@ -16,7 +16,7 @@
     // stored; 0 if a configuration of any age may be used.
     explicit configuration_freshness(std::chrono::milliseconds revocation);
 
-    // The store answered a read of the configuration that was sent then. It proves the
+    // The store answered a read of the configuration that was sent then. It confirms the
     // configuration as of that moment only: the store may have answered at once and the answer may
     // have been delayed.
     void confirmed(time_point sentAt);
--- a/src/jobs/workspaces/return_schedule.h
+++ b/src/jobs/workspaces/return_schedule.h
@@ -15,8 +15,7 @@
 {
 public:
     // Seconds after which a refused job should be submitted again, not before `earliest` has
-    // passed. The jobs of a workspace are called back at its rate; one that was refused before is
-    // called back first.
+    // passed. The jobs of a workspace return at its rate, those that were refused before first.
     std::uint32_t assign(const std::string &workspace, double perSecond, bool refusedBefore,
                          std::chrono::seconds earliest, time_point now);
 
--- a/tests/adapter/codec_test.cpp
+++ b/tests/adapter/codec_test.cpp
@@ -221,7 +221,7 @@
     std::ptrdiff_t kept;
 };
 
-// Guards against a workspace that is dropped without a word, or whose keys vanish with a wrong
+// Guards against a workspace that is dropped without a finding, or whose keys vanish with a wrong
 // limit.
 TEST_CASE("Workspaces that cannot be read are named")
 {
--- a/tests/cell/leader_key_test.cpp
+++ b/tests/cell/leader_key_test.cpp
@@ -170,9 +170,9 @@
     CHECK(fixture.status("GET", "/q/", "") == 200);
 }
 
-// Guards against a leader that goes on with an old configuration: its watch of the configuration
-// tells nothing any more, as on a dead connection, and the operators take a key away.
-TEST_CASE("A revoked key is refused although the watch of the configuration tells nothing")
+// Guards against a leader that goes on with an old configuration: its watch is not answered any
+// more, as on a dead connection, and the operators remove a key.
+TEST_CASE("A revoked key is refused although the watch of the configuration is not answered")
 {
     key_fixture fixture(twoWorkspaces(), milliseconds(400));
     CHECK(fixture.status("GET", "/q/", "Bearer key-a1") == 200);
--- a/tests/jobs/configuration_review_test.cpp
+++ b/tests/jobs/configuration_review_test.cpp
@@ -36,7 +36,7 @@
 } // namespace
 
 // Guards against a configuration that takes effect although an operator cannot have meant it.
-TEST_CASE("What is wrong with a configuration is told by entry")
+TEST_CASE("Each finding about a configuration names its entry")
 {
     for (const auto &finding : reviewConfiguration(sound()))
         FAIL_CHECK(finding.entry, ": ", finding.message);
--- a/tests/jobs/revocation_random_test.cpp
+++ b/tests/jobs/revocation_random_test.cpp
@@ -212,7 +212,7 @@
 
 } // namespace
 
-// Guards against an instance that goes on with keys that were taken away while it was frozen, cut
+// Guards against an instance that accepts keys that were removed while it was frozen, cut
 // off from the store, or its clock was slow. A million steps: 4 rows of 5 seeds with 50,000.
 TEST_CASE("No request is served that was sent later than the bound after its key was revoked")
 {
--- a/tests/jobs/workspace_share_test.cpp
+++ b/tests/jobs/workspace_share_test.cpp
@@ -100,7 +100,7 @@
     }
 }
 
-// Guards against a caller that pays twice because its first attempt was refused or lost.
+// Guards against a caller that is charged twice because its first attempt was refused or lost.
 TEST_CASE("A job that is submitted again keeps its answer, and other workspaces theirs")
 {
     jobs::arrival_meter meter;
@@ -116,7 +116,7 @@
 }
 
 // Guards against refused callers that all come back in the same second.
-TEST_CASE("Refused jobs of a workspace are called back at its rate")
+TEST_CASE("Refused jobs of a workspace return at its rate")
 {
     jobs::return_schedule schedule;
     std::map<std::uint32_t, int> bySecond;
