--- a/src/jobs/dispatcher_gangs.cpp
+++ b/src/jobs/dispatcher_gangs.cpp
@@ -93,7 +93,7 @@
 }
 
 // A claim is kept from review to review: one that lapsed whenever the gang was late or its start
-// far // off would lose its workers to younger steps each time.
+// far off would lose its workers to younger steps each time.
 bool dispatcher::renewClaim(const ready_step &ready)
 {
     auto &plan = ready.step->gang;
