--- a/review/stand_in_3/lasting_task.cpp
+++ b/review/stand_in_3/lasting_task.cpp
@@ -68,7 +68,7 @@
         {"count", lastingTasks}, {"cpu", 500}, {"mem_mb", 256}, {"daemon", true}};
     const json::object batchStep {
         {"count", workers}, {"cpu", 4000}, {"mem_mb", 1024}, {"estimate_ms", 110000}};
-    if (cell.submit(lasting, json::array {lastingStep}, "1000000", 0) != 200)
+    if (cell.submit(lasting, json::array {lastingStep}, "1000000 lasts", 0) != 200)
         return 2;
     sleepMs(1000);
     if (cell.submit(jobId(2), json::array {batchStep}, "110000", 1) != 200)
--- a/review/stand_in_3/main.cpp
+++ b/review/stand_in_3/main.cpp
@@ -9,10 +9,13 @@
 int main(int argc, char **argv)
 {
     using mode = int (*)(const std::vector<std::string> &);
-    const std::map<std::string, mode> modes {
-        {"store", review::runStore},          {"worker", review::runWorker},
-        {"crashes", review::runCrashes},      {"large-job", review::runLargeJob},
-        {"other-kind", review::runOtherKind}, {"lasting-task", review::runLastingTask}};
+    const std::map<std::string, mode> modes {{"store", review::runStore},
+                                             {"worker", review::runWorker},
+                                             {"crashes", review::runCrashes},
+                                             {"large-job", review::runLargeJob},
+                                             {"other-kind", review::runOtherKind},
+                                             {"lasting-task", review::runLastingTask},
+                                             {"hopeless-job", review::runHopelessJob}};
     constexpr int couldNotRun = 2;
     std::signal(SIGPIPE, SIG_IGN);
     const auto found = argc > 1 ? modes.find(argv[1]) : modes.end();
--- a/review/stand_in_3/stand_ins.h
+++ b/review/stand_in_3/stand_ins.h
@@ -22,6 +22,7 @@
 int runLargeJob(const std::vector<std::string> &arguments);
 int runOtherKind(const std::vector<std::string> &arguments);
 int runLastingTask(const std::vector<std::string> &arguments);
+int runHopelessJob(const std::vector<std::string> &arguments);
 
 } // namespace review
 
--- a/review/stand_in_3/worker.cpp
+++ b/review/stand_in_3/worker.cpp
@@ -10,7 +10,8 @@
 
 // One life of a worker, as the users' PROTOCOL.md describes it ("Running tasks"). Its arguments:
 // PORT ID KIND RACK CPU MEM_MB FIRST_REPORT_MS STORE_PORT RECORD. The `spec` of a job is the time
-// that each of its tasks takes, in milliseconds, and " saves" if the tasks checkpoint.
+// that each of its tasks takes, in milliseconds, and " saves" if the tasks checkpoint, " fails" if
+// they end as failed, or " lasts" for tasks that last.
 namespace review {
 
 namespace json = boost::json;
@@ -21,6 +22,8 @@
 constexpr std::int64_t holdMaxMs = 10'000;
 constexpr std::int64_t stopMs = 100;
 constexpr std::int64_t saveMs = 500;
+// Until a task that lasts is at work.
+constexpr std::int64_t startupMs = 300;
 constexpr std::size_t maxEndsListed = 500;
 constexpr std::int64_t tickMs = 20;
 
@@ -30,6 +33,8 @@
     std::int64_t startedAt = 0;
     std::int64_t duration = 0;
     bool saves = false;
+    bool fails = false;
+    bool lasts = false;
     std::string saved;
     std::int64_t savedAt = 0;
     std::int64_t stopAt = 0;
@@ -165,6 +170,15 @@
         m_changed.notify_all();
     }
 
+    // Of a task that lasts 100 once it is at work.
+    static std::int64_t percentOf(const run &running)
+    {
+        const auto passed = steadyMs() - running.startedAt;
+        if (running.lasts)
+            return passed < startupMs ? 0 : 100;
+        return std::min<std::int64_t>(passed * 100 / running.duration, 99);
+    }
+
     // The time worked so far, in eight hexadecimal digits, and eight that name the task.
     void save(const std::string &task, run &saving)
     {
@@ -187,7 +201,7 @@
             if (lapsed)
                 over.emplace_back(task, "lapsed");
             else if (steadyMs() - running.startedAt >= running.duration)
-                over.emplace_back(task, "done");
+                over.emplace_back(task, running.fails ? "failed" : "done");
             else if (running.stopAt > 0 && steadyMs() >= running.stopAt)
                 over.emplace_back(task, "stopped");
         }
@@ -219,6 +233,8 @@
         const auto spec = textOf(body, "spec");
         started.duration = std::stoll(spec);
         started.saves = spec.ends_with(" saves");
+        started.fails = spec.ends_with(" fails");
+        started.lasts = spec.ends_with(" lasts");
         m_active[task] = started;
         log("starts " + task + " run " + std::to_string(attempt) + ", kind " + m_kind);
         return accept();
@@ -252,11 +268,9 @@
         if (fence < m_fence)
             return refuse("fence");
         json::array active;
-        for (const auto &[task, running] : m_active) {
-            const auto passed = (steadyMs() - running.startedAt) * 100 / running.duration;
-            active.push_back(json::array {task, running.attempt, running.saved,
-                                          std::min<std::int64_t>(passed, 99), 100});
-        }
+        for (const auto &[task, running] : m_active)
+            active.push_back(
+                json::array {task, running.attempt, running.saved, percentOf(running), 100});
         json::array ended;
         for (const auto &each : m_ends) {
             if (ended.size() < maxEndsListed)
