--- a/review/stand_in_3/deployment.h
+++ b/review/stand_in_3/deployment.h
@@ -4,6 +4,7 @@
 #include "common.h"
 
 #include <boost/json/array.hpp>
+#include <set>
 
 namespace review {
 
@@ -33,6 +34,12 @@
     void crashWorker(const std::string &id);
     // Starts another life of the worker at the same address.
     void restartWorker(const std::string &id, const std::string &kind, std::int64_t firstReportMs);
+    // Starts a further instance and returns its number, from 0.
+    std::size_t startInstance();
+    // The instance's process stands still for good, as if its machine had lost its power.
+    void freezeInstance(std::size_t instance);
+    // The instance that leads by its own metrics; none if none does.
+    std::optional<std::size_t> leader() const;
     // Stores the configuration, with one queue, and starts the instances. False if they do not
     // become ready.
     bool startCell(int attempts);
@@ -59,6 +66,8 @@
     std::uint16_t m_store;
     std::vector<std::uint16_t> m_callers;
     std::vector<std::uint16_t> m_ready;
+    std::vector<int> m_instances;
+    std::set<std::size_t> m_frozen;
     std::map<std::string, worker> m_workers;
     child_processes m_children;
 };
--- a/review/stand_in_3/worker.cpp
+++ b/review/stand_in_3/worker.cpp
@@ -25,6 +25,8 @@
 // Until a task that lasts is at work.
 constexpr std::int64_t startupMs = 300;
 constexpr std::size_t maxEndsListed = 500;
+// Channels at a time.
+constexpr int maxChannels = 64;
 constexpr std::int64_t tickMs = 20;
 
 struct run
@@ -312,8 +314,9 @@
     worker life(arguments);
     std::thread([&life] { life.registerPeriodically(); }).detach();
     std::thread([&life] { life.tick(); }).detach();
-    serve(static_cast<std::uint16_t>(std::stoi(arguments.at(0))),
-          [&life](request &received) { return life.handle(received); });
+    serve(
+        static_cast<std::uint16_t>(std::stoi(arguments.at(0))),
+        [&life](request &received) { return life.handle(received); }, maxChannels);
     return 0;
 }
 
