--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 11 to 14 into target/review-3, after the build of the deploy file.
+# Builds the stand-ins of the cases 11 to 15 into target/review-3, after the build of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
--- a/review/stand_in_3/deployment.cpp
+++ b/review/stand_in_3/deployment.cpp
@@ -44,11 +44,11 @@
 {
     if (made.port == 0)
         made.port = freePort();
-    made.process =
-        m_children.start({m_self, "worker", std::to_string(made.port), made.id, made.kind,
-                          made.rack, std::to_string(made.cpu), std::to_string(made.memory),
-                          std::to_string(made.firstReportMs), std::to_string(m_store), m_record},
-                         m_folder + "/" + made.id + ".log");
+    made.process = m_children.start(
+        {m_self, "worker", std::to_string(made.port), made.id, made.kind, made.rack,
+         std::to_string(made.cpu), std::to_string(made.memory), std::to_string(made.firstReportMs),
+         std::to_string(m_store), m_record, std::to_string(made.roundTripMs)},
+        m_folder + "/" + made.id + ".log");
     m_workers[made.id] = made;
 }
 
--- a/review/stand_in_3/deployment.h
+++ b/review/stand_in_3/deployment.h
@@ -25,6 +25,8 @@
         std::int64_t memory = 32768;
         // From the start of the process to its first report about itself to the store.
         std::int64_t firstReportMs = 0;
+        // Of each call to it, as between regions.
+        std::int64_t roundTripMs = 0;
         std::uint16_t port = 0;
         int process = 0;
     };
--- a/review/stand_in_3/main.cpp
+++ b/review/stand_in_3/main.cpp
@@ -14,6 +14,7 @@
                                              {"lost-leaders", review::runLostLeaders},
                                              {"hopeless-job", review::runHopelessJob},
                                              {"lasting-task", review::runLastingTask},
+                                             {"cancelled-jobs", review::runCancelledJobs},
                                              {"other-kind", review::runOtherKind}};
     constexpr int couldNotRun = 2;
     std::signal(SIGPIPE, SIG_IGN);
--- a/review/stand_in_3/stand_ins.h
+++ b/review/stand_in_3/stand_ins.h
@@ -19,6 +19,7 @@
 // arguments: the program of the cell, a temporary folder, the record, 1 with the disruption or 0
 // without.
 int runLostLeaders(const std::vector<std::string> &arguments);
+int runCancelledJobs(const std::vector<std::string> &arguments);
 int runOtherKind(const std::vector<std::string> &arguments);
 int runLastingTask(const std::vector<std::string> &arguments);
 int runHopelessJob(const std::vector<std::string> &arguments);
--- a/review/stand_in_3/worker.cpp
+++ b/review/stand_in_3/worker.cpp
@@ -9,9 +9,9 @@
 #include <thread>
 
 // One life of a worker, as the users' PROTOCOL.md describes it ("Running tasks"). Its arguments:
-// PORT ID KIND RACK CPU MEM_MB FIRST_REPORT_MS STORE_PORT RECORD. The `spec` of a job is the time
-// that each of its tasks takes, in milliseconds, and " saves" if the tasks checkpoint, " fails" if
-// they end as failed, or " lasts" for tasks that last.
+// PORT ID KIND RACK CPU MEM_MB FIRST_REPORT_MS STORE_PORT RECORD ROUND_TRIP_MS. The `spec` of a job
+// is the time that each of its tasks takes, in milliseconds, and " saves" if the tasks checkpoint,
+// " fails" if they end as failed, or " lasts" for tasks that last.
 namespace review {
 
 namespace json = boost::json;
@@ -63,6 +63,7 @@
         , m_memory(std::stoll(arguments.at(5)))
         , m_firstReportMs(std::stoll(arguments.at(6)))
         , m_storePort(static_cast<std::uint16_t>(std::stoi(arguments.at(7))))
+        , m_roundTripMs(std::stoll(arguments.at(9)))
         , m_born(wallMs())
         , m_startedAt(steadyMs())
     {
@@ -71,6 +72,7 @@
 
     response handle(request &received)
     {
+        sleepMs(m_roundTripMs);
         const auto path = pathOf(received.target());
         if (path == "/health")
             return reply(200);
@@ -293,6 +295,8 @@
     std::int64_t m_memory;
     std::int64_t m_firstReportMs;
     std::uint16_t m_storePort;
+    // Of each call, as between regions.
+    std::int64_t m_roundTripMs;
     std::int64_t m_born;
     std::int64_t m_startedAt;
     std::mutex m_mutex;
