--- a/review/stand_in_3/common.cpp
+++ b/review/stand_in_3/common.cpp
@@ -216,11 +216,25 @@
     return bytes;
 }
 
+// Below the ports that the system hands out, and in a part that depends on the process, so that
+// cases that run side by side do not take the same.
 std::uint16_t freePort()
 {
-    asio::io_context context;
-    tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
-    return acceptor.local_endpoint().port();
+    constexpr int firstPort = 10'000;
+    constexpr int parts = 200;
+    constexpr int portsOfPart = 100;
+    static int next = firstPort + getpid() * 37 % parts * portsOfPart;
+    while (true) {
+        const auto port = static_cast<std::uint16_t>(next);
+        next = next + 1 < firstPort + parts * portsOfPart ? next + 1 : firstPort;
+        asio::io_context context;
+        tcp::acceptor acceptor(context);
+        boost::system::error_code error;
+        acceptor.open(tcp::v4(), error);
+        acceptor.bind({asio::ip::address_v4::loopback(), port}, error);
+        if (!error)
+            return port;
+    }
 }
 
 child_processes::~child_processes()
