--- a/review/stand_in_3/other_kind.cpp
+++ b/review/stand_in_3/other_kind.cpp
@@ -11,8 +11,9 @@
 
 namespace {
 
-// Two workers of the required kind, and two others.
-constexpr int workersOfAKind = 2;
+constexpr int workers = 8;
+// Of these, workers of the required kind.
+constexpr int workersOfKind = 2;
 constexpr std::uint64_t jobs = 24;
 constexpr std::int64_t intervalMs = 500;
 constexpr std::uint64_t crashAt = 8;
@@ -28,11 +29,11 @@
     openRecord(arguments.at(2));
     const bool trouble = arguments.at(3) == "1";
     deployment cell(arguments);
-    for (int i = 1; i <= 2 * workersOfAKind; ++i) {
+    for (int i = 1; i <= workers; ++i) {
         deployment::worker made;
         made.id = "i-0" + std::to_string(i);
         made.rack = "r1-" + std::to_string(i);
-        made.kind = i <= workersOfAKind ? "b" : "a";
+        made.kind = i <= workersOfKind ? "b" : "a";
         cell.startWorker(made);
     }
     if (!cell.startCell(3))
