Limit the connections that a leader holds open at a worker

Cause: a worker accepts 64 connections from all instances together, and those of a vanished instance stay counted. A leader kept nine to each worker and opened any number more at need; `max_conns` was not read. Orders that were reset were sent again at once, all together.

Change: connection_budget decides how many connections this process has open at one worker and which waiting call gets the next one: renewals, stops, throttles, starts. It keeps a sixteenth of what the leaders lost before it are expected to have left, uses half of that at most, an eighth for starts, opens more only for orders that would wait too long, and pauses after a refusal. Renewals and orders share the last connection. The number of lost leaders is in the leader's row, each counted half as much after an hour. The limit comes from the configuration, by service. A leader whose term has ended closes its connections. A refused connection is not taken for a crash of the worker, and an order that got no connection within 1.5 s is not sent. Metrics plantaingap_worker_connections and plantaingap_worker_connections_refused_total, fields of leader.load, worker.connections_refused and worker.connections_accepted show it.

--- a/src/cell/cell_instance.cpp
+++ b/src/cell/cell_instance.cpp
@@ -360,11 +360,37 @@
     add("unanswerable_total", notAnswered);
     add("partitions", m_partitions.size());
     add("leads", partitionsLed());
+    addWorkerConnections(text);
     for (const auto &member : m_partitions)
         text += member->metrics();
     return text;
 }
 
+void cell_instance::addWorkerConnections(std::string &metrics) const
+{
+    std::uint64_t refusals = 0;
+    for (const auto &count : m_ports.workers.connectionCounts()) {
+        refusals += count.refusals;
+        const auto add = [&](std::string_view use, std::size_t connections) {
+            if (connections == 0)
+                return;
+            metrics.append("plantaingap_worker_connections{worker=\"")
+                .append(count.worker)
+                .append("\",use=\"")
+                .append(use)
+                .append("\"} ")
+                .append(std::to_string(connections))
+                .append("\n");
+        };
+        add("idle", count.idle);
+        for (std::size_t kind = 0; kind < callKinds; ++kind)
+            add(callKindName(static_cast<call_kind>(kind)), count.busy[kind]);
+    }
+    metrics.append("plantaingap_worker_connections_refused_total ")
+        .append(std::to_string(refusals))
+        .append("\n");
+}
+
 awaitable<support::http_response> cell_instance::explainJobs(std::string path)
 {
     const auto count = static_cast<std::uint32_t>(m_partitions.size());
--- a/src/cell/cell_instance.h
+++ b/src/cell/cell_instance.h
@@ -80,6 +80,8 @@
     std::uint32_t partitionsLed() const;
     bool isReady() const;
     std::string metrics() const;
+    // Connections to workers by use, and how many the workers have refused.
+    void addWorkerConnections(std::string &metrics) const;
 
     boost::asio::io_context &m_context;
     instance_options m_options;
--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -179,6 +179,8 @@
         timer->cancel();
     for (auto &[version, timer] : m_configurationWaiters)
         timer->cancel();
+    for (const auto &[id, worker] : m_scheduler.workers().all())
+        m_ports.workers.closeConnections(id);
     log_event(log_level::Info, "leader.term_ended").field("term", m_row.term);
 }
 
@@ -573,6 +575,7 @@
         .field("workspaces", static_cast<std::uint64_t>(configuration->workspaces.size()))
         .field("keys", static_cast<std::uint64_t>(m_keys.size()));
     m_scheduler.configure(std::move(*configuration));
+    applyConnectionLimits();
     configureLimits();
     for (auto &[version, timer] : m_configurationWaiters)
         timer->cancel();
@@ -733,9 +736,21 @@
     for (const auto &[id, entry] : m_workerEntries)
         entries.push_back(entry);
     m_scheduler.updateWorkerList(m_workerList.update(std::move(entries), bootNow()));
+    applyConnectionLimits();
     startLeaseRenewals();
 }
 
+void leader::applyConnectionLimits()
+{
+    const auto &limits = m_scheduler.configuration().connectionLimits;
+    for (const auto &[id, worker] : m_scheduler.workers().all()) {
+        const auto limit = limits.find(worker->entry.service);
+        m_ports.workers.setConnectionLimit(
+            id, limit == limits.end() ? connection_budget::defaultWorkerLimit : limit->second,
+            m_row.lostLeaders);
+    }
+}
+
 awaitable<bool> leader::loadWorkers()
 {
     std::vector<stored_row> rows;
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -153,6 +153,8 @@
     // Updates one entry of the list of workers from its row.
     void applyWorkerRow(const stored_row &row);
     void updateFleet();
+    // Tells the gateway how many connections each worker accepts.
+    void applyConnectionLimits();
     void startLeaseRenewals();
     row_key rowKey(std::string_view table, std::string_view key) const;
     key_range wholeTable(std::string_view table) const;
@@ -285,6 +287,8 @@
     jobs::worker_list_cache m_workerList;
     // By worker; cancelled to renew a lease at once when the worker's reported ends are stored.
     std::map<std::string, std::shared_ptr<boost::asio::steady_timer>> m_leaseTimers;
+    // Runs by task and attempt whose stop waits for a connection or for its reply.
+    std::set<std::pair<std::string, std::uint32_t>> m_openStops;
     // By job: coroutines that wait until its changes are stored.
     std::multimap<std::string, std::shared_ptr<boost::asio::steady_timer>> m_storeWaiters;
     follower_table m_followers;
--- a/src/cell/leader_orders.cpp
+++ b/src/cell/leader_orders.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <numeric>
 
 // Placement passes, orders to workers, calls to the placement advisor, load logging and metrics.
 namespace plantaingap::cell {
@@ -29,7 +30,8 @@
 // Maximum time between placement passes: due times pass and leases expire without an event.
 constexpr milliseconds planInterval {50};
 
-constexpr milliseconds orderTimeout {800};
+// Orders that have got no connection to their worker after this time are not sent.
+constexpr milliseconds orderQueueTimeout {1500};
 
 // Added to the advisor's expected duration for queueing behind other callers and the round trip.
 constexpr milliseconds adviceCallMargin {700};
@@ -111,6 +113,12 @@
         m_ceilingChangesToLog = maxCeilingChangesLogged;
         const auto waits = m_scheduler.observeWaits(waitingJobsLogged, now);
         const auto load = m_scheduler.load(now);
+        std::uint64_t workerConnections = 0;
+        std::uint64_t connectionsRefused = 0;
+        for (const auto &count : m_ports.workers.connectionCounts()) {
+            workerConnections += std::accumulate(count.busy.begin(), count.busy.end(), count.idle);
+            connectionsRefused += count.refusals;
+        }
         const auto openAdviceCalls = m_scheduler.advisorCallRouter().openCalls();
         log_event(log_level::Info, "leader.load")
             .field("partition", m_options.partition.index)
@@ -132,6 +140,8 @@
             .field("advice_calls_failed", m_counters["advice_failures"])
             .field("starts", m_counters["starts"])
             .field("starts_rejected", m_counters["starts_not_accepted"])
+            .field("worker_connections", workerConnections)
+            .field("worker_connections_refused", connectionsRefused)
             .field("passes", m_scheduler.passes().passes)
             .field("steps_examined", m_scheduler.passes().stepsExamined)
             .field("workers_examined", m_scheduler.passes().workersExamined)
@@ -202,11 +212,10 @@
     using jobs::start_result;
     const auto self = shared_from_this();
     ++m_counters["starts"];
-    const auto deadline = clock::now() + orderTimeout;
-    const auto reply = co_await m_ports.workers.start(order, deadline);
+    const auto reply = co_await m_ports.workers.start(order, clock::now() + orderQueueTimeout);
     if (m_ended)
         co_return;
-    auto result = clock::now() < deadline ? start_result::ConnectionBroken : start_result::Unknown;
+    auto result = start_result::Unknown;
     switch (reply.status) {
     case order_status::Accepted:
         result = start_result::Accepted;
@@ -230,6 +239,9 @@
     case order_status::Refused:
         result = start_result::Refused;
         break;
+    case order_status::ConnectionBroken:
+        result = start_result::ConnectionBroken;
+        break;
     case order_status::Unknown:
         break;
     }
@@ -248,8 +260,12 @@
 awaitable<void> leader::sendStop(jobs::stop_order order)
 {
     const auto self = shared_from_this();
+    const auto run = std::make_pair(order.task, order.attempt);
+    if (!m_openStops.insert(run).second)
+        co_return;
     ++m_counters["stops"];
-    const auto reply = co_await m_ports.workers.stop(order, clock::now() + orderTimeout);
+    const auto reply = co_await m_ports.workers.stop(order, clock::now() + orderQueueTimeout);
+    m_openStops.erase(run);
     if (m_ended)
         co_return;
     // OldAttempt and OtherIncarnation are final: the worker does not run this attempt either.
@@ -262,7 +278,7 @@
 awaitable<void> leader::sendThrottle(jobs::throttle_order order)
 {
     const auto self = shared_from_this();
-    co_await m_ports.workers.throttle(order, clock::now() + orderTimeout);
+    co_await m_ports.workers.throttle(order, clock::now() + orderQueueTimeout);
 }
 
 heartbeat_reply leader::handleHeartbeat(const heartbeat_request &request)
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
+#include <cmath>
 
 namespace plantaingap::cell {
 
@@ -23,13 +24,32 @@
 
 } // namespace
 
+leader_row claimRow(const std::optional<leader_row> &former, std::string holder,
+                    std::string address, wall_time now)
+{
+    leader_row row;
+    row.holder = std::move(holder);
+    row.address = std::move(address);
+    row.term = 1;
+    row.lostLeadersAtMs = now.time_since_epoch().count();
+    if (!former)
+        return row;
+    row.term = former->term + 1;
+    const auto passed = std::max<std::int64_t>(row.lostLeadersAtMs - former->lostLeadersAtMs, 0)
+                        / static_cast<double>(std::chrono::milliseconds(lossHalfLife).count());
+    row.lostLeaders = former->lostLeaders * std::exp2(-passed) + (former->resigned ? 0 : 1);
+    return row;
+}
+
 std::string encodeLeaderRow(const leader_row &row)
 {
     return json::serialize(json::object {{"holder", row.holder},
                                          {"address", row.address},
                                          {"term", row.term},
                                          {"sequence", row.sequence},
-                                         {"resigned", row.resigned}});
+                                         {"resigned", row.resigned},
+                                         {"lost_leaders", row.lostLeaders},
+                                         {"lost_leaders_at_ms", row.lostLeadersAtMs}});
 }
 
 std::optional<leader_row> decodeLeaderRow(std::string_view text)
@@ -43,6 +63,11 @@
         row.term = object.at("term").to_number<std::uint64_t>();
         row.sequence = object.at("sequence").to_number<std::uint64_t>();
         row.resigned = object.at("resigned").as_bool();
+        // Rows of earlier versions have no losses.
+        if (const auto *lost = object.if_contains("lost_leaders"))
+            row.lostLeaders = lost->to_number<double>();
+        if (const auto *countedAt = object.if_contains("lost_leaders_at_ms"))
+            row.lostLeadersAtMs = countedAt->to_number<std::int64_t>();
         return row;
     } catch (const std::exception &) {
         return std::nullopt;
--- a/src/cell/leadership.h
+++ b/src/cell/leadership.h
@@ -26,10 +26,21 @@
     std::uint64_t sequence = 0;
     // The holder has resigned: the row can be taken over without a timeout.
     bool resigned = false;
+    // Leaders that were replaced without having resigned, each counted half as much after
+    // lossHalfLife, as of that time in milliseconds since 1970.
+    double lostLeaders = 0;
+    std::int64_t lostLeadersAtMs = 0;
 
     bool operator==(const leader_row &) const = default;
 };
 
+// How long the connections of a lost leader are taken into account at workers, which may or may not
+// have dropped them.
+inline constexpr std::chrono::hours lossHalfLife {1};
+
+// The row with which an instance takes over from the leader of `former`.
+leader_row claimRow(const std::optional<leader_row> &former, std::string holder,
+                    std::string address, wall_time now);
 std::string encodeLeaderRow(const leader_row &row);
 std::optional<leader_row> decodeLeaderRow(std::string_view text);
 
--- a/src/cell/partition_member.cpp
+++ b/src/cell/partition_member.cpp
@@ -152,10 +152,8 @@
 
 awaitable<bool> partition_member::takeOver()
 {
-    leader_row row;
-    row.holder = m_options.instance;
-    row.address = m_options.peerListen;
-    row.term = m_monitor.row() ? m_monitor.row()->term + 1 : 1;
+    const auto row =
+        claimRow(m_monitor.row(), m_options.instance, m_options.peerListen, support::wallNow());
     transaction changes;
     changes.preconditions.push_back({m_leaderKey, m_monitor.revision()});
     changes.puts.emplace_back(m_leaderKey, encodeLeaderRow(row));
--- a/src/cell/ports.h
+++ b/src/cell/ports.h
@@ -1,9 +1,11 @@
 #ifndef PLANTAINGAP_CELL_PORTS_H
 #define PLANTAINGAP_CELL_PORTS_H
 
+#include "cell/connection_budget.h"
 #include "jobs/job.h"
 #include "jobs/worker.h"
 
+#include <array>
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
 #include <map>
@@ -136,10 +138,13 @@
     OtherIncarnation,
     // Not executed: the worker is unhealthy or overloaded.
     WorkerUnhealthy,
-    // Not sent: the connection broke before the worker had told its incarnation.
+    // Not sent: no connection was free in time, or it broke before the worker had told its
+    // incarnation.
     NotSent,
     // The worker rejected the order as malformed or for an unlisted reason.
     Refused,
+    // The connection broke before the reply: the order may have been executed.
+    ConnectionBroken,
     // No reply: the order may have been executed, or may still be executed later.
     Unknown,
 };
@@ -151,22 +156,39 @@
     std::optional<std::int64_t> workerClockMs;
 };
 
-// Sends orders to workers over a small pool of persistent connections per worker. A start order is
-// executed by the incarnation that it names or by none.
+// Connections of this process to one worker.
+struct connection_count
+{
+    std::string worker;
+    std::size_t idle = 0;
+    // By call_kind.
+    std::array<std::size_t, callKinds> busy {};
+    std::uint64_t refusals = 0;
+};
+
+// Sends orders to workers over few connections each, because a worker limits those of all
+// processes together; connection_budget.h tells how many. Orders wait for a connection until
+// `sendBy`; one that got none by then was not sent. A start order is executed by the incarnation
+// that it names or by none.
 class worker_gateway
 {
 public:
     virtual ~worker_gateway() = default;
 
-    virtual awaitable<order_reply> start(jobs::start_order order, time_point deadline) = 0;
-    virtual awaitable<order_reply> stop(jobs::stop_order order, time_point deadline) = 0;
-    virtual awaitable<order_reply> throttle(jobs::throttle_order order, time_point deadline) = 0;
+    virtual awaitable<order_reply> start(jobs::start_order order, time_point sendBy) = 0;
+    virtual awaitable<order_reply> stop(jobs::stop_order order, time_point sendBy) = 0;
+    virtual awaitable<order_reply> throttle(jobs::throttle_order order, time_point sendBy) = 0;
     // Renews the worker's lease and returns its active and ended runs. If the incarnation that the
-    // renewal names may have been replaced, only requests the report.
+    // renewal names may have been replaced, only requests the report. Fails as Refused if the
+    // worker accepts no connection, or none that is open was free.
     virtual awaitable<outcome<jobs::worker_report>> renewLease(jobs::lease_renewal order,
                                                                time_point deadline) = 0;
-    // Closes the connections to a worker that was removed.
+    // Connections that the worker accepts from all processes together, and the number of former
+    // leaders whose connections it may still count.
+    virtual void setConnectionLimit(const std::string &, std::uint32_t, double) { }
+    // Closes the connections to a worker that was removed, or that this instance leads no more.
     virtual void closeConnections(const std::string &worker) = 0;
+    virtual std::vector<connection_count> connectionCounts() const { return {}; }
 };
 
 // The workers that the placement advisor accepts for a step. A start order there carries the
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -5,6 +5,8 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <optional>
 #include <plantaingap/resources.h>
 #include <plantaingap/time.h>
@@ -135,6 +137,8 @@
     std::vector<workspace_definition> workspaces;
     // Services whose machines are switched off and can be moved to other services.
     std::vector<std::string> spareServices;
+    // By service: the connections that one of its workers accepts from all instances together.
+    std::map<std::string, std::uint32_t, std::less<>> connectionLimits;
     std::uint32_t bodyBytes = 262'144;
     // Workspaces that could not be read, such as "workspace 2".
     std::vector<std::string> unreadable;
--- a/src/jobs/workspaces/configuration_changes.cpp
+++ b/src/jobs/workspaces/configuration_changes.cpp
@@ -168,6 +168,28 @@
     }
 }
 
+std::string limitText(const std::map<std::string, std::uint32_t, std::less<>> &limits,
+                      const std::string &service)
+{
+    const auto found = limits.find(service);
+    return found == limits.end() ? std::string() : std::to_string(found->second);
+}
+
+void compareConnectionLimits(const cell_configuration &before, const cell_configuration &after,
+                             change_list &changes)
+{
+    auto services = before.connectionLimits;
+    services.insert(after.connectionLimits.begin(), after.connectionLimits.end());
+    for (const auto &[service, limit] : services) {
+        const auto former = limitText(before.connectionLimits, service);
+        const auto next = limitText(after.connectionLimits, service);
+        if (former != next) {
+            changes.push_back(
+                {change_kind::Changed, "service " + service, "worker connections", former, next});
+        }
+    }
+}
+
 } // namespace
 
 change_list configurationChanges(const cell_configuration &inForce, const cell_configuration &next)
@@ -182,6 +204,7 @@
                !next.workspaces.empty());
     addChanged(changes, whole, "body bytes", inForce.bodyBytes, next.bodyBytes);
     compareSpareServices(inForce.spareServices, next.spareServices, changes);
+    compareConnectionLimits(inForce, next, changes);
     compareEntries("queue", inForce.queues, next.queues, changes);
     compareEntries("workspace", inForce.workspaces, next.workspaces, changes);
     return changes;
--- a/tests/adapter/http_worker.cpp
+++ b/tests/adapter/http_worker.cpp
@@ -15,6 +15,7 @@
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
+#include <limits>
 
 namespace plantaingap::tests {
 
@@ -83,6 +84,11 @@
     std::vector<std::shared_ptr<connection>> connections;
     std::vector<executed_order> executed;
     std::size_t openRenewals = 0;
+    std::size_t connectionLimit = std::numeric_limits<std::size_t>::max();
+    std::size_t openConnections = 0;
+    std::size_t mostConnections = 0;
+    std::size_t refusedConnections = 0;
+    milliseconds replyDelay {0};
 };
 
 asio::awaitable<void> http_worker::state::accept(std::shared_ptr<state> self)
@@ -91,6 +97,13 @@
         auto [error, socket] = co_await self->acceptor.async_accept(asTuple);
         if (error)
             co_return;
+        if (self->openConnections >= self->connectionLimit) {
+            ++self->refusedConnections;
+            boost::system::error_code ignored;
+            socket.set_option(asio::socket_base::linger(true, 0), ignored);
+            continue;
+        }
+        self->mostConnections = std::max(self->mostConnections, ++self->openConnections);
         auto link = std::make_shared<connection>(std::move(socket));
         self->connections.push_back(link);
         asio::co_spawn(self->context, serve(self, std::move(link)), asio::detached);
@@ -101,6 +114,8 @@
                                                 std::shared_ptr<connection> link)
 {
     const auto incarnationMs = self->incarnationMs;
+    const auto countClosed = [](state *worker) { --worker->openConnections; };
+    const std::unique_ptr<state, decltype(countClosed)> counted(self.get(), countClosed);
     while (true) {
         support::http_request request;
         const auto [readError, size] =
@@ -121,6 +136,10 @@
                 co_return;
             --self->openRenewals;
         }
+        if (self->replyDelay > milliseconds(0)) {
+            asio::steady_timer timer(self->context, self->replyDelay);
+            co_await timer.async_wait(asTuple);
+        }
         if (renewal && self->renewalStatus == 0) {
             link->socket.close();
             co_return;
@@ -178,6 +197,31 @@
     return m_state->openRenewals;
 }
 
+void http_worker::limitConnections(std::size_t limit)
+{
+    m_state->connectionLimit = limit;
+}
+
+std::size_t http_worker::openConnections() const
+{
+    return m_state->openConnections;
+}
+
+std::size_t http_worker::mostConnections() const
+{
+    return m_state->mostConnections;
+}
+
+std::size_t http_worker::refusedConnections() const
+{
+    return m_state->refusedConnections;
+}
+
+void http_worker::replyAfter(milliseconds delay)
+{
+    m_state->replyDelay = delay;
+}
+
 void http_worker::answerRenewals(unsigned status)
 {
     m_state->renewalStatus = status;
--- a/tests/adapter/http_worker.h
+++ b/tests/adapter/http_worker.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/json/object.hpp>
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <plantaingap/time.h>
@@ -48,6 +49,15 @@
     // From now on each renewal gets this status; 0 breaks its connection instead.
     void answerRenewals(unsigned status);
 
+    // Resets further connections while so many are open.
+    void limitConnections(std::size_t limit);
+    // Connections that are open now, the most at a time, and those that were reset.
+    std::size_t openConnections() const;
+    std::size_t mostConnections() const;
+    std::size_t refusedConnections() const;
+    // How long the worker takes to reply.
+    void replyAfter(std::chrono::milliseconds delay);
+
 private:
     struct state;
     std::shared_ptr<state> m_state;
--- a/tests/jobs/configuration_changes_test.cpp
+++ b/tests/jobs/configuration_changes_test.cpp
@@ -21,6 +21,7 @@
     configuration.workspaces = {{"a", {digestOfKey("k1"), digestOfKey("k2")}, 5, {1000, 2000, 0}},
                                 {"b", {digestOfKey("k3")}, 1, {}}};
     configuration.spareServices = {"spare"};
+    configuration.connectionLimits = {{"service", 64}, {"spare", 16}};
     return configuration;
 }
 
@@ -144,6 +145,13 @@
          {{kind::Changed, "configuration", "body bytes", "262144", "1000"},
           {kind::Added, "spare service other", "", "", ""},
           {kind::Removed, "spare service spare", "", "", ""}}},
+        {"connections of workers",
+         [](auto &c) {
+             c.connectionLimits = {{"service", 32}, {"other", 8}};
+         },
+         {{kind::Changed, "service other", "worker connections", "", "8"},
+          {kind::Changed, "service service", "worker connections", "64", "32"},
+          {kind::Changed, "service spare", "worker connections", "16", ""}}},
     };
     for (const auto &row : rows) {
         CAPTURE(std::string(row.name));
