Start jobs on quarantined workers when nothing else can take them

Cause: two workers of a kind are quarantined by hopeless jobs, because the comparison with other workers needs two of these. Only probes lead out, and a worker got none while any run but a long-running one at work was there, so a sound run from before the quarantine kept them away until it ended.

Change: runs that were ordered before the quarantine do not keep probes away, and their failures are no failed probes. When all workers of a step's service and label are quarantined, or nothing of the step has run for 1.5 s while less than half of the fleet is in use, the quarantine does not keep the step from a worker; workers that are not due for a probe come last. A kind of task that fails on the only other worker that it may run on is no evidence against this one. The limits for steps whose kind fails stay.

--- a/src/decision/worker_health.cpp
+++ b/src/decision/worker_health.cpp
@@ -67,7 +67,8 @@
         m_outcomesByKind.erase(it);
 }
 
-bool failing_kinds::failsElsewhere(const std::string &kind, const std::string &worker) const
+bool failing_kinds::failsElsewhere(const std::string &kind, const std::string &worker,
+                                   std::size_t others) const
 {
     const auto it = m_outcomesByKind.find(kind);
     if (it == m_outcomesByKind.end())
@@ -78,7 +79,9 @@
         });
     };
     const auto failing = count(true);
-    return failing >= minFailingWorkers && failing > count(false);
+    const auto required =
+        std::clamp<std::ptrdiff_t>(static_cast<std::ptrdiff_t>(others), 1, minFailingWorkers);
+    return failing >= required && failing > count(false);
 }
 
 bool failing_kinds::mostlyFails(const std::string &kind) const
@@ -107,6 +110,8 @@
 {
     m_probeInterval =
         m_quarantined ? std::min(2 * m_probeInterval, maxProbeInterval) : minProbeInterval;
+    if (!m_quarantined)
+        m_quarantinedAt = now;
     m_quarantined = true;
     m_probeAt = now + m_probeInterval;
     m_successfulProbes = 0;
--- a/src/decision/worker_health.h
+++ b/src/decision/worker_health.h
@@ -35,9 +35,11 @@
 public:
     void observe(const std::string &kind, const std::string &worker, bool failed);
 
-    // Whether the kind fails on several workers other than this one, and on most of them: its
-    // failures are no evidence against the worker.
-    bool failsElsewhere(const std::string &kind, const std::string &worker) const;
+    // Whether the kind fails on several workers other than this one, or on the only one, and on
+    // most of them: its failures are no evidence against the worker. `others`: those on which it
+    // may run.
+    bool failsElsewhere(const std::string &kind, const std::string &worker,
+                        std::size_t others) const;
 
     // Whether the kind fails on most workers on which it was run.
     bool mostlyFails(const std::string &kind) const;
@@ -73,6 +75,9 @@
     // Time of the next probe, a single request, of a quarantined worker.
     time_point probeAt() const { return m_probeAt; }
 
+    // Start of the quarantine; requests sent before it are no probes.
+    time_point quarantinedAt() const { return m_quarantinedAt; }
+
     // Starts or extends the quarantine; each extension doubles the probe interval up to a maximum.
     void quarantine(time_point now);
 
@@ -83,6 +88,7 @@
     double m_evidence = 0;
     duration m_probeInterval {};
     time_point m_probeAt {};
+    time_point m_quarantinedAt {};
     int m_successfulProbes = 0;
     bool m_quarantined = false;
 };
--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -47,9 +47,12 @@
               });
 }
 
-bool provedHealthy(const task_run *run)
+// Whether the run tells if the quarantined worker is sound: it was ordered since the quarantine
+// began, and is not a long-running one that is at work.
+bool isProbe(const worker &worker, const task_run *run)
 {
-    return run->step->definition->longRunning && run->speedObserved;
+    const bool proved = run->step->definition->longRunning && run->speedObserved;
+    return !proved && run->orderedAt >= worker.health.quarantinedAt();
 }
 
 // Fewer failed runs of a step may be due to the workers.
@@ -58,6 +61,11 @@
 // take at most this share of the quarantined workers, but at least one.
 constexpr std::size_t failingProbeDivisor = 2;
 
+// A step of which nothing has run for so long may use quarantined workers, while less than this
+// share of the fleet's cores is in use.
+constexpr std::chrono::milliseconds maxQuarantineWait {1500};
+constexpr double maxLoadForOverride = 0.5;
+
 } // namespace
 
 dispatcher::dispatcher(job_scheduler &scheduler, time_point now, scheduler_orders &orders)
@@ -74,10 +82,10 @@
             worker->reservedFor = nullptr;
         if (worker->reservedFor)
             m_reservedCapacity += worker->reservedCapacity;
-        if (worker->usable(m_now)) {
-            m_usableWorkers.push_back(worker.get());
+        if (worker->reachable(m_now))
+            m_reachableWorkers.push_back(worker.get());
+        if (worker->usable(m_now))
             m_usableCapacity += worker->entry.capacity;
-        }
     }
     auto ready = readySteps();
     prepareLimits(ready);
@@ -214,21 +222,23 @@
 
 void dispatcher::countProbes()
 {
-    std::size_t quarantined = 0;
+    std::size_t dueForProbe = 0;
     std::size_t held = 0;
-    for (const auto *worker : m_usableWorkers) {
+    for (const auto *worker : m_reachableWorkers) {
         if (!worker->health.quarantined())
             continue;
-        ++quarantined;
+        m_takesProbes = true;
+        if (!worker->usable(m_now))
+            continue;
+        ++dueForProbe;
         held += std::ranges::any_of(worker->runs,
-                                    [this](const task_run *run) {
-                                        return !provedHealthy(run) && isFailing(*run->step);
+                                    [this, worker](const task_run *run) {
+                                        return isProbe(*worker, run) && isFailing(*run->step);
                                     })
                     ? 1
                     : 0;
     }
-    m_takesProbes = quarantined > 0;
-    const auto limit = std::max<std::size_t>(1, quarantined / failingProbeDivisor);
+    const auto limit = std::max<std::size_t>(1, dueForProbe / failingProbeDivisor);
     m_failingProbesLeft = limit > held ? limit - held : 0;
 }
 
@@ -259,11 +269,7 @@
         return false;
     if (ready.isolated ? !suitsIsolation(ready, worker) : worker.isolating())
         return false;
-    // A quarantined worker gets runs of one step or a late gang as probes, beside long-running
-    // tasks at work.
-    if (worker.health.quarantined()
-        && ((definition.gang && ready.lateness == 0) || (ready.failing && !m_failingMayProbe)
-            || !std::ranges::all_of(worker.runs, provedHealthy)))
+    if (worker.health.quarantined() && !mayUseQuarantined(ready, worker))
         return false;
     if (!definition.bestEffort && !hasLatencyTarget(definition))
         return true;
@@ -275,12 +281,55 @@
     });
 }
 
+bool dispatcher::hasSoundWorker(const ready_step &ready) const
+{
+    const auto &service = ready.queue->service;
+    const auto &label = ready.step->definition->label;
+    const auto [known, isNew] = m_soundKinds.try_emplace({service, label}, false);
+    if (isNew) {
+        known->second = std::ranges::any_of(m_reachableWorkers, [&](const worker *worker) {
+            return worker->entry.service == service && worker->hasLabel(label)
+                   && !worker->health.quarantined();
+        });
+    }
+    return known->second;
+}
+
+// Without any sound worker of its kind the failures are likely those of jobs, and starting nothing
+// helps no caller. The same holds for a step of which nothing has run for long in a fleet that has
+// room: what it waits for may never come.
+bool dispatcher::overridesQuarantine(const ready_step &ready) const
+{
+    if (!hasSoundWorker(ready))
+        return true;
+    return m_scheduler.m_fleetLoad < maxLoadForOverride
+           && waitOf(*ready.step, m_now) >= maxQuarantineWait;
+}
+
+bool dispatcher::isAvailable(const ready_step &ready, const worker &worker) const
+{
+    return worker.usable(m_now) || (worker.reachable(m_now) && overridesQuarantine(ready));
+}
+
+// A quarantined worker gets runs of one step or a late gang as probes, beside runs that tell
+// nothing about it.
+bool dispatcher::mayUseQuarantined(const ready_step &ready, const worker &worker) const
+{
+    if (ready.failing && !m_failingMayProbe)
+        return false;
+    const bool onTimeGang = ready.step->definition->gang && ready.lateness == 0;
+    const bool probes = worker.usable(m_now) && !onTimeGang
+                        && std::ranges::none_of(
+                            worker.runs, [&](const task_run *run) { return isProbe(worker, run); });
+    return probes || overridesQuarantine(ready);
+}
+
 std::vector<worker *> dispatcher::allowedWorkers(const ready_step &ready) const
 {
     std::vector<worker *> found;
     if (!ready.queue->advisor) {
-        m_scheduler.m_passes.workersExamined += m_usableWorkers.size();
-        std::ranges::copy_if(m_usableWorkers, std::back_inserter(found),
+        m_scheduler.m_passes.workersExamined += m_reachableWorkers.size();
+        std::ranges::copy_if(m_reachableWorkers, std::back_inserter(found),
                              [&](const worker *worker) { return eligible(ready, *worker); });
         return found;
     }
@@ -290,7 +339,7 @@
     m_scheduler.m_passes.workersExamined += advice.allowed().size();
     for (const auto &[ref, held] : advice.allowed()) {
         auto *worker = held.expires > m_now ? m_scheduler.m_fleet.find(ref) : nullptr;
-        if (worker && worker->usable(m_now) && eligible(ready, *worker))
+        if (worker && worker->reachable(m_now) && eligible(ready, *worker))
             found.push_back(worker);
     }
     return found;
@@ -352,8 +401,8 @@
 
 // Best fit: the worker with the least capacity left, so that large free blocks remain for large
 // tasks. Long-running tasks are spread instead. Workers in the rack of the data are preferred, then
-// those without tasks of kinds that slow each other down with the step's; those that are slow or
-// failed the step come last.
+// those without tasks of kinds that slow each other down with the step's; those that are
+// quarantined and not due for a probe, are slow or failed the step come last.
 worker *dispatcher::chooseWorker(const ready_step &ready,
                                  const std::vector<worker *> &workers) const
 {
@@ -361,15 +410,17 @@
     const auto apart =
         m_scheduler.m_interference.apartFrom(job_scheduler::interferenceKindOf(*ready.step));
     worker *best = nullptr;
-    auto bestRank = std::make_tuple(true, true, true, true, std::int64_t {0}, std::int64_t {0});
+    auto bestRank =
+        std::make_tuple(true, true, true, true, true, std::int64_t {0}, std::int64_t {0});
     for (auto *worker : workers) {
         if (freeTaskSlots(ready, *worker) == 0)
             continue;
         const bool remote = !definition.dataRack.empty() && worker->rack != definition.dataRack;
         const auto left = worker->free() - effectiveDemand(definition);
         const auto spread = definition.longRunning ? -left.milliCores : left.milliCores;
-        const auto rank = std::make_tuple(stepFailedOn(ready, *worker), worker->speed.slow(),
-                                          remote, hasRunOf(apart, *worker), spread, left.memoryMib);
+        const auto rank = std::make_tuple(!worker->usable(m_now), stepFailedOn(ready, *worker),
+                                          worker->speed.slow(), remote, hasRunOf(apart, *worker),
+                                          spread, left.memoryMib);
         if (!best || rank < bestRank) {
             best = worker;
             bestRank = rank;
--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -4,6 +4,9 @@
 #include "jobs/job_scheduler.h"
 
 #include <array>
+#include <map>
+#include <string>
+#include <utility>
 #include <vector>
 
 namespace plantaingap::jobs {
@@ -87,6 +90,13 @@
     static bool beyondShare(const step_run &step);
     // Limits the probes that may be placed for kinds that fail.
     void countProbes();
+    // Whether a step may be placed on a worker that is quarantined.
+    bool mayUseQuarantined(const ready_step &ready, const worker &worker) const;
+    // Whether the quarantine of workers is no reason to keep the step from them.
+    bool overridesQuarantine(const ready_step &ready) const;
+    bool hasSoundWorker(const ready_step &ready) const;
+    // The worker is reachable, and its quarantine, if any, does not keep the step from it now.
+    bool isAvailable(const ready_step &ready, const worker &worker) const;
     bool isFailing(const step_run &step) const;
     // Lets failing steps, in turn, probe the quarantined workers that others have left free.
     void scheduleFailing(std::vector<const ready_step *> failing);
@@ -179,10 +189,13 @@
     // Gangs whose turn comes once tasks end that are at work.
     std::vector<ready_step> m_nextGangs;
     std::vector<worker *> m_workers;
-    std::vector<worker *> m_usableWorkers;
+    // Those to which orders can be sent, quarantined or not.
+    std::vector<worker *> m_reachableWorkers;
     resources m_usableCapacity;
-    // Some of the usable workers are quarantined, so they take probes.
+    // Some of the reachable workers are quarantined, so they take probes.
     bool m_takesProbes = false;
+    // By service and label: whether a reachable worker is not quarantined.
+    mutable std::map<std::pair<std::string, std::string>, bool> m_soundKinds;
     // Probes that failing steps may still be given, and whether their turn has come.
     std::size_t m_failingProbesLeft = 0;
     bool m_failingMayProbe = false;
--- a/src/jobs/dispatcher_advice.cpp
+++ b/src/jobs/dispatcher_advice.cpp
@@ -79,12 +79,12 @@
         examined += advice.allowed().size();
         for (const auto &allowed : advice.allowed()) {
             auto *worker = m_scheduler.m_fleet.find(allowed.worker);
-            if (worker && worker->usable(m_now))
+            if (worker && worker->reachable(m_now))
                 add(*worker);
         }
     } else {
-        examined += m_usableWorkers.size();
-        for (auto *worker : m_usableWorkers) {
+        examined += m_reachableWorkers.size();
+        for (auto *worker : m_reachableWorkers) {
             if (!advice.allows(worker->ref) && !advice.rejects(worker->ref))
                 add(*worker);
         }
--- a/src/jobs/dispatcher_gangs.cpp
+++ b/src/jobs/dispatcher_gangs.cpp
@@ -100,7 +100,7 @@
     auto startAt = m_now;
     for (const auto &ref : plan.workers) {
         const auto *worker = m_scheduler.m_fleet.find(ref);
-        if (!worker || worker->reservedFor != ready.step || !worker->usable(m_now)
+        if (!worker || worker->reservedFor != ready.step || !isAvailable(ready, *worker)
             || !eligible(ready, *worker))
             return false;
         const auto free = freeAt(*worker, worker->reservedCapacity);
@@ -146,12 +146,15 @@
 // Workers on which the gang may run according to the advisor, with a valid ticket or without.
 std::vector<worker *> dispatcher::knownWorkers(const ready_step &ready) const
 {
-    if (!ready.queue->advisor)
-        return m_usableWorkers;
     std::vector<worker *> found;
+    if (!ready.queue->advisor) {
+        std::ranges::copy_if(m_reachableWorkers, std::back_inserter(found),
+                             [&](const worker *worker) { return isAvailable(ready, *worker); });
+        return found;
+    }
     for (const auto &allowed : ready.step->advice.allowed()) {
         auto *worker = m_scheduler.m_fleet.find(allowed.worker);
-        if (worker && worker->usable(m_now))
+        if (worker && isAvailable(ready, *worker))
             found.push_back(worker);
     }
     return found;
--- a/src/jobs/fleet.cpp
+++ b/src/jobs/fleet.cpp
@@ -44,10 +44,14 @@
     return certainlyPastAt(now) > leaseEndMs;
 }
 
+bool worker::reachable(time_point now) const
+{
+    return listed && responsive && clockKnown && !entry.draining && now >= startsPausedUntil;
+}
+
 bool worker::usable(time_point now) const
 {
-    return listed && responsive && clockKnown && !entry.draining && now >= startsPausedUntil
-           && (!health.quarantined() || now >= health.probeAt());
+    return reachable(now) && (!health.quarantined() || now >= health.probeAt());
 }
 
 bool worker::hasLabel(std::string_view label) const
--- a/src/jobs/fleet.h
+++ b/src/jobs/fleet.h
@@ -121,6 +121,9 @@
     bool continuesClock(std::int64_t readingMs, time_point now) const;
     // All leases of the worker have certainly expired, so none of its runs can still exist.
     bool leasesEnded(time_point now) const;
+    // Orders to it can be carried out.
+    bool reachable(time_point now) const;
+    // It is reachable and, if quarantined, due for a probe.
     bool usable(time_point now) const;
     bool hasLabel(std::string_view label) const;
     // A run that may crash the worker is at work, so nothing else is placed.
--- a/src/jobs/job_health.cpp
+++ b/src/jobs/job_health.cpp
@@ -33,6 +33,17 @@
     return step.occurrence->job->definition.id + '.' + std::to_string(step.number);
 }
 
+// Workers other than this one on which the task may run.
+std::size_t job_scheduler::othersOfKind(const worker &worker, const task_run &task) const
+{
+    const auto &label = task.step->definition->label;
+    return static_cast<std::size_t>(std::ranges::count_if(m_fleet.all(), [&](const auto &entry) {
+        const auto &other = *entry.second;
+        return &other != &worker && other.listed && other.entry.service == worker.entry.service
+               && other.hasLabel(label);
+    }));
+}
+
 void job_scheduler::updateHealth(worker &worker, const task_run &task, run_verdict verdict,
                                  time_point now)
 {
@@ -45,7 +56,9 @@
     const auto baseline = std::min(m_failureRates.rate(kind), maxBaselineFailureRate);
     m_failureRates.observe(kind, failed);
     const auto taskKind = kindOf(*task.step);
-    const bool failsElsewhere = m_failingKinds.failsElsewhere(taskKind, worker.entry.id);
+    const bool failsElsewhere =
+        failed
+        && m_failingKinds.failsElsewhere(taskKind, worker.entry.id, othersOfKind(worker, task));
     // A run that did not start tells nothing about its kind.
     if (verdict != run_verdict::NotStarted)
         m_failingKinds.observe(taskKind, worker.entry.id, failed);
@@ -56,8 +69,10 @@
     if (worker.health.quarantined() && !failed) {
         if (worker.health.recordProbeSuccess())
             recordEvent("worker.quarantine_lifted", task, "probe runs succeeded");
-    } else if (worker.health.quarantined() && now < worker.health.probeAt()) {
-        // Started before the quarantine, so it is no failed probe.
+    } else if (worker.health.quarantined()
+               && (now < worker.health.probeAt()
+                   || task.orderedAt < worker.health.quarantinedAt())) {
+        // Started before the quarantine, or in spite of it, so it is no failed probe.
         return;
     } else if (worker.health.quarantined() || worker.health.isSuspect()) {
         recordEvent("worker.quarantined", task, "runs fail or hang on this worker");
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -522,6 +522,7 @@
     static std::string kindOf(const step_run &step);
     enum class run_verdict : std::uint8_t { Sound, Failed, NotStarted };
     // Updates the health of a worker after a failed or successful run, or a start that failed.
+    std::size_t othersOfKind(const worker &worker, const task_run &task) const;
     void updateHealth(worker &worker, const task_run &task, run_verdict verdict, time_point now);
     void checkProgress(worker &worker, time_point now);
     void observeLongRunning(worker &worker, task_run &task, time_point now);
