Place tasks on a restarted worker only by its own list entry

Cause: a worker was usable from the first report of a new incarnation on, by the labels and the capacity of whatever entry the list had. The incarnation of the entry was decoded and never used.

Change: nothing is placed on a worker whose entry and whose last report are of different incarnations. A start that was placed before is withdrawn if the entry is of another incarnation, or has another service or label, once it is stored. An entry that tells no incarnation is taken as before.

--- a/src/jobs/fleet.cpp
+++ b/src/jobs/fleet.cpp
@@ -44,9 +44,15 @@
     return certainlyPastAt(now) > leaseEndMs;
 }
 
+bool worker::entryIsCurrent() const
+{
+    return entry.incarnationMs == 0 || entry.incarnationMs == incarnationMs;
+}
+
 bool worker::reachable(time_point now) const
 {
-    return listed && responsive && clockKnown && !entry.draining && now >= startsPausedUntil;
+    return listed && responsive && clockKnown && !entry.draining && entryIsCurrent()
+           && now >= startsPausedUntil;
 }
 
 bool worker::usable(time_point now) const
--- a/src/jobs/fleet.h
+++ b/src/jobs/fleet.h
@@ -121,7 +121,10 @@
     bool continuesClock(std::int64_t readingMs, time_point now) const;
     // All leases of the worker have certainly expired, so none of its runs can still exist.
     bool leasesEnded(time_point now) const;
-    // Orders to it can be carried out.
+    // The entry is of the incarnation that sent the last report: another one may have other labels
+    // and another capacity, and is listed later than it reports.
+    bool entryIsCurrent() const;
+    // Orders to it can be carried out, and its entry tells which.
     bool reachable(time_point now) const;
     // It is reachable and, if quarantined, due for a probe.
     bool usable(time_point now) const;
--- a/src/jobs/job_changes.cpp
+++ b/src/jobs/job_changes.cpp
@@ -20,9 +20,11 @@
     return account && !account->allows(task.step->definition->demand);
 }
 
-std::string_view withdrawalReason(const task_run &task)
+std::string_view withdrawalReason(const task_run &task, bool suitsEntry)
 {
     const auto &worker = *task.assignedWorker;
+    if (!suitsEntry)
+        return "the worker has started again since it was chosen";
     if (worker.fits())
         return "the limit of its workspace was lowered";
     return worker.unaccountedRuns > 0 ? "the worker has reported runs that are not counted"
@@ -94,8 +96,17 @@
     return change;
 }
 
-// Withdraws starts on workers that have shrunk or reported uncounted runs since they were chosen,
-// and those beyond a limit that was lowered since then; with a member its gang.
+// Whether the worker, if it has started again since it was chosen, still takes the task.
+bool job_scheduler::suitsEntry(const task_run &task, const worker &worker) const
+{
+    const auto &step = *task.step;
+    return worker.entryIsCurrent() && worker.hasLabel(step.definition->label)
+           && worker.entry.service == queueOf(*step.occurrence->job).service;
+}
+
+// Withdraws starts on workers that have shrunk, started again as another kind or reported uncounted
+// runs since they were chosen, and those beyond a limit that was lowered since then; with a member
+// its gang.
 void job_scheduler::withdrawUnfitStarts(const std::vector<job_change> &batch, time_point now)
 {
     for (const auto &change : batch) {
@@ -103,10 +114,13 @@
             if (!effect.start || !findJob(change.id))
                 continue;
             auto &task = *effect.start;
-            if (task.phase != task_phase::Recording || task.attempt != effect.attempt
-                || (task.assignedWorker->fits() && !exceedsLimit(task)))
+            if (task.phase != task_phase::Recording || task.attempt != effect.attempt)
+                continue;
+            const auto &worker = *task.assignedWorker;
+            const bool suits = suitsEntry(task, worker);
+            if (worker.fits() && suits && !exceedsLimit(task))
                 continue;
-            recordEvent("start.withdrawn", task, withdrawalReason(task));
+            recordEvent("start.withdrawn", task, withdrawalReason(task, suits));
             recordRunEnd(task, run_end_cause::Withdrawn, now);
             if (task.step->definition->gang)
                 stopStep(*task.step, now);
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -460,6 +460,7 @@
     void extendObjective(task_run &task, time_point now);
     void observeDuration(const task_run &task, time_point now);
     void completeGang(step_run &step, std::uint32_t attempt, time_point now);
+    bool suitsEntry(const task_run &task, const worker &worker) const;
     void withdrawUnfitStarts(const std::vector<job_change> &batch, time_point now);
     void stopRun(task_run &task, time_point now);
     void stopStep(step_run &step, time_point now);
--- a/tests/jobs/capacity_runs.cpp
+++ b/tests/jobs/capacity_runs.cpp
@@ -109,6 +109,7 @@
             options.storeTime = milliseconds(40);
             options.renewalInterval = milliseconds(40);
             options.randomTimes = true;
+            options.listsIncarnations = seed % 2 == 0;
             capacity_world world(options);
             world.advance(capacity_world::stepTime * steps);
             CHECK(world.violation() == "");
--- a/tests/jobs/capacity_world.cpp
+++ b/tests/jobs/capacity_world.cpp
@@ -274,8 +274,11 @@
         return;
     std::vector<jobs::worker_entry> entries;
     for (const auto &[id, worker] : m_workers) {
-        if (!m_replaced.contains(id))
-            entries.push_back(worker->entry);
+        if (m_replaced.contains(id))
+            continue;
+        entries.push_back(worker->entry);
+        if (!m_options.listsIncarnations)
+            entries.back().incarnationMs = 0;
     }
     m_leader->scheduler->updateWorkerList(entries);
     for (const auto &[id, worker] : m_leader->scheduler->workers().all()) {
--- a/tests/jobs/capacity_world.h
+++ b/tests/jobs/capacity_world.h
@@ -70,6 +70,9 @@
     // Starts, and renewals with a lease, are executed only by the incarnation that they name, as
     // the gateway to the workers ensures.
     bool bound = true;
+    // The list of workers tells their incarnations. Otherwise starts go to a restarted worker as
+    // soon as it reports.
+    bool listsIncarnations = true;
     // Each random job belongs to one of these.
     std::vector<jobs::workspace_definition> workspaces {};
     // The scheduler knows the limits; without them the checks of the world must find a violation.
--- a/tests/jobs/restarted_worker_test.cpp
+++ b/tests/jobs/restarted_worker_test.cpp
@@ -107,6 +107,7 @@
     capacity_options options;
     options.workers = 2;
     options.bound = bound;
+    options.listsIncarnations = false;
     return options;
 }
 
--- a/tests/jobs/scheduler_world.h
+++ b/tests/jobs/scheduler_world.h
@@ -158,10 +158,14 @@
     {
         auto &worker = fleet[id];
         worker.incarnationMs += 1000;
+        if (listsRestarts)
+            worker.entry.incarnationMs = worker.incarnationMs;
         worker.active.clear();
         worker.ended.clear();
         worker.lastNumber = 0;
         worker.leaseEndMs = 0;
+        if (listsRestarts)
+            list();
     }
 
     // Ends all runs of a worker, which is down for restartTime.
@@ -429,6 +433,8 @@
     // Address of a machine that crashes under whatever it starts.
     std::string faultyMachine;
     milliseconds restartTime {3500};
+    // A worker that has started again is in the list at once; otherwise its former entry is.
+    bool listsRestarts = true;
     bool newIdAfterCrash = true;
     int crashes = 0;
     std::map<std::string, int> startsOf;
