Keep more connections to workers while no leader was lost

What callers saw: with a sixteenth of a worker's limit kept open, orders to workers in other regions more often waited for a connection, and members of gangs started further apart.

Change: a leader keeps a seventh of the limit while nothing is lost, and less by the fourth power of what lost leaders are expected to have left, down to the connection for renewals. A renewal whose connection orders have taken waits for one rather than opens a further one, beyond what the orders are worth.

--- a/src/cell/connection_budget.cpp
+++ b/src/cell/connection_budget.cpp
@@ -7,11 +7,14 @@
 
 namespace {
 
-// Parts of what is left of a worker's limit: what one process uses at most, what it uses for
-// starts, and what it keeps open, with the one for renewals.
+// Parts of what is left of a worker's limit: what one process uses at most, and what it uses for
+// starts.
 constexpr double processDivisor = 2;
 constexpr double startDivisor = 8;
-constexpr double keepDivisor = 16;
+// Part of a worker's limit that the first leader keeps open, with the one for renewals. The next
+// ones keep less, by this power of the part that is left to them.
+constexpr double keepDivisor = 7;
+constexpr double keepPower = 4;
 // What one process may use at least, where the worker's limit is large enough: fewer connections
 // may be left over than is expected, or more.
 constexpr std::size_t minProcessLimit = 4;
@@ -25,6 +28,11 @@
 constexpr duration minPause = std::chrono::milliseconds(100);
 constexpr duration maxPause = std::chrono::seconds(1);
 
+double keptConnections(double workerLimit, double room)
+{
+    return workerLimit / keepDivisor * std::pow(room / workerLimit, keepPower);
+}
+
 } // namespace
 
 std::string_view callKindName(call_kind kind)
@@ -39,15 +47,14 @@
     m_workerLimit = workerLimit;
     m_room = workerLimit;
     for (; lostLeaders > 0 && m_room > 1; --lostLeaders) {
-        const auto left = std::max(minLeftByLeader, m_room / keepDivisor);
-        m_room -= left * std::min(lostLeaders, 1.0);
+        const auto left = std::max(minLeftByLeader, keptConnections(workerLimit, m_room));
+        m_room = std::max(m_room - left * std::min(lostLeaders, 1.0), 1.0);
     }
 }
 
 std::size_t connection_budget::keptForOrders() const
 {
-    const auto kept = static_cast<std::size_t>(std::max(m_room / keepDivisor, 1.0));
-    return kept - 1;
+    return static_cast<std::size_t>(std::max(keptConnections(m_workerLimit, m_room), 1.0)) - 1;
 }
 
 std::uint64_t connection_budget::enqueue(call_kind kind)
@@ -171,9 +178,10 @@
         return false;
     if (m_unproved >= std::max<std::size_t>(1, m_open - m_unproved))
         return false;
-    if (kind == call_kind::LeaseRenewal)
-        return true;
     const auto forOrders = m_open - busy(call_kind::LeaseRenewal);
+    // Orders may have taken the connection of the last renewal.
+    if (kind == call_kind::LeaseRenewal)
+        return forOrders <= orderWidth(call_kind::Start);
     return forOrders == 0 || (mayGrow && forOrders < orderWidth(kind));
 }
 
--- a/src/cell/connection_budget.h
+++ b/src/cell/connection_budget.h
@@ -25,8 +25,8 @@
 // power stay counted there. So what matters to the leaders to come is how many connections a leader
 // has open at any time. Therefore
 //
-//   - each leader keeps a part of what the lost leaders before it are expected to have left, so
-//     that the next ones find some, however many there are;
+//   - a leader keeps a few connections open. After leaders were lost it keeps fewer, down to the
+//     one for renewals, by what those are expected to have left;
 //   - beyond these, calls wait for a connection rather than open one, unless the wait would exceed
 //     targetQueueTime by the round-trip time of the calls so far;
 //   - all calls of a process together use at most half of what is left, and starts, which come all
