Start suspected tasks that last beside others after two seconds

Cause: a suspected task waits up to 10 s for a worker without runs while less than 45% of the fleet is idle, and suspects of one job start one at a time. Neither makes an exception for tasks that serve callers of their own.

Change: the wait is 2 s for tasks that last and are not strongly suspected.

--- a/src/jobs/dispatcher_suspects.cpp
+++ b/src/jobs/dispatcher_suspects.cpp
@@ -16,6 +16,9 @@
 // With less idle, a suspected task waits for a worker without runs, up to this time.
 constexpr double sharedSiteIdleShare = 0.45;
 constexpr std::chrono::seconds maxEmptyWorkerWait {10};
+// The same for a task that lasts and is not strongly suspected: its callers wait all the while, and
+// in a busy fleet no worker may come free.
+constexpr std::chrono::seconds maxEmptyWorkerWaitOfLasting {2};
 // A suspected task waits for so long for another machine than those that crashed under its step,
 // from when it may start beside other runs.
 constexpr std::chrono::seconds maxOtherMachineWait {4};
@@ -64,7 +67,9 @@
     if (worker.isolating() || reservedForOther)
         return false;
     const bool calm = 1 - m_scheduler.m_fleetLoad >= sharedSiteIdleShare;
-    const auto emptyWorkerWait = calm ? std::chrono::seconds {0} : maxEmptyWorkerWait;
+    const bool lasting = ready.step->definition->longRunning && !ready.stronglySuspected;
+    const auto longestWait = lasting ? maxEmptyWorkerWaitOfLasting : maxEmptyWorkerWait;
+    const auto emptyWorkerWait = calm ? std::chrono::seconds {0} : longestWait;
     const auto waited = m_now - ready.step->lastCrashAt;
     const bool mayShare = calm || ready.step->definition->gang || waited > emptyWorkerWait;
     if (!worker.runs.empty() && !mayShare)
