--- a/tests/jobs/lasting_suspect_test.cpp
+++ b/tests/jobs/lasting_suspect_test.cpp
@@ -88,9 +88,8 @@
 private:
     bool isRunning(const std::string &task) const
     {
-        return std::ranges::any_of(fleet, [&task](const auto &entry) {
-            return entry.second.active.contains(task);
-        });
+        return std::ranges::any_of(
+            fleet, [&task](const auto &entry) { return entry.second.active.contains(task); });
     }
 
     std::uint32_t m_tasks = 0;
