Bound the connections to all workers by a setting, and open kept ones at once

With the deploy file's 1,400 of callers it stays below the descriptors of the smallest instances. Connections that a leader may keep are opened together while the worker refuses none.

--- a/daemons/plantaingap_cell.cpp
+++ b/daemons/plantaingap_cell.cpp
@@ -87,7 +87,7 @@
     support::startLogging(settings->logLevel, support::log_stream::Output);
     boost::asio::io_context context(1);
     adapter::store_gateway store(context, settings->store);
-    adapter::orders_gateway workers(context);
+    adapter::orders_gateway workers(context, settings->workerConnections);
     adapter::advisor_gateway advisor(context, settings->advisor);
     adapter::json_codec codec;
     cell::cell_instance instance(context, optionsFrom(*settings), store, workers, advisor, codec,
--- a/src/cell/connection_budget.cpp
+++ b/src/cell/connection_budget.cpp
@@ -176,7 +176,8 @@
 {
     if (now < m_pausedUntil || m_open >= processLimit())
         return false;
-    if (m_unproved >= std::max<std::size_t>(1, m_open - m_unproved))
+    const auto unrefused = m_pause == duration {} ? keptForOrders() : 0;
+    if (m_unproved >= std::max({std::size_t {1}, m_open - m_unproved, unrefused}))
         return false;
     const auto forOrders = m_open - busy(call_kind::LeaseRenewal);
     // Orders may have taken the connection of the last renewal.
--- a/src/cell/connection_budget.h
+++ b/src/cell/connection_budget.h
@@ -31,8 +31,8 @@
 //     targetQueueTime by the round-trip time of the calls so far;
 //   - all calls of a process together use at most half of what is left, and starts, which come all
 //     the time, an eighth;
-//   - connections are opened one after another until some have proved to be served, then at most
-//     as many at once as there are of these;
+//   - beyond those that it keeps, connections are opened one after another until some have proved
+//     to be served, then at most as many at once as there are of these;
 //   - after the worker has refused a connection, none is opened for a growing span of time. Calls
 //     of all kinds share the connections that are left.
 //
--- a/src/operator/cell_settings.h
+++ b/src/operator/cell_settings.h
@@ -25,6 +25,7 @@
     // Port 0 when no queue needs an advisor.
     boost::asio::ip::tcp::endpoint advisor;
     std::uint32_t callerConnections = 2048;
+    std::uint32_t workerConnections = 2400;
     // Processors that the instance has, in thousandths of a core.
     std::int64_t milliCores = 1000;
     // Kilobits a second of the instance's own link; 0 when unknown.
--- a/src/operator/settings_tables.h
+++ b/src/operator/settings_tables.h
@@ -159,6 +159,8 @@
         optional("advisor", &cell_settings::advisor, anyValue, "The placement advisor."),
         optional("caller_connections", &cell_settings::callerConnections, range(1, 1'000'000),
                  "Open connections of callers; more are closed at once."),
+        optional("worker_connections", &cell_settings::workerConnections, range(1, 1'000'000),
+                 "Open connections to workers; beyond them one worker gets one more for orders."),
         optional("cores", &cell_settings::milliCores,
                  value_rule {.unit = value_unit::Cores, .lowest = 1},
                  "Processors of the instance; small ones leave leading to others."),
--- a/tests/adapter/connection_limit_test.cpp
+++ b/tests/adapter/connection_limit_test.cpp
@@ -31,6 +31,7 @@
 constexpr std::size_t vanishedInstances = 20;
 // What an instance keeps open at most while no order is on its way.
 constexpr std::size_t mostKept = 8;
+constexpr std::size_t processLimit = 1000;
 
 // Leaders with a gateway each, and one worker.
 class limited_worker_world
@@ -51,7 +52,7 @@
         m_gateway.reset();
         awaitOpenConnections(m_sockets.size());
         occupy(left);
-        m_gateway = std::make_unique<adapter::orders_gateway>(m_context);
+        m_gateway = std::make_unique<adapter::orders_gateway>(m_context, processLimit);
         m_gateway->setConnectionLimit("w0", workerLimit, static_cast<double>(m_term));
         ++m_term;
     }
--- a/tests/adapter/orders_gateway_test.cpp
+++ b/tests/adapter/orders_gateway_test.cpp
@@ -89,7 +89,7 @@
 
     asio::io_context context {1};
     http_worker worker {context, firstIncarnation, firstClockMs};
-    adapter::orders_gateway gateway {context};
+    adapter::orders_gateway gateway {context, 100};
     std::uint32_t attempts = 0;
 };
 
--- a/tests/adapter/restarted_worker_test.cpp
+++ b/tests/adapter/restarted_worker_test.cpp
@@ -114,7 +114,7 @@
     asio::io_context context {1};
     http_worker worker;
     memory_store store {context};
-    adapter::orders_gateway workers {context};
+    adapter::orders_gateway workers {context, 100};
     tests::unresponsive_advisor advisor;
     worker_codec codec;
     peer_transport peers {context, {}};
