--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -69,6 +69,8 @@
 // are rejected at once.
 constexpr milliseconds storeUnavailableThreshold {400};
 
+constexpr double thousandths = 1000;
+
 // The smallest key that is read after `key`.
 std::string nextKey(const std::string &key)
 {
@@ -747,7 +749,7 @@
         const auto limit = limits.find(worker->entry.service);
         m_ports.workers.setConnectionLimit(
             id, limit == limits.end() ? connection_budget::defaultWorkerLimit : limit->second,
-            m_row.lostLeaders);
+            static_cast<double>(m_row.lostLeaderThousandths) / thousandths);
     }
 }
 
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr std::uint64_t thousandths = 1000;
+
 // A follower without a heartbeat reply for this long, or for this many of its heartbeat intervals
 // if that is longer, considers the leader lost and reads its row.
 constexpr std::chrono::milliseconds heartbeatReplyValidity {1500};
@@ -37,7 +39,9 @@
     row.term = former->term + 1;
     const auto passed = std::max<std::int64_t>(row.lostLeadersAtMs - former->lostLeadersAtMs, 0)
                         / static_cast<double>(std::chrono::milliseconds(lossHalfLife).count());
-    row.lostLeaders = former->lostLeaders * std::exp2(-passed) + (former->resigned ? 0 : 1);
+    const auto earlier = static_cast<double>(former->lostLeaderThousandths) * std::exp2(-passed);
+    row.lostLeaderThousandths =
+        static_cast<std::uint64_t>(earlier) + (former->resigned ? 0 : thousandths);
     return row;
 }
 
@@ -48,7 +52,7 @@
                                          {"term", row.term},
                                          {"sequence", row.sequence},
                                          {"resigned", row.resigned},
-                                         {"lost_leaders", row.lostLeaders},
+                                         {"lost_leader_thousandths", row.lostLeaderThousandths},
                                          {"lost_leaders_at_ms", row.lostLeadersAtMs}});
 }
 
@@ -64,8 +68,8 @@
         row.sequence = object.at("sequence").to_number<std::uint64_t>();
         row.resigned = object.at("resigned").as_bool();
         // Rows of earlier versions have no losses.
-        if (const auto *lost = object.if_contains("lost_leaders"))
-            row.lostLeaders = lost->to_number<double>();
+        if (const auto *lost = object.if_contains("lost_leader_thousandths"))
+            row.lostLeaderThousandths = lost->to_number<std::uint64_t>();
         if (const auto *countedAt = object.if_contains("lost_leaders_at_ms"))
             row.lostLeadersAtMs = countedAt->to_number<std::int64_t>();
         return row;
--- a/src/cell/leadership.h
+++ b/src/cell/leadership.h
@@ -26,9 +26,9 @@
     std::uint64_t sequence = 0;
     // The holder has resigned: the row can be taken over without a timeout.
     bool resigned = false;
-    // Leaders that were replaced without having resigned, each counted half as much after
-    // lossHalfLife, as of that time in milliseconds since 1970.
-    double lostLeaders = 0;
+    // Leaders that were replaced without having resigned, in thousandths, each counted half as much
+    // after lossHalfLife, as of that time in milliseconds since 1970.
+    std::uint64_t lostLeaderThousandths = 0;
     std::int64_t lostLeadersAtMs = 0;
 
     bool operator==(const leader_row &) const = default;
--- a/tests/adapter/restarted_worker_test.cpp
+++ b/tests/adapter/restarted_worker_test.cpp
@@ -24,7 +24,8 @@
 constexpr std::int64_t secondIncarnation = 1'700'000'009'000;
 constexpr std::chrono::seconds testTimeout {20};
 
-// As fixed_codec, with each worker entry parsed as one worker.
+// As fixed_codec, with each worker entry parsed as one worker of an unknown incarnation, so that
+// starts go to it as soon as it reports.
 class worker_codec final : public platform_codec
 {
 public:
@@ -49,7 +50,7 @@
                                                        std::string_view) const override
     {
         return jobs::worker_entry {
-            id, address, "dc", "service", false, {16'000, 32'768, 0}, {"a", "r1-1"}, 1};
+            id, address, "dc", "service", false, {16'000, 32'768, 0}, {"a", "r1-1"}, 0};
     }
 
     std::string address;
--- a/tests/cell/leadership_test.cpp
+++ b/tests/cell/leadership_test.cpp
@@ -221,3 +221,47 @@
     monitor.rowRead(next, 10, milliseconds(5), at(50));
     CHECK_FALSE(monitor.leaderUnresponsive());
 }
+
+namespace {
+
+struct claim_case
+{
+    const char *name;
+    bool resigned;
+    std::uint64_t lostBefore;
+    std::chrono::minutes passed;
+    std::uint64_t lost;
+};
+
+const claim_case claims[] = {
+    {"the leader resigned", true, 0, std::chrono::minutes(1), 0},
+    {"the leader is lost", false, 0, std::chrono::minutes(1), 1000},
+    {"the second one is lost an hour later", false, 1000, std::chrono::minutes(60), 1500},
+    {"one is lost two hours before the leader resigns", true, 1000, std::chrono::minutes(120), 250},
+    {"the wall clock goes back", false, 3000, std::chrono::minutes(-5), 4000},
+};
+
+} // namespace
+
+// Guards against leaders that leave their successors no connections to the workers (review/11).
+TEST_CASE("The row of a new leader counts the leaders that were lost before it")
+{
+    const wall_time then {std::chrono::hours(24 * 365 * 50)};
+    CHECK(claimRow(std::nullopt, "one", "10.0.0.1:7000", then).lostLeaderThousandths == 0);
+    for (const auto &row : claims) {
+        CAPTURE(std::string(row.name));
+        auto former = makeRow(7, row.resigned);
+        former.lostLeaderThousandths = row.lostBefore;
+        former.lostLeadersAtMs = then.time_since_epoch().count();
+        const auto claimed = claimRow(former, "two", "10.0.0.2:7000", then + row.passed);
+        CHECK(claimed.lostLeaderThousandths == row.lost);
+        CHECK(claimed.term == former.term + 1);
+        CHECK(claimed.holder == "two");
+        // A claim whose reply was lost is recognised by its row.
+        CHECK(decodeLeaderRow(encodeLeaderRow(claimed)) == claimed);
+    }
+    const auto earlier = decodeLeaderRow(
+        R"({"holder":"one","address":"10.0.0.1:7000","term":1,"sequence":7,"resigned":false})");
+    REQUIRE(earlier);
+    CHECK(*earlier == makeRow(7));
+}
